Add the workspace, formatter, linter and the interfaces of the slices

Cause: an empty repository; the slices need contracts before they are built apart. Conclusion: decision objects take events and the present time and give back actions; shells follow.

--- /dev/null
+++ b/packages/common/include/masticlever/common/digest.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+
+/// \file
+/// SHA-256 digests and stable hashes, equal on every instance.
+
+namespace masticlever::common
+{
+
+/// SHA-256 of \p data in lower-case hexadecimal.
+std::string sha256Hex(std::string_view data);
+
+/// First 64 bits of the SHA-256 of \p data.
+unsigned long long stableHash(std::string_view data);
+
+/// HMAC-SHA256 of \p data under \p key, 32 raw bytes.
+std::string hmacSha256(std::string_view key, std::string_view data);
+
+/// Compares in a time that depends on the lengths only.
+bool equalConstantTime(std::string_view left, std::string_view right);
+
+} // namespace masticlever::common
--- /dev/null
+++ b/packages/common/include/masticlever/common/time.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <chrono>
+
+/// \file
+/// Clock types of the decision objects. They never read a clock: the present time is a parameter.
+
+namespace masticlever::common
+{
+
+using duration = std::chrono::microseconds;
+
+/// A point on the monotonic clock of one process; never sent to another process.
+using instant = std::chrono::time_point<std::chrono::steady_clock, duration>;
+
+/// A point on the wall clock (Unix epoch); used only for key ages and records meant for people.
+using wall_time = std::chrono::time_point<std::chrono::system_clock, std::chrono::milliseconds>;
+
+} // namespace masticlever::common
--- /dev/null
+++ b/packages/ledger/include/masticlever/ledger/ledger.h
@@ -0,0 +1,173 @@
+#pragma once
+
+#include <masticlever/common/run-key.h>
+#include <masticlever/common/time.h>
+#include <masticlever/platform/log-service.h>
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+/// \file
+/// The record of runs with stages that may not be repeated. Position and ownership stand in one record; a record
+/// whose expected epoch is not the run's newest has no effect.
+
+namespace masticlever::ledger
+{
+
+using common::run_key;
+
+/// Offset of the record that last changed a run's ownership or claim; 0 for a run that has no record.
+using epoch = platform::log_offset;
+
+enum class run_standing {
+    absent, ///< no record, or refused: may be claimed
+    started, ///< a stage was claimed and has no outcome: may have run
+    between_stages, ///< the last claimed stage has its outcome; later stages are open
+    finished, ///< the final answer is recorded
+    expired, ///< the key is older than the window: nothing can be said of it
+};
+
+/// What the replayed log says of a run.
+struct run_view {
+    run_standing standing = run_standing::absent;
+    epoch at = 0;
+    std::string bodyDigest;
+    std::string pipeline;
+    std::string owner; ///< incarnation
+    std::string nonce; ///< of the newest claim
+    std::uint32_t stage = 0; ///< index of the newest claimed stage
+    std::string position; ///< as given with the newest claim; opaque here
+    std::string stageResult; ///< of the newest claimed stage, when known
+    std::string answer; ///< final answer
+    bool unknown = false; ///< started, owner gone or has given up on the answer; waits to be settled
+    common::wall_time changedAt; ///< the log service's clock
+};
+
+struct claim_request {
+    run_key run;
+    std::string bodyDigest;
+    std::string pipeline;
+    std::uint32_t stage = 0;
+    std::string position; ///< the request and the results so far, enough for another instance to go on
+    epoch expected = 0; ///< the run's epoch as the claimant knows it
+};
+
+/// The claim stands: this instance alone may send the stage's call, once.
+struct claim_granted {
+    run_key run;
+    std::uint32_t stage = 0;
+    epoch fencing = 0;
+};
+
+/// Another record stands; see find().
+struct claim_lost {
+    run_key run;
+    std::uint32_t stage = 0;
+};
+
+/// The log cannot be written or read in time. This instance will never send the call.
+/// \a certain: it is also sure that no other instance has claimed or will claim for this submission.
+struct claim_unavailable {
+    run_key run;
+    std::uint32_t stage = 0;
+    bool certain = false;
+};
+
+/// A refusal asked for by refuse() stands: no claim of an earlier epoch has an effect any more.
+struct refusal_recorded {
+    run_key run;
+};
+
+/// This instance owns the run of a lost owner and goes on from its position.
+struct run_taken {
+    run_key run;
+    run_view view;
+};
+
+/// The run's standing, result or answer has changed.
+struct run_changed {
+    run_key run;
+};
+
+using event = std::variant<claim_granted, claim_lost, claim_unavailable, refusal_recorded, run_taken, run_changed>;
+
+/// One append to the log service; its end is reported by onAppendEnded().
+struct append_action {
+    std::uint64_t id = 0;
+    std::string payload;
+};
+
+struct ledger_options {
+    std::string incarnation;
+    common::duration claimTimeout = std::chrono::milliseconds(1500); ///< append and read-back of one claim
+    std::chrono::milliseconds window = std::chrono::hours(24); ///< age at which keys expire
+    std::chrono::milliseconds clockSkew = std::chrono::seconds(1); ///< largest skew between callers and instances
+    std::size_t entriesPerRecord = 64;
+    std::size_t recordBytes = 1048576;
+};
+
+class run_ledger
+{
+public:
+    explicit run_ledger(ledger_options options);
+    ~run_ledger();
+    run_ledger(run_ledger &&) noexcept;
+    run_ledger &operator=(run_ledger &&) noexcept;
+
+    /// \name Events from the log
+    /// \{
+    void onRecords(const platform::log_batch &batch, common::instant now, common::wall_time wallNow);
+    void onReadFailed(common::instant now, common::wall_time wallNow);
+    void onAppendEnded(std::uint64_t id, common::result<platform::log_offset> outcome, common::instant now);
+    void onTimer(common::instant now);
+    /// Whether any live peer says that it reaches the log.
+    void setPeerReachesLog(bool reachable);
+    /// \}
+
+    /// \name Commands of the runs slice
+    /// \{
+    run_view find(const run_key &run, common::wall_time wallNow) const;
+    void claim(claim_request request, common::instant now);
+    /// Records the outcome of a claimed stage; an empty \p answer leaves later stages open.
+    void finishStage(const run_key &run, std::uint32_t stage, std::string result, std::string answer,
+                     common::instant now);
+    /// Records the final answer of a run whose stages are all done.
+    void finishRun(const run_key &run, std::string answer, common::instant now);
+    /// The claimed stage was sent and its answer is lost: the run waits to be settled.
+    void markUnknown(const run_key &run, common::instant now);
+    /// This instance has never sent the claimed stage's call and never will; also refuses a run without a record.
+    void refuse(const run_key &run, common::instant now);
+    /// Takes the run of an owner that is not live any more.
+    void take(const run_key &run, common::instant now);
+    /// A positive status answer, or an operator's word, settles a started stage.
+    void settle(const run_key &run, std::uint32_t stage, std::string result, common::instant now);
+    /// \}
+
+    /// True when "no record of this key" is certain at \p wallNow for a key created at \p keyCreated.
+    bool isAbsenceCertain(common::wall_time keyCreated, common::instant now) const;
+    /// The log has been read up to its end since the start.
+    bool isCaughtUp() const;
+    bool isLogReachable() const;
+    platform::log_offset nextOffset() const;
+
+    /// Unfinished runs whose owner is in \p lost.
+    std::vector<run_key> unfinishedRunsOf(const std::vector<std::string> &liveIncarnations) const;
+    /// Runs that wait to be settled.
+    std::vector<run_key> unknownRuns() const;
+    std::size_t size() const;
+
+    std::vector<append_action> takeAppends(common::instant now);
+    std::vector<event> takeEvents();
+    common::instant nextWakeUp() const;
+
+private:
+    struct state;
+    std::unique_ptr<state> m_state;
+};
+
+} // namespace masticlever::ledger
--- /dev/null
+++ b/packages/routing/include/masticlever/routing/router.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include <masticlever/common/time.h>
+#include <masticlever/configuration/snapshot.h>
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+/// \file
+/// Endpoint choice for a stage call: in flight as known here, reported load weighted by its age, prefix affinity,
+/// outlier ejection and slow start.
+
+namespace masticlever::routing
+{
+
+/// An endpoint as a policy sees it.
+struct candidate {
+    std::string name;
+    std::string address;
+    std::string dataCentre;
+    std::size_t slots = 1;
+    std::size_t inFlight = 0; ///< calls of this instance, known exactly
+    double reportedLoad = 0; ///< calls of the whole fleet that the endpoint last reported
+    common::instant reportedAt;
+    double startWeight = 1; ///< below 1 during slow start
+    bool checksFencing = false;
+};
+
+struct choice_request {
+    std::string_view pool;
+    std::uint64_t prefixHash = 0; ///< 0: no affinity
+    std::span<const std::string> exclude; ///< names of endpoints that this stage has tried
+    std::uint64_t random = 0; ///< 64 random bits for this choice
+    common::instant now;
+};
+
+/// Picks one of \p candidates, which is not empty; returns its index.
+class choice_policy
+{
+public:
+    virtual ~choice_policy() = default;
+    virtual std::size_t choose(std::span<const candidate> candidates, const choice_request &request) = 0;
+};
+
+enum class policy_kind { random, round_robin, least_in_flight, two_choices, two_choices_aged, prefix_affinity };
+
+std::unique_ptr<choice_policy> makePolicy(policy_kind kind);
+
+enum class call_outcome { answered, failed, timed_out, cancelled };
+
+struct router_options {
+    policy_kind policy = policy_kind::prefix_affinity;
+    std::size_t failuresToEject = 5; ///< consecutive failures
+    common::duration ejectFor = std::chrono::seconds(5);
+    double ejectedShareLimit = 0.5; ///< floor: at most this share of a pool is out
+    common::duration slowStart = std::chrono::seconds(10);
+};
+
+class router
+{
+public:
+    explicit router(router_options options);
+    ~router();
+    router(router &&) noexcept;
+    router &operator=(router &&) noexcept;
+
+    /// Takes over endpoints of \p snapshot; state of known ones is kept.
+    void update(const configuration::snapshot &snapshot, common::instant now);
+    /// A leaving endpoint gets no new work.
+    void setLeaving(std::string_view address, bool leaving);
+
+    /// The chosen endpoint, or nothing when the pool has none left.
+    std::optional<candidate> choose(const choice_request &request);
+
+    void onSent(std::string_view endpoint, common::instant now);
+    /// \p latency is that of an answered call.
+    void onEnded(std::string_view endpoint, call_outcome outcome, common::duration latency, common::instant now);
+    /// \p load as reported by the endpoint, \p age as stated in the report.
+    void onLoadReport(std::string_view endpoint, double load, common::duration age, common::instant now);
+
+    std::size_t poolSize(std::string_view pool) const;
+    /// Slots of all endpoints of \p pool that take work.
+    std::size_t poolSlots(std::string_view pool) const;
+
+private:
+    struct state;
+    std::unique_ptr<state> m_state;
+};
+
+} // namespace masticlever::routing
--- /dev/null
+++ b/support/cmake/masticlever-package.cmake
@@ -0,0 +1,27 @@
+# masticlever_package(NAME [DEPENDS targets...] [PRIVATE_DEPENDS targets...])
+#
+# Declares the static library `masticlever-NAME` from src/*.cpp and, when
+# test/*-test.cpp exist, the test program `NAME-test`. Headers live in
+# include/masticlever/NAME.
+function(masticlever_package NAME)
+  cmake_parse_arguments(ARG "" "" "DEPENDS;PRIVATE_DEPENDS" ${ARGN})
+  file(GLOB sources CONFIGURE_DEPENDS src/*.cpp src/detail/*.cpp)
+  set(target masticlever-${NAME})
+  if(sources)
+    add_library(${target} STATIC ${sources})
+    target_include_directories(${target} PUBLIC include PRIVATE src)
+    target_link_libraries(${target} PUBLIC ${ARG_DEPENDS} PRIVATE ${ARG_PRIVATE_DEPENDS})
+  else()
+    add_library(${target} INTERFACE)
+    target_include_directories(${target} INTERFACE include)
+    target_link_libraries(${target} INTERFACE ${ARG_DEPENDS} ${ARG_PRIVATE_DEPENDS})
+  endif()
+  file(GLOB tests CONFIGURE_DEPENDS test/*-test.cpp)
+  if(tests)
+    add_executable(${NAME}-test ${tests})
+    target_include_directories(${NAME}-test PRIVATE src)
+    target_link_libraries(${NAME}-test PRIVATE ${target} masticlever-test-main)
+    add_test(NAME ${NAME} COMMAND ${NAME}-test)
+    set_tests_properties(${NAME} PROPERTIES TIMEOUT 120)
+  endif()
+endfunction()
