Name the client in the platform's HTTP adapters

Cause: a fake that cuts one instance from the log has to tell clients apart. Ruled out: telling them apart by connection; ports change with every reconnect. Change: both factories take the instance's name. Conclusion: ready for the adapter.

--- a/packages/platform/include/masticlever/platform/http-platform.h
+++ b/packages/platform/include/masticlever/platform/http-platform.h
@@ -21,7 +21,8 @@
 namespace masticlever::platform
 {
 
-std::unique_ptr<log_service> makeHttpLogService(std::string url);
-std::unique_ptr<instance_list> makeHttpInstanceList(std::string url);
+/// \p client is the name of this instance.
+std::unique_ptr<log_service> makeHttpLogService(std::string url, std::string client);
+std::unique_ptr<instance_list> makeHttpInstanceList(std::string url, std::string client);
 
 } // namespace masticlever::platform
