--- /dev/null
+++ b/packages/configuration/src/detail/rules.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <string_view>
+
+/// \file
+/// Formats and limits that every declaration and change keeps to.
+
+namespace masticlever::configuration::detail
+{
+
+constexpr std::size_t maximumStages = 16; ///< in one pipeline
+constexpr std::size_t maximumTokenDigests = 64; ///< of one team
+constexpr std::size_t maximumTeamPipelines = 64; ///< of one team
+constexpr std::int64_t maximumDeadlineMs = 600'000;
+constexpr std::int64_t maximumTeamInFlight = 100'000;
+constexpr std::int64_t maximumTeamBodyBytes = 16 * 1024 * 1024;
+constexpr std::int64_t maximumSlots = 10'000;
+constexpr double maximumCostPerCall = 1e9;
+constexpr double minimumWeight = 0.001;
+constexpr double maximumWeight = 1000;
+
+constexpr std::size_t maximumChangeBytes = 64 * 1024; ///< one change record
+constexpr std::size_t maximumSnapshotBytes = 8 * 1024 * 1024; ///< one snapshot record
+constexpr std::size_t maximumStateBytes = 4 * 1024 * 1024; ///< all names and specifications together
+constexpr std::size_t rememberedChanges = 4096; ///< change ids whose outcome is kept
+constexpr std::size_t maximumDetailBytes = 160; ///< of a remembered outcome
+
+/// [a-z0-9][a-z0-9-]{0,62}
+bool isName(std::string_view text);
+/// "IP:port" in canonical form; IPv6 in brackets.
+bool isAddress(std::string_view text);
+/// 64 lower-case hexadecimal digits.
+bool isDigest(std::string_view text);
+/// Absolute HTTP path without query or fragment.
+bool isHttpPath(std::string_view text);
+/// 1 to 64 letters, digits, '-', '_' or '.'.
+bool isChangeId(std::string_view text);
+
+} // namespace masticlever::configuration::detail
