Replay the configuration log

Every instance has to reach the same configuration from the log alone, with retention taking old records away and all instances replaced at any time.

The version of a resource is the offset of the record that wrote it; a change names the version it expects, so the lower of two racing offsets wins and the other is a conflict everywhere.

Ruled out: a digest over the encoded state, which costs a full encoding for each record.

--- a/packages/configuration/src/detail/json-reader.cpp
+++ b/packages/configuration/src/detail/json-reader.cpp
@@ -45,7 +45,7 @@
 QJsonValue object_reader::readValue(QLatin1StringView name, presence needed)
 {
     m_known.insert(name);
-    const QJsonValue value = m_object.value(name);
+    QJsonValue value = m_object.value(name);
     if (value.isUndefined() && needed == presence::required) {
         fail(view(name), "is required");
     }
--- /dev/null
+++ b/packages/configuration/src/detail/record.cpp
@@ -0,0 +1,196 @@
+#include "detail/record.h"
+
+#include "detail/json-reader.h"
+#include "detail/rules.h"
+
+#include <masticlever/configuration/codec.h>
+
+#include <QByteArray>
+#include <QJsonArray>
+#include <QJsonDocument>
+#include <QJsonObject>
+
+#include <utility>
+
+using namespace Qt::Literals::StringLiterals;
+
+namespace masticlever::configuration
+{
+
+namespace
+{
+
+constexpr int hexadecimal = 16;
+constexpr qsizetype decidedFields = 5; ///< id, status, version, field, detail
+
+QString kindKey(resource_kind kind)
+{
+    return detail::toQString(toString(kind));
+}
+
+QJsonObject parse(std::string_view json)
+{
+    const auto raw = QByteArray::fromRawData(json.data(), static_cast<qsizetype>(json.size()));
+    return QJsonDocument::fromJson(raw).object();
+}
+
+template <typename Spec> QJsonObject encodeKind(const std::map<std::string, resource<Spec>> &kind)
+{
+    QJsonObject object;
+    for (const auto &[name, entry] : kind) {
+        object.insert(
+            detail::toQString(name),
+            QJsonObject{{u"version"_s, static_cast<qint64>(entry.version)}, {u"spec"_s, parse(toJson(entry.spec))}});
+    }
+    return object;
+}
+
+QJsonArray encodeDecided(const detail::table &state)
+{
+    QJsonArray array;
+    for (const std::string &id : state.decidedIds()) {
+        const change_outcome outcome = state.outcomeOf(id).value_or(change_outcome{});
+        array.append(QJsonArray{detail::toQString(id), static_cast<int>(outcome.status),
+                                static_cast<qint64>(outcome.version), detail::toQString(outcome.field),
+                                detail::toQString(outcome.detail)});
+    }
+    return array;
+}
+
+template <typename Spec, typename Parse>
+bool decodeKind(const QJsonValue &value, resource_kind kind, Parse parseSpec, detail::table &state)
+{
+    const QJsonObject object = value.toObject();
+    for (auto entry = object.begin(); entry != object.end(); ++entry) {
+        const QJsonObject fields = entry.value().toObject();
+        const QJsonObject spec = fields.value(u"spec"_s).toObject();
+        auto parsedSpec = parseSpec(detail::compact(spec));
+        const qint64 version = fields.value(u"version"_s).toInteger();
+        if (parsedSpec.error || version <= 0) {
+            return false;
+        }
+        const std::string name = entry.key().toStdString();
+        state.put(name, {name, static_cast<std::uint64_t>(version), std::move(parsedSpec.spec)});
+        if (state.versionOf(kind, name) == 0) {
+            return false;
+        }
+    }
+    return value.isObject();
+}
+
+bool decodeDecided(const QJsonValue &value, detail::table &state)
+{
+    const QJsonArray array = value.toArray();
+    for (const auto &element : array) {
+        const QJsonArray fields = element.toArray();
+        const int status = fields.at(1).toInt(-1);
+        if (fields.size() != decidedFields || status < 0 || status > static_cast<int>(change_status::invalid)) {
+            return false;
+        }
+        const auto version = static_cast<std::uint64_t>(fields.at(2).toInteger());
+        state.remember(fields.at(0).toString().toStdString(),
+                       {static_cast<change_status>(status), version, fields.at(3).toString().toStdString(),
+                        fields.at(4).toString().toStdString()});
+    }
+    return value.isArray();
+}
+
+detail::decoded decodeSnapshot(const QJsonObject &object)
+{
+    detail::table state;
+    const qint64 covers = object.value(u"covers"_s).toInteger(-1);
+    const qint64 skipped = object.value(u"skipped"_s).toInteger(-1);
+    const bool whole = decodeKind<endpoint_spec>(object.value(kindKey(resource_kind::endpoint)),
+                                                 resource_kind::endpoint, parseEndpoint, state)
+        && decodeKind<pipeline_spec>(object.value(kindKey(resource_kind::pipeline)), resource_kind::pipeline,
+                                     parsePipeline, state)
+        && decodeKind<team_spec>(object.value(kindKey(resource_kind::team)), resource_kind::team, parseTeam, state)
+        && decodeDecided(object.value(u"decided"_s), state);
+    if (!whole || covers < 0 || skipped < 0) {
+        return detail::garbage{};
+    }
+    state.setOffset(static_cast<platform::log_offset>(covers));
+    state.addSkipped(static_cast<std::uint64_t>(skipped));
+    const QString digest = QString::number(state.digest(), hexadecimal);
+    if (object.value(u"digest"_s).toString() != digest) {
+        return detail::garbage{};
+    }
+    return state;
+}
+
+detail::decoded decodeChange(const QJsonObject &object)
+{
+    change what;
+    const auto kind = parseKind(object.value(u"kind"_s).toString().toStdString());
+    const QString op = object.value(u"op"_s).toString();
+    const qint64 expected = object.value(u"expected"_s).toInteger(-1);
+    what.id = object.value(u"id"_s).toString().toStdString();
+    if (!kind || expected < 0 || !detail::isChangeId(what.id) || (op != "put"_L1 && op != "remove"_L1)) {
+        return detail::garbage{};
+    }
+    what.kind = *kind;
+    what.what = op == "put"_L1 ? operation::put : operation::remove;
+    what.name = object.value(u"name"_s).toString().toStdString();
+    what.expectedVersion = static_cast<std::uint64_t>(expected);
+    const QJsonValue spec = object.value(u"spec"_s);
+    if (spec.isObject()) {
+        what.spec = detail::compact(spec.toObject());
+    }
+    return what;
+}
+
+} // namespace
+
+std::string encodeChange(const change &what)
+{
+    QJsonObject fields{{u"id"_s, detail::toQString(what.id)},
+                       {u"op"_s, what.what == operation::put ? u"put"_s : u"remove"_s},
+                       {u"kind"_s, kindKey(what.kind)},
+                       {u"name"_s, detail::toQString(what.name)},
+                       {u"expected"_s, static_cast<qint64>(what.expectedVersion)}};
+    if (what.what == operation::put) {
+        const auto raw = QByteArray::fromRawData(what.spec.data(), static_cast<qsizetype>(what.spec.size()));
+        const QJsonDocument spec = QJsonDocument::fromJson(raw);
+        fields.insert(u"spec"_s, spec.isObject() ? QJsonValue(spec.object()) : QJsonValue(QJsonValue::Null));
+    }
+    return detail::compact({{u"change"_s, fields}});
+}
+
+namespace detail
+{
+
+decoded decodePayload(std::string_view payload)
+{
+    if (payload.size() > maximumSnapshotBytes) {
+        return garbage{};
+    }
+    const QJsonObject object = parse(payload);
+    if (object.size() != 1) {
+        return garbage{};
+    }
+    const QJsonValue snapshotValue = object.value(u"snapshot"_s);
+    if (snapshotValue.isObject()) {
+        return decodeSnapshot(snapshotValue.toObject());
+    }
+    if (payload.size() > maximumChangeBytes) {
+        return garbage{};
+    }
+    return decodeChange(object.value(u"change"_s).toObject());
+}
+
+std::string encodeTable(const table &state)
+{
+    const snapshot &resources = state.resources();
+    return compact({{u"snapshot"_s,
+                     QJsonObject{{u"covers"_s, static_cast<qint64>(state.offset())},
+                                 {u"digest"_s, QString::number(state.digest(), hexadecimal)},
+                                 {u"skipped"_s, static_cast<qint64>(state.skipped())},
+                                 {kindKey(resource_kind::pipeline), encodeKind(resources.pipelines)},
+                                 {kindKey(resource_kind::team), encodeKind(resources.teams)},
+                                 {kindKey(resource_kind::endpoint), encodeKind(resources.endpoints)},
+                                 {u"decided"_s, encodeDecided(state)}}}});
+}
+
+} // namespace detail
+
+} // namespace masticlever::configuration
--- a/packages/configuration/src/detail/rules.h
+++ b/packages/configuration/src/detail/rules.h
@@ -15,15 +15,15 @@
 constexpr std::size_t maximumTeamPipelines = 64; ///< of one team
 constexpr std::int64_t maximumDeadlineMs = 600'000;
 constexpr std::int64_t maximumTeamInFlight = 100'000;
-constexpr std::int64_t maximumTeamBodyBytes = 16 * 1024 * 1024;
+constexpr std::int64_t maximumTeamBodyBytes = std::int64_t{16} * 1024 * 1024;
 constexpr std::int64_t maximumSlots = 10'000;
 constexpr double maximumCostPerCall = 1e9;
 constexpr double minimumWeight = 0.001;
 constexpr double maximumWeight = 1000;
 
-constexpr std::size_t maximumChangeBytes = 64 * 1024; ///< one change record
-constexpr std::size_t maximumSnapshotBytes = 8 * 1024 * 1024; ///< one snapshot record
-constexpr std::size_t maximumStateBytes = 4 * 1024 * 1024; ///< all names and specifications together
+constexpr std::size_t maximumChangeBytes = std::size_t{64} * 1024; ///< one change record
+constexpr std::size_t maximumSnapshotBytes = std::size_t{8} * 1024 * 1024; ///< one snapshot record
+constexpr std::size_t maximumStateBytes = std::size_t{4} * 1024 * 1024; ///< all names and specifications together
 constexpr std::size_t rememberedChanges = 4096; ///< change ids whose outcome is kept
 constexpr std::size_t maximumDetailBytes = 160; ///< of a remembered outcome
 
--- /dev/null
+++ b/packages/configuration/src/detail/table.cpp
@@ -0,0 +1,134 @@
+#include "detail/table.h"
+
+#include "detail/rules.h"
+
+#include <masticlever/common/digest.h>
+#include <masticlever/configuration/codec.h>
+
+#include <utility>
+
+namespace masticlever::configuration::detail
+{
+
+namespace
+{
+
+constexpr char separator = '\n';
+
+std::uint64_t hashOf(const std::string &changeId, const change_outcome &outcome)
+{
+    const std::string status = std::to_string(static_cast<int>(outcome.status));
+    const std::string version = std::to_string(outcome.version);
+    return common::stableHash("change\n" + changeId + separator + status + separator + version + separator
+                              + outcome.field + separator + outcome.detail);
+}
+
+template <typename Spec> std::uint64_t hashOf(std::string_view kind, const resource<Spec> &what)
+{
+    return common::stableHash(std::string(kind) + separator + what.name + separator + std::to_string(what.version)
+                              + separator + toJson(what.spec));
+}
+
+template <typename Spec> std::size_t bytesOf(const resource<Spec> &what)
+{
+    return what.name.size() + toJson(what.spec).size();
+}
+
+template <typename Spec>
+std::uint64_t versionIn(const std::map<std::string, resource<Spec>> &kind, const std::string &name)
+{
+    const auto found = kind.find(name);
+    return found == kind.end() ? 0 : found->second.version;
+}
+
+} // namespace
+
+std::optional<change_outcome> table::outcomeOf(std::string_view changeId) const
+{
+    const auto found = m_decided.find(changeId);
+    return found == m_decided.end() ? std::nullopt : std::optional(found->second);
+}
+
+std::uint64_t table::versionOf(resource_kind kind, const std::string &name) const
+{
+    switch (kind) {
+    case resource_kind::pipeline:
+        return versionIn(m_resources.pipelines, name);
+    case resource_kind::team:
+        return versionIn(m_resources.teams, name);
+    case resource_kind::endpoint:
+        return versionIn(m_resources.endpoints, name);
+    }
+    return 0;
+}
+
+std::uint64_t table::digest() const
+{
+    return m_contentDigest + common::stableHash("skipped\n" + std::to_string(m_skipped));
+}
+
+void table::put(const std::string &name, resource<pipeline_spec> what)
+{
+    putInto(m_resources.pipelines, toString(resource_kind::pipeline), name, std::move(what));
+}
+
+void table::put(const std::string &name, resource<team_spec> what)
+{
+    putInto(m_resources.teams, toString(resource_kind::team), name, std::move(what));
+}
+
+void table::put(const std::string &name, resource<endpoint_spec> what)
+{
+    putInto(m_resources.endpoints, toString(resource_kind::endpoint), name, std::move(what));
+}
+
+void table::remove(resource_kind kind, const std::string &name)
+{
+    switch (kind) {
+    case resource_kind::pipeline:
+        return removeFrom(m_resources.pipelines, toString(kind), name);
+    case resource_kind::team:
+        return removeFrom(m_resources.teams, toString(kind), name);
+    case resource_kind::endpoint:
+        return removeFrom(m_resources.endpoints, toString(kind), name);
+    }
+}
+
+void table::remember(const std::string &changeId, const change_outcome &outcome)
+{
+    m_decided.emplace(changeId, outcome);
+    m_decidedOrder.push_back(changeId);
+    m_contentDigest += hashOf(changeId, outcome);
+    if (m_decidedOrder.size() <= rememberedChanges) {
+        return;
+    }
+    const auto oldest = m_decided.find(m_decidedOrder.front());
+    m_contentDigest -= hashOf(oldest->first, oldest->second);
+    m_decided.erase(oldest);
+    m_decidedOrder.pop_front();
+}
+
+template <typename Spec>
+void table::putInto(std::map<std::string, resource<Spec>> &kind, std::string_view kindName, const std::string &name,
+                    resource<Spec> what)
+{
+    removeFrom(kind, kindName, name);
+    what.name = name;
+    m_contentDigest += hashOf(kindName, what);
+    m_stateBytes += bytesOf(what);
+    kind.insert_or_assign(name, std::move(what));
+}
+
+template <typename Spec>
+void table::removeFrom(std::map<std::string, resource<Spec>> &kind, std::string_view kindName, const std::string &name)
+{
+    const auto found = kind.find(name);
+    if (found == kind.end()) {
+        return;
+    }
+    m_contentDigest -= hashOf(kindName, found->second);
+    m_stateBytes -= bytesOf(found->second);
+    kind.erase(found);
+}
+
+} // namespace masticlever::configuration::detail
