--- a/packages/configuration/src/detail/decide.cpp
+++ b/packages/configuration/src/detail/decide.cpp
@@ -106,7 +106,7 @@
     return std::nullopt;
 }
 
-std::optional<field_error> checkLimits(const table &state, const change &what)
+std::optional<field_error> checkLimits(const change &what)
 {
     if (!isChangeId(what.id)) {
         return field_error{"change_id", "must be 1 to 64 letters, digits, '-', '_' or '.'"};
@@ -117,8 +117,23 @@
     if (encodeChange(what).size() > maximumChangeBytes) {
         return field_error{"spec", "is too large"};
     }
-    if (what.what == operation::put && state.stateBytes() + what.spec.size() > maximumStateBytes) {
-        return field_error{"spec", "the configuration is full"};
+    return std::nullopt;
+}
+
+bool isFull(const table &state, const change &what)
+{
+    return what.what == operation::put && state.stateBytes() + what.spec.size() > maximumStateBytes;
+}
+
+std::optional<field_error> specFault(const change &what)
+{
+    switch (what.kind) {
+    case resource_kind::pipeline:
+        return parsePipeline(what.spec).error;
+    case resource_kind::team:
+        return parseTeam(what.spec).error;
+    case resource_kind::endpoint:
+        return parseEndpoint(what.spec).error;
     }
     return std::nullopt;
 }
@@ -144,9 +159,12 @@
 verdict judge(const table &state, const change &what, platform::log_offset offset)
 {
     const std::uint64_t present = state.versionOf(what.kind, what.name);
-    if (const auto error = checkLimits(state, what)) {
+    if (const auto error = checkLimits(what)) {
         return {refused(*error, present), {}};
     }
+    if (isFull(state, what)) {
+        return {refused({"spec", "the configuration is full"}, present), {}};
+    }
     if (what.expectedVersion != present) {
         return {{change_status::conflict, present, {}, "the present version is " + std::to_string(present)}, {}};
     }
@@ -164,6 +182,15 @@
 
 } // namespace
 
+std::optional<field_error> formFault(const change &what)
+{
+    auto error = checkLimits(what);
+    if (!error && what.what == operation::put) {
+        error = specFault(what);
+    }
+    return error;
+}
+
 change_outcome decide(table &state, const change &what, platform::log_offset offset)
 {
     verdict made = judge(state, what, offset);
