Read and check the daemon's settings

Cause: a process learns its addresses and data centre from its settings, and a fault there must be plain. Ruled out: Qt's settings without a table of keys; unknown keys would pass unseen. Change: one table gives section, key, what is allowed and where the value goes; the reference is made from it. Conclusion: each fault is one line with file, section, key and what is allowed.

--- /dev/null
+++ b/packages/settings/include/masticlever/settings/settings.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+/// \file
+/// Settings of the daemon, read from an INI file and checked key by key.
+
+namespace masticlever::settings
+{
+
+struct socket_address {
+    std::string host; ///< IP number
+    std::uint16_t port = 0; ///< 0: any free port
+
+    std::string toString() const { return host + ':' + std::to_string(port); }
+};
+
+struct daemon_settings {
+    std::string name;
+    std::string dataCentre;
+
+    socket_address gateway;
+    std::string certificateFile; ///< PEM; empty: plain HTTP
+    std::string privateKeyFile; ///< PEM
+    std::size_t bodyLimitBytes = 262144;
+
+    std::vector<std::string> readTokenDigests; ///< SHA-256, operators who may read
+    std::vector<std::string> changeTokenDigests; ///< SHA-256, operators who may read and change
+
+    std::string platformUrl;
+    std::chrono::milliseconds listInterval{1000};
+
+    socket_address peers;
+    std::string peersKey; ///< shared secret of the fleet's peer messages
+    std::chrono::milliseconds heartbeatInterval{500};
+
+    std::chrono::milliseconds suspectAfter{3000}; ///< without a heartbeat an instance counts as lost
+    std::chrono::milliseconds claimTimeout{1500};
+    std::chrono::milliseconds ledgerWindow{86400000};
+
+    std::size_t capacity = 256; ///< requests in flight at most
+    std::chrono::milliseconds queueLimit{500};
+    std::string routingPolicy = "prefix_affinity";
+
+    std::uint64_t snapshotRecords = 200; ///< configuration records between snapshots
+
+    std::chrono::milliseconds drainNotice{3000}; ///< still accepts after it has said that it leaves
+    std::chrono::milliseconds drainLimit{600000}; ///< longest wait for requests in progress
+
+    std::string traceCollectorUrl; ///< OTLP/HTTP; empty: off
+    std::string logLevel = "info";
+};
+
+/// One line that names the file, section and key and what is allowed there.
+struct settings_error {
+    std::string message;
+};
+
+std::variant<daemon_settings, settings_error> readSettings(const std::string &file);
+
+/// One key of the settings reference.
+struct key_description {
+    std::string section;
+    std::string key;
+    bool required = false;
+    std::string allowed;
+};
+
+/// All keys in the order of the reference.
+std::vector<key_description> describeKeys();
+
+} // namespace masticlever::settings
