Take a request through the stages of its pipeline

Cause: the daemon needs one decision object a request that knows deadlines, retries, hedges and claims. Ruled out: callbacks into sockets from the decision; two runs of one key claiming side by side on an instance, where a granted claim could not be told apart. Change: run and run_table: events and the present time in, actions out; a second submission of a key joins the first.

--- /dev/null
+++ b/packages/runs/include/masticlever/runs/run-table.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include <masticlever/admission/admission.h>
+#include <masticlever/runs/run.h>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+/// \file
+/// All runs of one instance: admission in front, ledger events and endpoint answers handed to the right run.
+
+namespace masticlever::runs
+{
+
+using run_id = std::uint64_t;
+
+/// One action of one run.
+struct table_action {
+    run_id run = 0;
+    action what;
+};
+
+struct team_terms {
+    double weight = 1;
+    std::size_t limit = 64; ///< in flight per instance
+};
+
+/// Ends of runs since the last call of takeEnds(), for metrics.
+struct run_end {
+    std::string pipeline;
+    std::string team;
+    bool metDeadline = false;
+    std::vector<std::uint32_t> callsByStage;
+    configuration::pipeline_spec spec;
+};
+
+class run_table
+{
+public:
+    run_table(run_environment environment, admission::controller &admission);
+
+    run_id submit(run_request request, const configuration::snapshot_ptr &configuration,
+                  const configuration::pipeline_spec &pipeline, const team_terms &terms, common::moment at);
+    void onCallerGone(run_id id, common::moment at);
+    /// Returns false when no call of this id is under way; the answer must be dropped.
+    bool onText(const common::call_id &id, std::string_view text, common::moment at);
+    bool onCallEnded(const common::call_id &id, const call_end &ended, common::moment at);
+    /// Hands the ledger's events to their runs; run_taken begins a run here.
+    void onLedgerEvents(const std::vector<ledger::event> &events, const configuration::snapshot_ptr &configuration,
+                        common::moment at);
+    /// Asks the endpoints again about the runs of this instance that wait to be settled.
+    void retryUnknownRuns(const configuration::snapshot_ptr &configuration, common::moment at);
+    void onTimer(common::moment at);
+
+    common::instant nextWakeUp() const;
+    /// Runs that are not done yet.
+    std::size_t size() const { return m_runs.size(); }
+    /// Whether a run of this key is under way here.
+    bool hasRun(const common::run_key &key) const { return m_byKey.contains(key); }
+    std::vector<table_action> takeActions();
+    std::vector<run_end> takeEnds();
+
+private:
+    struct entry {
+        run machine;
+        admission::ticket ticket = 0;
+        bool queued = false;
+        bool ticketOpen = false;
+    };
+
+    void settle(run_id id, common::moment at);
+    void finish(run_id id, common::moment at);
+    void insert(run_id id, run machine);
+    void closeTicket(entry &one, common::moment at);
+    void pollAdmission(common::moment at);
+    template <typename Event> void forEachOfKey(const common::run_key &key, Event event, common::moment at);
+    bool resume(const common::run_key &key, const ledger::run_view &view,
+                const configuration::snapshot_ptr &configuration, common::moment at);
+
+    run_environment m_environment;
+    admission::controller &m_admission;
+    std::map<run_id, entry> m_runs;
+    std::multimap<common::run_key, run_id> m_byKey;
+    std::map<common::call_id, run_id> m_byCall;
+    std::unordered_map<admission::ticket, run_id> m_byTicket;
+    std::multimap<common::instant, run_id> m_wakeUps;
+    std::unordered_map<run_id, common::instant> m_wakeUpOf;
+    std::vector<table_action> m_actions;
+    std::vector<run_end> m_ends;
+    run_id m_lastId = 0;
+};
+
+} // namespace masticlever::runs
--- /dev/null
+++ b/packages/runs/src/run-repeatable.cpp
@@ -0,0 +1,214 @@
+#include "detail/position.h"
+
+#include <masticlever/common/digest.h>
+#include <masticlever/runs/run.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace masticlever::runs
+{
+
+namespace
+{
+
+constexpr common::duration tokenGapLimit = std::chrono::seconds(1);
+constexpr common::duration backgroundCallLimit = std::chrono::seconds(30);
+constexpr common::duration firstWait = std::chrono::milliseconds(200);
+constexpr common::duration longestWait = std::chrono::seconds(5);
+constexpr common::duration retryAfterFailure = std::chrono::seconds(1);
+constexpr std::uint32_t doublingsLimit = 5;
+constexpr std::size_t prefixLength = 256;
+
+routing::call_outcome outcomeFor(call_status status)
+{
+    switch (status) {
+    case call_status::answered:
+        return routing::call_outcome::answered;
+    case call_status::refused:
+        return routing::call_outcome::cancelled;
+    case call_status::unsent:
+    case call_status::failed:
+    case call_status::invalid:
+        break;
+    }
+    return routing::call_outcome::failed;
+}
+
+} // namespace
+
+common::duration run::remaining(common::moment at) const
+{
+    if (m_background) {
+        return backgroundCallLimit;
+    }
+    return std::max(common::duration{}, m_request.deadline - at.now);
+}
+
+std::optional<routing::candidate> run::choose(common::moment at)
+{
+    const bool isPrefixCached = stage().streamed;
+    const std::string_view prefix = std::string_view(m_request.body).substr(0, prefixLength);
+    return m_environment.router.choose({.pool = stage().pool,
+                                        .prefixHash = isPrefixCached ? common::stableHash(prefix) : 0,
+                                        .exclude = m_tried,
+                                        .random = m_environment.random.next(),
+                                        .now = at.now});
+}
+
+void run::sendAttempt(common::moment at)
+{
+    auto target = choose(at);
+    if (!target && !m_tried.empty()) {
+        m_tried.clear();
+        target = choose(at);
+    }
+    if (!target) {
+        if (m_attempts.empty()) {
+            finishWithout("no endpoint of pool '" + stage().pool + "' takes work", retryAfterFailure, at);
+        }
+        return;
+    }
+    const common::duration left = remaining(at);
+    const common::duration timeout = m_background ? left : m_environment.planner.callTimeout(stageRef(), left);
+    const common::call_id id = m_environment.callIds.next();
+    m_environment.router.onSent(target->name, at.now);
+    m_attempts.push_back({.id = id, .endpoint = target->name, .sentAt = at.now, .timeoutAt = at.now + timeout});
+    m_tried.push_back(target->name);
+    ++m_calls[m_stage];
+    m_phase = phase::calling;
+    if (m_pipeline.hedging && m_attempts.size() == 1 && m_text.empty()) {
+        const auto delay = m_environment.planner.hedgeDelay(stageRef());
+        m_hedgeAt = delay ? at.now + *delay : common::instant::max();
+    }
+    m_actions.emplace_back(
+        send_call{.id = id,
+                  .stage = m_stage,
+                  .stageName = stage().name,
+                  .endpoint = target->name,
+                  .address = target->address,
+                  .path = stage().path,
+                  .body = detail::makeCallBody(m_pipeline, m_stage, m_request.body, m_results, m_text),
+                  .streamed = stage().streamed,
+                  .priority = m_request.priority,
+                  .remaining = left});
+}
+
+void run::onText(const common::call_id &id, std::string_view text, common::moment at)
+{
+    const auto isCall = [&](const attempt &one) { return one.id == id; };
+    const auto found = std::find_if(m_attempts.begin(), m_attempts.end(), isCall);
+    if (found == m_attempts.end() || m_phase != phase::calling) {
+        return;
+    }
+    if (found->firstByteAt == common::instant::max()) {
+        found->firstByteAt = at.now;
+    }
+    found->timeoutAt = at.now + tokenGapLimit;
+    while (m_attempts.size() > 1) {
+        // The first call that yields text is the one whose text the caller gets.
+        const std::size_t other = isCall(m_attempts.front()) ? 1 : 0;
+        m_actions.emplace_back(cancel_call{m_attempts[other].id});
+        dropAttempt(other, routing::call_outcome::cancelled, at);
+    }
+    m_hedgeAt = common::instant::max();
+    m_text += text;
+    if (m_request.wantsStream && isLastStage() && !m_replied) {
+        m_actions.emplace_back(stream_text{std::string(text)});
+    }
+}
+
+void run::dropAttempt(std::size_t index, routing::call_outcome outcome, common::moment at)
+{
+    const attempt &one = m_attempts[index];
+    const common::instant firstByte = std::min(one.firstByteAt, at.now);
+    m_environment.router.onEnded(one.endpoint, outcome, firstByte - one.sentAt, at.now);
+    m_attempts.erase(m_attempts.begin() + static_cast<std::ptrdiff_t>(index));
+}
+
+void run::cancelAttempts(common::moment at)
+{
+    while (!m_attempts.empty()) {
+        m_actions.emplace_back(cancel_call{m_attempts.back().id});
+        dropAttempt(m_attempts.size() - 1, routing::call_outcome::cancelled, at);
+    }
+}
+
+void run::onAttemptEnded(std::size_t index, const call_end &ended, common::moment at)
+{
+    const attempt one = m_attempts[index];
+    dropAttempt(index, outcomeFor(ended.status), at);
+    if (ended.status != call_status::answered) {
+        retryOrFinish("stage '" + stage().name + "' failed at its endpoint",
+                      std::max(ended.retryAfter, retryAfterFailure), at);
+        return;
+    }
+    const common::instant firstByte = std::min(one.firstByteAt, at.now);
+    m_environment.planner.onAnswered(stageRef(), firstByte - one.sentAt, at.now - one.sentAt);
+    cancelAttempts(at);
+    m_hedgeAt = common::instant::max();
+    if (!stage().streamed) {
+        completeStage(ended.body, at);
+        return;
+    }
+    std::string text = std::exchange(m_text, {});
+    completeStage(isLastStage() ? std::move(text) : detail::quoteJson(text), at);
+}
+
+void run::retryOrFinish(std::string detail, common::duration retryAfter, common::moment at)
+{
+    if (!m_attempts.empty()) {
+        return;
+    }
+    if (m_background) {
+        waitForRetry(at);
+        return;
+    }
+    const bool hasTime = remaining(at) > m_environment.planner.expectedFrom(stageRef());
+    if (hasTime && m_environment.planner.takeRetry(m_request.pipelineName, m_pipeline.retryBudget)) {
+        sendAttempt(at);
+        return;
+    }
+    finishWithout(std::move(detail), retryAfter, at);
+}
+
+void run::waitForRetry(common::moment at)
+{
+    const common::duration wait = std::min(longestWait, firstWait * (1U << std::min(m_waits, doublingsLimit)));
+    ++m_waits;
+    m_tried.clear();
+    m_phase = phase::waiting;
+    m_wakeUp = at.now + wait;
+}
+
+void run::tryStageAgain(common::moment at)
+{
+    if (stage().repeatable) {
+        sendAttempt(at);
+        return;
+    }
+    m_epoch = m_environment.ledger.find(m_request.key, at.wall).at;
+    beginClaim(at);
+}
+
+void run::onRepeatableTimer(common::moment at)
+{
+    for (std::size_t i = m_attempts.size(); i-- > 0;) {
+        if (at.now >= m_attempts[i].timeoutAt) {
+            m_actions.emplace_back(cancel_call{m_attempts[i].id});
+            dropAttempt(i, routing::call_outcome::timed_out, at);
+        }
+    }
+    if (m_attempts.empty()) {
+        retryOrFinish("stage '" + stage().name + "' timed out", retryAfterFailure, at);
+        return;
+    }
+    if (at.now >= m_hedgeAt) {
+        m_hedgeAt = common::instant::max();
+        if (m_environment.planner.takeRetry(m_request.pipelineName, m_pipeline.retryBudget)) {
+            sendAttempt(at);
+        }
+    }
+}
+
+} // namespace masticlever::runs
