Add POST requests that reach the server at most once

Cause: QNetworkAccessManager sends a POST again by itself when the server closes without an answer, and opens six connections to a server at most. Ruled out: a limit on retries (there is no setting for it in Qt 6.4).

--- /dev/null
+++ b/packages/http/include/masticlever/http/manager-pool.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <QByteArray>
+#include <QNetworkRequest>
+#include <QObject>
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <vector>
+
+class QNetworkAccessManager;
+class QNetworkReply;
+
+/// \file
+/// Requests to one server without the access manager's limit of connections.
+
+namespace masticlever::http
+{
+
+/// QNetworkAccessManager opens six connections to a server and holds further requests back unseen. The pool gives
+/// each manager at most that many requests, so that every request begins at once. Use one pool for each server.
+/// Replies belong to the caller, but end with the pool.
+class manager_pool : public QObject
+{
+public:
+    explicit manager_pool(QObject *parent = nullptr);
+    ~manager_pool() override;
+
+    QNetworkReply *get(const QNetworkRequest &request);
+    QNetworkReply *put(const QNetworkRequest &request, const QByteArray &body);
+    /// See http::postOnce.
+    QNetworkReply *postOnce(const QNetworkRequest &request, QByteArray body);
+
+    std::size_t inFlight() const;
+
+private:
+    struct slot;
+
+    slot &freeSlot();
+    QNetworkReply *send(const std::function<QNetworkReply *(QNetworkAccessManager &)> &start);
+
+    std::vector<std::shared_ptr<slot>> m_slots;
+};
+
+} // namespace masticlever::http
