--- a/packages/platform/include/masticlever/platform/http-platform.h
+++ b/packages/platform/include/masticlever/platform/http-platform.h
@@ -4,7 +4,7 @@
 #include <masticlever/platform/log-service.h>
 
 #include <memory>
-#include <string>
+#include <string_view>
 
 /// \file
 /// HTTP adapters of the platform's log service and instance list.
@@ -22,7 +22,7 @@
 {
 
 /// \p client is the name of this instance.
-std::unique_ptr<log_service> makeHttpLogService(std::string url, std::string client);
-std::unique_ptr<instance_list> makeHttpInstanceList(std::string url, std::string client);
+std::unique_ptr<log_service> makeHttpLogService(std::string_view url, std::string_view client);
+std::unique_ptr<instance_list> makeHttpInstanceList(std::string_view url, std::string_view client);
 
 } // namespace masticlever::platform
