Add the fake endpoint and the fake platform

Both write raw answers on the socket of QAbstractHttpServer: the responder writes after its caller has gone and crashes.

--- /dev/null
+++ b/tests/fakes/fake-platform.cpp
@@ -0,0 +1,273 @@
+#include "fake-platform.h"
+
+#include <QUrlQuery>
+
+#include <algorithm>
+#include <utility>
+
+namespace masticlever::fakes
+{
+
+namespace
+{
+
+constexpr qint64 maxPayloadBytes = 1 << 20;
+constexpr qint64 maxBatchBytes = 4 << 20;
+constexpr int statusTooLarge = 413;
+constexpr int statusNotFound = 404;
+
+qint64 nowMs()
+{
+    return QDateTime::currentMSecsSinceEpoch();
+}
+
+response unavailable()
+{
+    constexpr int status = 503;
+    return {status, {}, {{"Masticlever-Applied", "no"}}};
+}
+
+qint64 number(const QHttpServerRequest &request, const QString &name, qint64 missing)
+{
+    const QString text = request.query().queryItemValue(name);
+    return text.isEmpty() ? missing : text.toLongLong();
+}
+
+} // namespace
+
+void fake_platform::onRequest(const QHttpServerRequest &request, QTcpSocket *socket)
+{
+    const QStringList parts = request.url().path().split(u'/', Qt::SkipEmptyParts);
+    if (parts.size() == 4 && parts[1] == u"logs" && parts[3] == u"records") {
+        onLog(request, socket, parts[2]);
+    } else if (parts.size() >= 2 && parts[1] == u"instances") {
+        onInstances(request, socket);
+    } else if (parts.size() == 2 && parts[0] == u"admin") {
+        onAdmin(request, socket, parts[1]);
+    } else {
+        write(socket, jsonResponse({}, statusNotFound));
+    }
+}
+
+void fake_platform::onLog(const QHttpServerRequest &request, QTcpSocket *socket, const QString &name)
+{
+    const QByteArray client = request.value("Masticlever-Instance");
+    if (m_knobs.cut.contains(client)) {
+        close(socket);
+    } else if (m_knobs.isLogDown) {
+        write(socket, unavailable());
+    } else if (request.method() == QHttpServerRequest::Method::Post) {
+        append(name, request.body(), socket);
+    } else {
+        const qint64 until = nowMs() + number(request, QStringLiteral("wait_ms"), 0);
+        const qint64 from = std::max<qint64>(1, number(request, QStringLiteral("from"), 1));
+        read({name, client, from, number(request, QStringLiteral("limit"), 1), until, socket});
+    }
+}
+
+void fake_platform::append(const QString &name, const QByteArray &payload, QTcpSocket *socket)
+{
+    if (payload.size() > maxPayloadBytes) {
+        write(socket, jsonResponse({}, statusTooLarge));
+        return;
+    }
+    if (m_knobs.lateAppendsMs > 0) {
+        QTimer::singleShot(m_knobs.lateAppendsMs, this, [this, name, payload] { store(name, payload); });
+        close(socket);
+        return;
+    }
+    const auto finish = [this, name, payload, target = QPointer(socket)] {
+        const qint64 offset = store(name, payload);
+        if (m_knobs.answersToLose > 0) {
+            --m_knobs.answersToLose;
+            close(target);
+            return;
+        }
+        write(target, jsonResponse({{QStringLiteral("offset"), offset}}));
+    };
+    if (m_knobs.appendDelayMs > 0) {
+        QTimer::singleShot(m_knobs.appendDelayMs, this, finish);
+    } else {
+        finish();
+    }
+}
+
+qint64 fake_platform::store(const QString &name, const QByteArray &payload)
+{
+    log &target = m_logs[name];
+    const qint64 offset = target.end();
+    target.records.push_back({offset, nowMs(), payload});
+    ++target.appends;
+    m_bytesAppended += payload.size();
+    trim(target);
+    serveWaiting();
+    return offset;
+}
+
+void fake_platform::trim(log &target) const
+{
+    while (static_cast<qint64>(target.records.size()) > m_options.retentionRecords) {
+        target.records.pop_front();
+        ++target.head;
+    }
+}
+
+void fake_platform::read(const waiting_read &query)
+{
+    log &source = m_logs[query.log];
+    ++source.reads;
+    if (query.from < source.end() || query.untilMs <= nowMs()) {
+        write(query.socket, batch(query));
+        return;
+    }
+    m_waiting.push_back(query);
+    QTimer::singleShot(query.untilMs - nowMs() + 1, this, [this] { serveWaiting(); });
+}
+
+response fake_platform::batch(const waiting_read &query)
+{
+    const log &source = m_logs[query.log];
+    QJsonArray records;
+    qint64 bytes = 0;
+    for (qint64 offset = std::max(query.from, source.head); offset < source.end(); ++offset) {
+        const record &each = source.records[static_cast<std::size_t>(offset - source.head)];
+        bytes += each.payload.size();
+        if (records.size() >= query.limit || (bytes > maxBatchBytes && !records.isEmpty())) {
+            break;
+        }
+        records.append(QJsonObject{{QStringLiteral("offset"), each.offset},
+                                   {QStringLiteral("appended_at_ms"), each.appendedAtMs},
+                                   {QStringLiteral("payload"), QString::fromLatin1(each.payload.toBase64())}});
+        m_bytesRead += each.payload.size();
+    }
+    return jsonResponse({{QStringLiteral("head"), source.head},
+                         {QStringLiteral("end"), source.end()},
+                         {QStringLiteral("records"), records}});
+}
+
+/// Answers the waiting reads that have records, have waited long enough, or are hit by an outage.
+void fake_platform::serveWaiting()
+{
+    for (const waiting_read &each : std::exchange(m_waiting, {})) {
+        if (each.socket.isNull()) {
+            continue;
+        }
+        if (m_knobs.cut.contains(each.client)) {
+            close(each.socket);
+        } else if (m_knobs.isLogDown) {
+            write(each.socket, unavailable());
+        } else if (each.from < m_logs[each.log].end() || each.untilMs <= nowMs()) {
+            write(each.socket, batch(each));
+        } else {
+            m_waiting.push_back(each);
+        }
+    }
+}
+
+void fake_platform::onInstances(const QHttpServerRequest &request, QTcpSocket *socket)
+{
+    if (m_knobs.isListDown) {
+        write(socket, unavailable());
+        return;
+    }
+    if (request.method() == QHttpServerRequest::Method::Put) {
+        newListVersion()[request.url().path().section(u'/', -1)] = jsonBody(request);
+        write(socket, jsonResponse({}));
+        return;
+    }
+    write(socket, jsonResponse({{QStringLiteral("instances"), laggingList()}}));
+}
+
+std::map<QString, QJsonObject> &fake_platform::newListVersion()
+{
+    auto instances = m_lists.empty() ? std::map<QString, QJsonObject>() : m_lists.back().instances;
+    const qint64 visibleFrom = nowMs() - m_options.listLagMs;
+    while (m_lists.size() > 1 && m_lists[1].atMs <= visibleFrom) {
+        m_lists.erase(m_lists.begin());
+    }
+    m_lists.push_back({nowMs(), std::move(instances)});
+    return m_lists.back().instances;
+}
+
+QJsonArray fake_platform::laggingList() const
+{
+    const qint64 visibleFrom = nowMs() - m_options.listLagMs;
+    QJsonArray list;
+    for (auto version = m_lists.rbegin(); version != m_lists.rend(); ++version) {
+        if (version->atMs <= visibleFrom) {
+            for (const auto &[incarnation, instance] : version->instances) {
+                list.append(instance);
+            }
+            break;
+        }
+    }
+    return list;
+}
+
+void fake_platform::onAdmin(const QHttpServerRequest &request, QTcpSocket *socket, const QString &action)
+{
+    const QJsonObject body = jsonBody(request);
+    if (action == u"counters") {
+        write(socket, jsonResponse(counters()));
+        return;
+    }
+    if (action == u"knobs") {
+        setKnobs(body);
+    } else if (action == u"leave" || action == u"forget") {
+        auto &instances = newListVersion();
+        for (auto each = instances.begin(); each != instances.end();) {
+            const bool isMeant = each->second.value(u"address") == body.value(u"address");
+            if (isMeant && action == u"forget") {
+                each = instances.erase(each);
+                continue;
+            }
+            if (isMeant) {
+                each->second[u"state"] = QStringLiteral("leaving");
+            }
+            ++each;
+        }
+    }
+    write(socket, jsonResponse({}));
+}
+
+void fake_platform::setKnobs(const QJsonObject &values)
+{
+    const auto assign = [&values](QStringView name, auto &knob) {
+        if (values.contains(name)) {
+            knob = static_cast<std::remove_reference_t<decltype(knob)>>(values.value(name).toVariant().toLongLong());
+        }
+    };
+    assign(u"log_outage", m_knobs.isLogDown);
+    assign(u"list_outage", m_knobs.isListDown);
+    assign(u"lose_answers", m_knobs.answersToLose);
+    assign(u"late_appends_ms", m_knobs.lateAppendsMs);
+    assign(u"append_delay_ms", m_knobs.appendDelayMs);
+    assign(u"retention_records", m_options.retentionRecords);
+    assign(u"list_lag_ms", m_options.listLagMs);
+    if (values.contains(u"cut")) {
+        m_knobs.cut.clear();
+        for (const auto &name : values.value(u"cut").toArray()) {
+            m_knobs.cut.insert(name.toString().toUtf8());
+        }
+    }
+    for (auto &[name, each] : m_logs) {
+        trim(each);
+    }
+    serveWaiting();
+}
+
+QJsonObject fake_platform::counters() const
+{
+    QJsonObject appends;
+    QJsonObject reads;
+    for (const auto &[name, each] : m_logs) {
+        appends[name] = each.appends;
+        reads[name] = each.reads;
+    }
+    return {{QStringLiteral("appends"), appends},
+            {QStringLiteral("reads"), reads},
+            {QStringLiteral("bytes"),
+             QJsonObject{{QStringLiteral("appended"), m_bytesAppended}, {QStringLiteral("read"), m_bytesRead}}}};
+}
+
+} // namespace masticlever::fakes
