Add the run ledger: claims decided by log order, with epochs and read-back

Cause: stages that may not be repeated need a record that outlives every instance before their call goes out.

Change: entries (claim, finish, answer, refuse, take, unknown, settle, carry) as JSON in log records; a replicated table that is a function of the records alone; an outbox that collects entries while an append is under way; run_ledger on top. Additions to the header: claim_request::arrivedAt, run_view::claimableFrom, refusalHold, carryAfter, retryInterval, readFreshness, counters() and stateDigest().

--- a/packages/ledger/include/masticlever/ledger/ledger.h
+++ b/packages/ledger/include/masticlever/ledger/ledger.h
@@ -46,6 +46,7 @@
     std::string answer; ///< final answer
     bool unknown = false; ///< started, owner gone or has given up on the answer; waits to be settled
     common::wall_time changedAt; ///< the log service's clock
+    common::wall_time claimableFrom; ///< of a refused run: claims appended earlier have no effect
 };
 
 struct claim_request {
@@ -54,7 +55,11 @@
     std::string pipeline;
     std::uint32_t stage = 0;
     std::string position; ///< the request and the results so far, enough for another instance to go on
-    epoch expected = 0; ///< the run's epoch as the claimant knows it
+    /// The run's epoch. For the first stage it is the one that find() gave when the request arrived, not a later one:
+    /// otherwise a copy of the request that waited here could undo a refusal given elsewhere.
+    epoch expected = 0;
+    /// When the request arrived. One that arrived before the log became reachable again is not claimed.
+    common::instant arrivedAt = common::instant::max();
 };
 
 /// The claim stands: this instance alone may send the stage's call, once.
@@ -64,13 +69,13 @@
     epoch fencing = 0;
 };
 
-/// Another record stands; see find().
+/// Another record stands, or the claim or refusal has no effect; see find(). Also ends a refuse().
 struct claim_lost {
     run_key run;
     std::uint32_t stage = 0;
 };
 
-/// The log cannot be written or read in time. This instance will never send the call.
+/// The log cannot be written or read in time. This instance will never send the call. Also ends a refuse().
 /// \a certain: it is also sure that no other instance has claimed or will claim for this submission.
 struct claim_unavailable {
     run_key run;
@@ -109,6 +114,22 @@
     std::chrono::milliseconds clockSkew = std::chrono::seconds(1); ///< largest skew between callers and instances
     std::size_t entriesPerRecord = 64;
     std::size_t recordBytes = 1048576;
+    /// For so long after a refusal the key cannot be claimed: covers copies of the request that are under way.
+    std::chrono::milliseconds refusalHold = std::chrono::seconds(2);
+    /// An unfinished run is written again when its last full record is older; well below the log's retention.
+    std::chrono::milliseconds carryAfter = std::chrono::hours(6);
+    common::duration retryInterval = std::chrono::milliseconds(500); ///< between appends of one outcome
+    common::duration readFreshness = std::chrono::seconds(1); ///< age at which a read no longer proves absence
+};
+
+/// Counts since the start, for metrics.
+struct ledger_counters {
+    std::uint64_t malformedRecords = 0; ///< skipped, by every instance alike
+    std::uint64_t refusedBatches = 0; ///< the log's head or end went back
+    std::uint64_t resets = 0; ///< records were lost to retention before they were read
+    std::uint64_t voidedClaims = 0; ///< own claims that landed after this instance had given up
+    std::uint64_t appends = 0;
+    std::uint64_t entries = 0; ///< entries in those appends
 };
 
 class run_ledger
@@ -160,6 +181,9 @@
     /// Runs that wait to be settled.
     std::vector<run_key> unknownRuns() const;
     std::size_t size() const;
+    const ledger_counters &counters() const;
+    /// Digest of the replayed state: equal on all instances that have read the same records from the first.
+    std::string stateDigest() const;
 
     std::vector<append_action> takeAppends(common::instant now);
     std::vector<event> takeEvents();
--- /dev/null
+++ b/packages/ledger/src/detail/ledger-state.cpp
@@ -0,0 +1,354 @@
+#include "detail/ledger-state.h"
+
+#include <masticlever/common/digest.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace masticlever::ledger
+{
+
+using common::instant;
+using common::wall_time;
+using detail::effect;
+using detail::entry;
+using detail::run_phase;
+
+namespace
+{
+
+/// Spreads the instances' carry records over carryAfter / carrySpread, so that one writer mostly does for all.
+constexpr int carrySpread = 4;
+constexpr std::chrono::seconds carryCheckInterval{60};
+
+std::int64_t stableDelay(const std::string &name)
+{
+    return static_cast<std::int64_t>(common::stableHash(name) >> 1U);
+}
+
+run_standing standingOf(const detail::run_state &state)
+{
+    switch (state.phase) {
+    case run_phase::refused:
+        return run_standing::absent;
+    case run_phase::finished:
+        return run_standing::finished;
+    case run_phase::open:
+        break;
+    }
+    return state.open->claimed ? run_standing::started : run_standing::between_stages;
+}
+
+void fillOpenPart(run_view &view, const detail::open_part &open)
+{
+    view.owner = open.owner;
+    view.nonce = open.nonce;
+    view.position = open.position;
+    view.unknown = open.unknown;
+    view.stage = open.claimed.value_or(open.done.value_or(0));
+    view.stageResult = open.claimed ? std::string() : open.doneResult;
+}
+
+} // namespace
+
+bool run_ledger::state::acceptBatch(const platform::log_batch &batch, wall_time wallNow)
+{
+    if (batch.end < next || batch.head < head || batch.end < batch.head) {
+        ++counters.refusedBatches;
+        reach.forget();
+        return false;
+    }
+    head = batch.head;
+    if (head > next) {
+        counters.resets += next > 1 ? 1 : 0;
+        next = head;
+        reach.forget();
+        table.startAfterTruncation(batch.records.empty() ? wallNow : batch.records.front().appendedAt);
+    }
+    return true;
+}
+
+void run_ledger::state::onBatch(const platform::log_batch &batch, instant now, wall_time wallNow)
+{
+    if (!acceptBatch(batch, wallNow)) {
+        return;
+    }
+    for (const platform::log_record &record : batch.records) {
+        if (record.offset == next) {
+            ++next;
+            applyRecord(record, now);
+        }
+    }
+    const bool wasReachable = reach.isReachable();
+    reach.onReadEnded(next == batch.end, now, wallNow);
+    out.prune(table);
+    if (reach.isCaughtUp() && (now >= nextCarryCheck || !wasReachable)) {
+        nextCarryCheck = now + carryCheckInterval;
+        carryOldRuns(now, wallNow);
+    }
+}
+
+void run_ledger::state::applyRecord(const platform::log_record &record, instant now)
+{
+    auto entries = detail::decodeRecord(record.payload);
+    if (!entries) {
+        ++counters.malformedRecords;
+        return;
+    }
+    for (const entry &e : entries.value()) {
+        const effect result = table.apply(e, record.offset, record.appendedAt);
+        onEntryRead(e, result, now);
+    }
+}
+
+void run_ledger::state::onEntryRead(const entry &e, effect result, instant now)
+{
+    if (const auto *claim = std::get_if<detail::claim_entry>(&e)) {
+        onClaimRead(*claim, result, now);
+    }
+    if (result == effect::none) {
+        return;
+    }
+    const auto *take = std::get_if<detail::take_entry>(&e);
+    if (take && isOwn(take->owner)) {
+        events.emplace_back(run_taken{take->run, viewOf(take->run, wall_time())});
+    }
+    notify(detail::runOf(e));
+    settleRefusal(detail::runOf(e));
+}
+
+void run_ledger::state::onClaimRead(const detail::claim_entry &e, effect result, instant now)
+{
+    if (!isOwn(e.owner)) {
+        return;
+    }
+    const auto found = claims.find(e.nonce);
+    const bool isWaitedFor = found != claims.end() && now < found->second.deadline;
+    if (result == effect::claimed && !isWaitedFor) {
+        sendVoid(e.run, e.nonce, now);
+    }
+    if (found == claims.end()) {
+        return;
+    }
+    if (!isWaitedFor) {
+        endClaim(e.nonce, now);
+        return;
+    }
+    claims.erase(found);
+    if (result == effect::claimed) {
+        events.emplace_back(claim_granted{e.run, e.stage, table.find(e.run)->at});
+    } else {
+        events.emplace_back(claim_lost{e.run, e.stage});
+    }
+}
+
+void run_ledger::state::sendVoid(const run_key &run, const std::string &nonce, instant now)
+{
+    ++counters.voidedClaims;
+    out.add(detail::refuse_entry{run, options.incarnation, nonce, 0, windowEnd(run), options.refusalHold}, now);
+}
+
+void run_ledger::state::notify(const run_key &run)
+{
+    if (!reach.isCaughtUp()) {
+        return;
+    }
+    const auto *last = events.empty() ? nullptr : std::get_if<run_changed>(&events.back());
+    if (!last || last->run != run) {
+        events.emplace_back(run_changed{run});
+    }
+}
+
+/// A refusal stands as soon as the run's epoch has moved on without a claim, whoever has moved it.
+void run_ledger::state::settleRefusal(const run_key &run)
+{
+    const auto found = refusals.find(run);
+    const detail::run_state *present = table.find(run);
+    if (found == refusals.end() || !present || present->at == found->second.asked) {
+        return;
+    }
+    if (present->phase == run_phase::refused) {
+        refusals.erase(found);
+        events.emplace_back(refusal_recorded{run});
+        return;
+    }
+    const bool isBeingVoided = present->open && isOwn(present->open->owner) && out.isOutstanding(run);
+    if (!isBeingVoided) {
+        refusals.erase(found);
+        events.emplace_back(claim_lost{run, 0});
+    }
+}
+
+void run_ledger::state::endClaim(const std::string &nonce, instant now)
+{
+    const auto found = claims.find(nonce);
+    if (found == claims.end()) {
+        return;
+    }
+    const run_key run = found->second.run;
+    const bool isCertain = !reach.isReachable() && reach.isAbsenceCertain(common::keyTime(run.key), now, options);
+    events.emplace_back(claim_unavailable{run, found->second.stage, isCertain});
+    out.withdrawClaim(nonce);
+    claims.erase(found);
+}
+
+void run_ledger::state::endOverdue(instant now)
+{
+    std::vector<std::string> overdue;
+    for (const auto &[nonce, claim] : claims) {
+        if (now >= claim.deadline) {
+            overdue.push_back(nonce);
+        }
+    }
+    std::sort(overdue.begin(), overdue.end());
+    for (const std::string &nonce : overdue) {
+        endClaim(nonce, now);
+    }
+    std::erase_if(refusals, [&](const auto &item) {
+        const bool isOverdue = now >= item.second.deadline;
+        if (isOverdue) {
+            events.emplace_back(claim_unavailable{item.first, 0, false});
+        }
+        return isOverdue;
+    });
+}
+
+/// Whether the replayed state already excludes the claim.
+bool run_ledger::state::isHopeless(const claim_request &request) const
+{
+    const detail::run_state *present = table.find(request.run);
+    if (!present) {
+        return request.expected != 0 || table.mayPrecedeStart(request.run);
+    }
+    const bool isOthers = present->open && !isOwn(present->open->owner);
+    return present->at != request.expected || present->phase == run_phase::finished || isOthers;
+}
+
+void run_ledger::state::beginClaim(claim_request request, instant now)
+{
+    const bool metAnOutage = request.arrivedAt < reach.reachableSince();
+    if (!reach.isCaughtUp() || !reach.isReachable() || metAnOutage) {
+        const wall_time created = common::keyTime(request.run.key);
+        const bool isCertain = !reach.isReachable() && reach.isAbsenceCertain(created, now, options);
+        events.emplace_back(claim_unavailable{request.run, request.stage, isCertain});
+        return;
+    }
+    if (isHopeless(request)) {
+        events.emplace_back(claim_lost{request.run, request.stage});
+        return;
+    }
+    const std::string nonce = options.incarnation + '#' + std::to_string(++nonces);
+    claims.emplace(nonce, pending_claim{request.run, request.stage, now + options.claimTimeout});
+    detail::claim_entry e;
+    e.until = windowEnd(request.run);
+    e.run = std::move(request.run);
+    e.digest = std::move(request.bodyDigest);
+    e.pipeline = std::move(request.pipeline);
+    e.position = std::move(request.position);
+    e.owner = options.incarnation;
+    e.nonce = nonce;
+    e.stage = request.stage;
+    e.expected = request.expected;
+    out.add(std::move(e), now);
+}
+
+void run_ledger::state::beginRefusal(const run_key &run, instant now)
+{
+    std::erase_if(claims, [&](const auto &item) {
+        if (item.second.run == run) {
+            out.withdrawClaim(item.first);
+        }
+        return item.second.run == run;
+    });
+    const detail::run_state *present = table.find(run);
+    const bool isOwnClaim = present && present->open && present->open->claimed && isOwn(present->open->owner);
+    refusals[run] = {present ? present->at : 0, now + options.claimTimeout};
+    if (isOwnClaim) {
+        sendVoid(run, present->open->nonce, now);
+        return;
+    }
+    const bool isOthers = present && present->phase != run_phase::refused;
+    if (isOthers || (!present && table.mayPrecedeStart(run))) {
+        refusals.erase(run);
+        events.emplace_back(claim_lost{run, 0});
+        return;
+    }
+    detail::refuse_entry e;
+    e.run = run;
+    e.owner = options.incarnation;
+    e.expected = present ? present->at : 0;
+    e.until = windowEnd(run);
+    e.hold = options.refusalHold;
+    out.add(std::move(e), now);
+}
+
+void run_ledger::state::beginTake(const run_key &run, instant now)
+{
+    const detail::run_state *present = table.find(run);
+    if (present && present->open && !isOwn(present->open->owner)) {
+        out.add(detail::take_entry{run, present->at, options.incarnation}, now);
+    }
+}
+
+const detail::open_part *run_ledger::state::openClaim(const run_key &run, std::uint32_t stage) const
+{
+    const detail::run_state *present = table.find(run);
+    return present && present->open && present->open->claimed == stage ? present->open.get() : nullptr;
+}
+
+run_view run_ledger::state::viewOf(const run_key &run, wall_time wallNow) const
+{
+    run_view view;
+    const detail::run_state *present = table.find(run);
+    if (!present) {
+        const bool isWindowOver = windowEnd(run) < std::max(wallNow, table.logTime());
+        const bool isExpired = isWindowOver || table.mayPrecedeStart(run);
+        view.standing = isExpired ? run_standing::expired : run_standing::absent;
+        return view;
+    }
+    view.standing = standingOf(*present);
+    view.at = present->at;
+    view.changedAt = present->changedAt;
+    if (present->phase == run_phase::refused) {
+        view.claimableFrom = present->changedAt;
+        return view;
+    }
+    view.bodyDigest = present->text.substr(0, present->digestLength);
+    view.pipeline = table.pipelineName(present->pipeline);
+    if (present->open) {
+        fillOpenPart(view, *present->open);
+    } else {
+        view.answer = present->text.substr(present->digestLength);
+    }
+    return view;
+}
+
+void run_ledger::state::carryOldRuns(instant now, wall_time wallNow)
+{
+    const wall_time present = std::max(wallNow, table.logTime());
+    table.forEachOpen([&](const run_key &run, const detail::run_state &s) {
+        const auto spread = options.carryAfter / carrySpread + std::chrono::milliseconds(1);
+        const auto delay = std::chrono::milliseconds(stableDelay(options.incarnation + run.key)) % spread;
+        const wall_time due = s.open->carriedAt + options.carryAfter + delay;
+        if (present < due || out.isOutstanding(run)) {
+            return;
+        }
+        detail::carry_entry e{run,     next - 1, s.at,       s.text, table.pipelineName(s.pipeline),
+                              *s.open, s.until,  s.changedAt};
+        out.add(std::move(e), now);
+    });
+}
+
+instant run_ledger::state::nextDeadline() const
+{
+    instant earliest = instant::max();
+    for (const auto &[nonce, claim] : claims) {
+        earliest = std::min(earliest, claim.deadline);
+    }
+    for (const auto &[run, refusal] : refusals) {
+        earliest = std::min(earliest, refusal.deadline);
+    }
+    return earliest;
+}
+
+} // namespace masticlever::ledger
