Add telemetry: numbered events, bounded metrics, spans

Events carry fixed numbers; docs/EVENTS.md and the code are compared by a test. easylogging++'s own source is compiled once inside the package with the log file switched off (instances have no disk) and standard error as its stream; the Debian package holds no library, so linking -leasyloggingpp was ruled out. Label values over a family's bound are counted under "other". Spans are exported as OTLP/HTTP JSON from a bounded queue; losses are counted.

--- /dev/null
+++ b/packages/telemetry/include/masticlever/telemetry/events.h
@@ -0,0 +1,101 @@
+#pragma once
+
+#include <masticlever/common/result.h>
+
+#include <cstdint>
+#include <initializer_list>
+#include <span>
+#include <string>
+#include <string_view>
+#include <variant>
+
+/// \file
+/// Numbered log events. docs/EVENTS.md is their catalogue; a number is never reused.
+/// No field may hold a token, a caller's body, an answer or a price.
+
+namespace masticlever::telemetry
+{
+
+enum class event : std::uint16_t {
+    started = 100,
+    ready = 101,
+    settings_invalid = 102,
+    drain_started = 103,
+    drain_finished = 104,
+    certificate_reloaded = 105,
+    certificate_invalid = 106,
+
+    configuration_applied = 200,
+    configuration_regressed = 201,
+    configuration_needs_base = 202,
+    configuration_diverged = 203,
+    snapshot_written = 204,
+    change_accepted = 205,
+    change_refused = 206,
+    change_unknown = 207,
+
+    log_unreachable = 300,
+    log_reachable = 301,
+    ledger_lagging = 302,
+    ledger_caught_up = 303,
+    instance_list_unreachable = 304,
+    instance_list_reachable = 305,
+
+    run_unknown = 400,
+    run_taken = 401,
+    run_settled = 402,
+    claim_given_up = 403,
+
+    endpoint_leaving = 500,
+    endpoint_ejected = 501,
+    endpoint_back = 502,
+    answer_dropped = 503,
+    order_sent = 504,
+    order_failed = 505,
+    order_lease_taken = 506,
+    order_lease_lost = 507,
+
+    peer_message_refused = 600,
+    instance_live = 601,
+    instance_leaving = 602,
+    instance_lost = 603,
+
+    spans_lost = 700,
+};
+
+enum class log_level { debug, info, warning, error };
+
+using field_value = std::variant<std::string_view, std::int64_t, std::uint64_t, double, bool>;
+
+/// One typed value of an event; \c name is a literal in snake_case.
+struct field {
+    std::string_view name;
+    field_value value;
+};
+
+struct event_description {
+    event number;
+    std::string_view name;
+    log_level level;
+};
+
+/// Every event, in the order of the numbers.
+std::span<const event_description> eventCatalogue();
+
+/// "debug", "info", "warning" or "error"; error::malformed otherwise.
+common::result<log_level> parseLogLevel(std::string_view text);
+
+/// Events below \p level are not written. The level at start is info.
+void setLogLevel(log_level level);
+
+/// Writes one line to standard error: time (UTC), level, number, name and the fields.
+void logEvent(event number, std::span<const field> fields = {});
+inline void logEvent(event number, std::initializer_list<field> fields)
+{
+    logEvent(number, std::span<const field>(fields.begin(), fields.size()));
+}
+
+/// The text of the line after the level. Text values are quoted where needed, escaped and cut at 160 bytes.
+std::string formatEvent(event number, std::span<const field> fields);
+
+} // namespace masticlever::telemetry
--- /dev/null
+++ b/packages/telemetry/src/detail/easylogging.cpp
@@ -0,0 +1,2 @@
+// The one translation unit that holds easylogging++'s own code.
+#include <easylogging++.cc> // NOLINT(bugprone-suspicious-include)
--- /dev/null
+++ b/packages/telemetry/src/event-catalogue.cpp
@@ -0,0 +1,62 @@
+#include <masticlever/telemetry/events.h>
+
+#include <array>
+
+namespace masticlever::telemetry
+{
+
+namespace
+{
+
+using enum event;
+using enum log_level;
+
+constexpr auto catalogue = std::to_array<event_description>({
+    {started, "started", info},
+    {ready, "ready", info},
+    {settings_invalid, "settings_invalid", error},
+    {drain_started, "drain_started", info},
+    {drain_finished, "drain_finished", info},
+    {certificate_reloaded, "certificate_reloaded", info},
+    {certificate_invalid, "certificate_invalid", error},
+    {configuration_applied, "configuration_applied", info},
+    {configuration_regressed, "configuration_regressed", error},
+    {configuration_needs_base, "configuration_needs_base", warning},
+    {configuration_diverged, "configuration_diverged", error},
+    {snapshot_written, "snapshot_written", info},
+    {change_accepted, "change_accepted", info},
+    {change_refused, "change_refused", info},
+    {change_unknown, "change_unknown", warning},
+    {log_unreachable, "log_unreachable", warning},
+    {log_reachable, "log_reachable", info},
+    {ledger_lagging, "ledger_lagging", warning},
+    {ledger_caught_up, "ledger_caught_up", info},
+    {instance_list_unreachable, "instance_list_unreachable", warning},
+    {instance_list_reachable, "instance_list_reachable", info},
+    {run_unknown, "run_unknown", warning},
+    {run_taken, "run_taken", info},
+    {run_settled, "run_settled", info},
+    {claim_given_up, "claim_given_up", warning},
+    {endpoint_leaving, "endpoint_leaving", info},
+    {endpoint_ejected, "endpoint_ejected", warning},
+    {endpoint_back, "endpoint_back", info},
+    {answer_dropped, "answer_dropped", warning},
+    {order_sent, "order_sent", info},
+    {order_failed, "order_failed", warning},
+    {order_lease_taken, "order_lease_taken", info},
+    {order_lease_lost, "order_lease_lost", warning},
+    {peer_message_refused, "peer_message_refused", warning},
+    {instance_live, "instance_live", info},
+    {instance_leaving, "instance_leaving", info},
+    {instance_lost, "instance_lost", warning},
+    {spans_lost, "spans_lost", warning},
+});
+
+} // namespace
+
+std::span<const event_description> eventCatalogue()
+{
+    return catalogue;
+}
+
+} // namespace masticlever::telemetry
--- /dev/null
+++ b/packages/telemetry/test/metrics-test.cpp
@@ -0,0 +1,52 @@
+#include <masticlever/telemetry/metrics.h>
+
+#include <catch2/catch.hpp>
+
+using namespace masticlever::telemetry;
+
+namespace
+{
+
+constexpr metric_family runs{"test_runs_total", "Runs.", 2};
+constexpr metric_family load{"test_load", "Load."};
+constexpr double bounds[] = {0.1, 1.0};
+constexpr metric_family delay{"test_delay_seconds", "Delay.", 10, bounds};
+
+} // namespace
+
+TEST_CASE("metrics appear with their first use")
+{
+    metric_registry registry;
+    CHECK(registry.exposition().empty());
+
+    SECTION("a counter keeps one child for each set of labels")
+    {
+        const counter first = registry.counterOf(runs, {{"team", "a"}});
+        first.add();
+        registry.counterOf(runs, {{"team", "a"}}).add(2);
+        CHECK(first.value() == 3);
+        CHECK(registry.exposition().find("test_runs_total{team=\"a\"} 3") != std::string::npos);
+
+        SECTION("values beyond the bound share one child")
+        {
+            registry.counterOf(runs, {{"team", "b"}}).add();
+            registry.counterOf(runs, {{"team", "c"}}).add();
+            registry.counterOf(runs, {{"team", "d"}}).add();
+            registry.counterOf(runs, {{"team", "a"}}).add();
+            const std::string text = registry.exposition();
+            CHECK(text.find("team=\"other\"} 2") != std::string::npos);
+            CHECK(text.find("team=\"c\"") == std::string::npos);
+            CHECK(first.value() == 4);
+        }
+    }
+
+    SECTION("gauges and histograms are exposed in the text format")
+    {
+        registry.gaugeOf(load).set(2.5);
+        registry.histogramOf(delay, {{"stage", "rank"}}).observe(0.5);
+        const std::string text = registry.exposition();
+        CHECK(text.find("test_load 2.5") != std::string::npos);
+        CHECK(text.find("test_delay_seconds_bucket{stage=\"rank\",le=\"0.1\"} 0") != std::string::npos);
+        CHECK(text.find("test_delay_seconds_bucket{stage=\"rank\",le=\"1\"} 1") != std::string::npos);
+    }
+}
