Choose endpoints by load, report age and prompt prefix, and keep sick ones out

Own calls count exactly, reports fade to the pool's mean with their age, and a prompt prefix goes to one of its two highest ranked engines unless those are loaded far above the mean. Ejection follows failures, timeouts, latency far above the pool's, and silence: calls open and no sign of life for several times the usual delay. Silence needs no timeout to expire, which matters for calls that may not be repeated. A call that may not be repeated never probes an ejected endpoint. The floor counts silent endpoints too.

Not yet measured under load; thresholds are first values.

--- a/packages/routing/include/masticlever/routing/router.h
+++ b/packages/routing/include/masticlever/routing/router.h
@@ -29,6 +29,8 @@
     common::instant reportedAt;
     double startWeight = 1; ///< below 1 during slow start
     bool checksFencing = false;
+    std::size_t inFlightAtReport = 0; ///< calls of this instance when the report came
+    std::uint64_t nameHash = 0; ///< stable hash of the name
 };
 
 struct choice_request {
@@ -37,6 +39,7 @@
     std::span<const std::string> exclude; ///< names of endpoints that this stage has tried
     std::uint64_t random = 0; ///< 64 random bits for this choice
     common::instant now;
+    bool repeatable = true; ///< false: the call is never used as a probe of an ejected endpoint
 };
 
 /// Picks one of \p candidates, which is not empty; returns its index.
@@ -51,14 +54,24 @@
 
 std::unique_ptr<choice_policy> makePolicy(policy_kind kind);
 
+/// Hash of the first bytes of a prompt, for choice_request::prefixHash; never 0.
+std::uint64_t hashPrefix(std::string_view prompt);
+
 enum class call_outcome { answered, failed, timed_out, cancelled };
 
 struct router_options {
     policy_kind policy = policy_kind::prefix_affinity;
     std::size_t failuresToEject = 5; ///< consecutive failures
-    common::duration ejectFor = std::chrono::seconds(5);
+    std::size_t timeoutsToEject = 2; ///< consecutive timeouts
+    double latencyToEject = 4; ///< times the median latency of the pool's other endpoints
+    common::duration ejectFor = std::chrono::seconds(5); ///< doubles with each failed probe
+    common::duration longestEjection = std::chrono::seconds(40);
     double ejectedShareLimit = 0.5; ///< floor: at most this share of a pool is out
+    double silenceFactor = 4; ///< times the usual time to a sign of life after which an endpoint is avoided
+    common::duration shortestSilence = std::chrono::milliseconds(200);
     common::duration slowStart = std::chrono::seconds(10);
+    std::size_t subsetSize = 0; ///< endpoints of a pool that this instance uses; 0: all
+    std::string instanceName{}; ///< selects the subset
 };
 
 class router
@@ -83,6 +96,14 @@
     /// \p load as reported by the endpoint, \p age as stated in the report.
     void onLoadReport(std::string_view endpoint, double load, common::duration age, common::instant now);
 
+    /// A call shows that it is running, \p delay after it was sent: the first token of a stream.
+    void onProgress(std::string_view endpoint, common::duration delay, common::instant now);
+
+    /// Ejected endpoints whose time is over: an idempotent request to each (a status query, say), reported by
+    /// onProbed(), brings it back without risking a caller's request. Each is named once per ejection.
+    std::vector<candidate> dueProbes(common::instant now);
+    void onProbed(std::string_view endpoint, bool answered, common::instant now);
+
     std::size_t poolSize(std::string_view pool) const;
     /// Slots of all endpoints of \p pool that take work.
     std::size_t poolSlots(std::string_view pool) const;
