Admit by weighted fairness, with a queue bounded by time and refusal at the door

Start-time fair queueing orders waiting teams; a request whose estimated wait exceeds its spare time or the queue's limit is refused at once. A team below its share may start although others hold the whole capacity: an instance of today ends some three requests a second, so a share that had to wait for the next free place would come hundreds of milliseconds late.

Not yet measured under load; thresholds are first values.

--- /dev/null
+++ b/packages/admission/src/admission.cpp
@@ -0,0 +1,257 @@
+#include <masticlever/admission/admission.h>
+
+#include "detail/adaptive-capacity.h"
+#include "detail/drain-rate.h"
+#include "detail/fair-queue.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+#include <string>
+#include <unordered_map>
+
+namespace masticlever::admission
+{
+
+namespace
+{
+
+using detail::team_map;
+using detail::team_state;
+using detail::waiting;
+
+constexpr double usPerSecond = 1e6;
+constexpr double cheapestRequest = 0.001; ///< seconds, for fairness
+constexpr double borrowedShare = 0.5; ///< of the capacity, for teams below their share
+constexpr common::duration shortestRetry = std::chrono::milliseconds(100);
+constexpr common::duration longestRetry = std::chrono::seconds(30);
+constexpr common::duration unknownRetry = std::chrono::seconds(1);
+
+common::duration clampRetry(common::duration wait)
+{
+    return std::clamp(wait, shortestRetry, longestRetry);
+}
+
+decision refused(refusal_reason reason, common::duration retryAfter)
+{
+    return {decision::verdict::refused, 0, reason, clampRetry(retryAfter)};
+}
+
+} // namespace
+
+struct controller::state {
+    explicit state(const admission_options &given) : options(given), capacity(given.capacity, given.minimumCapacity) { }
+
+    admission_options options;
+    detail::adaptive_capacity capacity;
+    detail::drain_rate drain;
+    detail::fair_queue queue;
+    std::unordered_map<ticket, team_map::value_type *> inFlight;
+    ticket lastTicket = 0;
+
+    bool hasRoom() const { return static_cast<double>(inFlight.size()) < capacity.value(); }
+    bool mayBorrow(const team_state &team) const;
+    common::duration drainTime(std::size_t requests, common::instant now) const;
+    common::duration expectedWait(const team_state &team, common::instant now) const;
+    void start(team_map::value_type &team, ticket id, double startTag);
+    decision admit(team_map::value_type &team, double cost);
+    decision enqueue(team_map::value_type &team, const entry_request &entry, double cost, common::instant now);
+    void expire(team_state &team, common::instant now, std::vector<queue_event> &events);
+    queue_event refusalOf(const waiting &entry, common::instant now) const;
+};
+
+/// A team below its share of the capacity starts at once, even when others hold all of it: what they hold drains
+/// slowly on an instance with few requests a second, and the share would come too late.
+bool controller::state::mayBorrow(const team_state &team) const
+{
+    if (static_cast<double>(inFlight.size()) >= capacity.value() * (1 + borrowedShare)) {
+        return false;
+    }
+    const double share = capacity.value() * team.weight / queue.activeWeight(team);
+    return static_cast<double>(team.inFlight) + 1 <= std::max(share, 1.0);
+}
+
+common::duration controller::state::drainTime(std::size_t requests, common::instant now) const
+{
+    const double rate = drain.perSecond(now);
+    if (rate <= 0) {
+        return unknownRetry;
+    }
+    return common::duration(std::llround(static_cast<double>(requests) * usPerSecond / rate));
+}
+
+/// Time until a new request of \p team would start.
+common::duration controller::state::expectedWait(const team_state &team, common::instant now) const
+{
+    if (queue.size() == 0 && hasRoom()) {
+        return common::duration::zero();
+    }
+    if (team.queue.empty() && mayBorrow(team)) {
+        return common::duration::zero();
+    }
+    const std::size_t before = queue.countBefore(queue.startTagFor(team));
+    if (drain.perSecond(now) <= 0) {
+        return common::duration::zero();
+    }
+    return drainTime(before + 1, now);
+}
+
+void controller::state::start(team_map::value_type &team, ticket id, double startTag)
+{
+    queue.onStarted(startTag);
+    ++team.second.inFlight;
+    inFlight.emplace(id, &team);
+}
+
+decision controller::state::admit(team_map::value_type &team, double cost)
+{
+    const ticket id = ++lastTicket;
+    start(team, id, queue.charge(team.second, cost));
+    decision admitted;
+    admitted.outcome = decision::verdict::admitted;
+    admitted.id = id;
+    return admitted;
+}
+
+decision controller::state::enqueue(team_map::value_type &team, const entry_request &entry, double cost,
+                                    common::instant now)
+{
+    waiting added;
+    added.id = ++lastTicket;
+    added.startTag = queue.charge(team.second, cost);
+    added.deadline = now + entry.remaining;
+    added.expectedService = entry.expectedService;
+    added.expiresAt = now + std::min(options.queueLimit, entry.remaining - entry.expectedService);
+    queue.push(team.second, added);
+    decision queued;
+    queued.outcome = decision::verdict::queued;
+    queued.id = added.id;
+    return queued;
+}
+
+queue_event controller::state::refusalOf(const waiting &entry, common::instant now) const
+{
+    const bool late = entry.deadline - entry.expectedService <= now;
+    const auto reason = late ? refusal_reason::deadline_unreachable : refusal_reason::queue_timeout;
+    return {entry.id, false, reason, clampRetry(drainTime(queue.size() + 1, now))};
+}
+
+void controller::state::expire(team_state &team, common::instant now, std::vector<queue_event> &events)
+{
+    for (auto entry = team.queue.begin(); entry != team.queue.end();) {
+        if (entry->expiresAt > now) {
+            ++entry;
+            continue;
+        }
+        const ticket id = entry->id;
+        events.push_back(refusalOf(*entry, now));
+        ++entry;
+        queue.erase(id);
+        entry = team.queue.begin();
+    }
+}
+
+controller::controller(admission_options options) : m_state(std::make_unique<state>(options)) { }
+
+controller::~controller() = default;
+controller::controller(controller &&) noexcept = default;
+controller &controller::operator=(controller &&) noexcept = default;
+
+decision controller::request(const entry_request &entry, common::instant now)
+{
+    auto &team = m_state->queue.team(entry.team, entry.weight);
+    const std::size_t held = team.second.inFlight + team.second.queue.size();
+    if (held >= entry.teamLimit) {
+        return refused(refusal_reason::team_limit, m_state->drainTime(1, now));
+    }
+    const double service = static_cast<double>(entry.expectedService.count()) / usPerSecond;
+    const double cost = std::max(service, cheapestRequest);
+    // With nothing in flight the estimate cannot be corrected by answers, so it refuses nobody.
+    if (m_state->inFlight.empty() && entry.remaining > common::duration::zero()) {
+        return m_state->admit(team, cost);
+    }
+    const common::duration wait = m_state->expectedWait(team.second, now);
+    const common::duration spare = entry.remaining - entry.expectedService;
+    if (wait > spare) {
+        return refused(refusal_reason::deadline_unreachable, wait - std::max(spare, common::duration::zero()));
+    }
+    if (wait > m_state->options.queueLimit) {
+        return refused(refusal_reason::queue_timeout, wait - m_state->options.queueLimit);
+    }
+    const bool firstInLine = m_state->queue.size() == 0 && m_state->hasRoom();
+    if (firstInLine || (team.second.queue.empty() && m_state->mayBorrow(team.second))) {
+        return m_state->admit(team, cost);
+    }
+    return m_state->enqueue(team, entry, cost, now);
+}
+
+void controller::onFinished(ticket id, bool metDeadline, common::instant now)
+{
+    const auto found = m_state->inFlight.find(id);
+    if (found == m_state->inFlight.end()) {
+        return;
+    }
+    auto &team = *found->second;
+    m_state->capacity.onFinished(metDeadline, m_state->inFlight.size());
+    m_state->drain.onFinished(now);
+    m_state->inFlight.erase(found);
+    --team.second.inFlight;
+    m_state->queue.forget(team);
+}
+
+void controller::cancel(ticket id)
+{
+    m_state->queue.erase(id);
+}
+
+void controller::setCapacity(std::size_t capacity)
+{
+    m_state->capacity.setUpper(capacity);
+}
+
+std::vector<queue_event> controller::poll(common::instant now)
+{
+    std::vector<queue_event> events;
+    if (m_state->queue.size() == 0) {
+        return events;
+    }
+    for (auto &[name, team] : m_state->queue.teams()) {
+        m_state->expire(team, now, events);
+    }
+    while (m_state->hasRoom()) {
+        auto *team = m_state->queue.next();
+        if (team == nullptr) {
+            break;
+        }
+        const waiting entry = m_state->queue.popFront(team->second);
+        m_state->start(*team, entry.id, entry.startTag);
+        queue_event admitted;
+        admitted.id = entry.id;
+        admitted.admitted = true;
+        events.push_back(admitted);
+    }
+    return events;
+}
+
+common::instant controller::nextWakeUp() const
+{
+    common::instant next = common::instant::max();
+    for (const auto &[name, team] : m_state->queue.teams()) {
+        for (const waiting &entry : team.queue) {
+            next = std::min(next, entry.expiresAt);
+        }
+    }
+    return next;
+}
+
+std::size_t controller::inFlight() const
+{
+    return m_state->inFlight.size();
+}
+
+std::size_t controller::queued() const
+{
+    return m_state->queue.size();
+}
+
+} // namespace masticlever::admission
--- /dev/null
+++ b/packages/admission/src/detail/fair-queue.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include <masticlever/admission/admission.h>
+
+#include <cstddef>
+#include <deque>
+#include <functional>
+#include <map>
+#include <string>
+#include <string_view>
+
+/// \file
+/// Weighted fair queueing between teams (start-time fair queueing).
+
+namespace masticlever::admission::detail
+{
+
+struct waiting {
+    ticket id = 0;
+    double startTag = 0; ///< virtual time
+    common::instant expiresAt;
+    common::instant deadline;
+    common::duration expectedService{};
+};
+
+struct team_state {
+    double weight = 1;
+    std::size_t inFlight = 0;
+    double finishTag = 0; ///< virtual time at which its accepted work ends
+    std::deque<waiting> queue;
+
+    bool isActive() const { return inFlight > 0 || !queue.empty(); }
+};
+
+using team_map = std::map<std::string, team_state, std::less<>>;
+
+/// The teams with their queues. A team that was idle starts at the present virtual time: it neither saves up
+/// credit nor pays for use while nobody waited.
+class fair_queue
+{
+public:
+    /// The state of \p team, made when missing; the reference stays valid until forget().
+    team_map::value_type &team(std::string_view name, double weight);
+    void forget(team_map::value_type &idle);
+
+    /// Charges \p cost (seconds of service) to \p team and returns its start tag.
+    double charge(team_state &team, double cost) const;
+    void onStarted(double startTag);
+    void push(team_state &team, const waiting &entry);
+
+    /// The team whose first entry is next, or nullptr.
+    team_map::value_type *next();
+    waiting popFront(team_state &team);
+    /// False when \p id does not wait.
+    bool erase(ticket id);
+
+    /// Entries that would be served before one with \p startTag.
+    std::size_t countBefore(double startTag) const;
+    double startTagFor(const team_state &team) const;
+    /// Sum of the weights of teams with requests in flight or queued, and of \p self.
+    double activeWeight(const team_state &self) const;
+    std::size_t size() const { return m_size; }
+    team_map &teams() { return m_teams; }
+    const team_map &teams() const { return m_teams; }
+
+private:
+    team_map m_teams;
+    double m_virtualTime = 0;
+    std::size_t m_size = 0;
+};
+
+} // namespace masticlever::admission::detail
