--- a/packages/configuration/src/change-tracker.cpp
+++ b/packages/configuration/src/change-tracker.cpp
@@ -17,7 +17,7 @@
 /// The outcome that no further record can change.
 std::optional<change_outcome> finalOutcome(const change &what, const replayer &replayed)
 {
-    if (const auto outcome = replayed.outcomeOf(what.id)) {
+    if (auto outcome = replayed.outcomeOf(what.id)) {
         return outcome;
     }
     if (const auto fault = detail::formFault(what)) {
