Add masticleverctl

Operators keep declarations in version control and need one command that shows the difference, brings it into force and says truly what became of it.

apply plans puts in the order of references and removals in the reverse one, under the version that was read; a step refused for a reference is tried again as long as other steps succeed. Every attempt of a change carries one change id; a lost answer is settled by GET /v1/changes/{id}, and what stays open is 'unknown' with the id. Exit codes: 0 unchanged, 2 usage, 10 changed, 11 refused, 12 unknown. get, describe, watch, delete, drain, runs, runs settle, version and completion are thin requests.

--- /dev/null
+++ b/packages/masticleverctl/src/commands.cpp
@@ -0,0 +1,250 @@
+#include "commands.h"
+
+#include "declarations.h"
+#include "table-text.h"
+
+#include <masticlever/configuration/codec.h>
+
+#include <QJsonArray>
+#include <QJsonDocument>
+#include <QStringList>
+
+#include <array>
+#include <utility>
+
+using namespace Qt::Literals::StringLiterals;
+
+namespace masticlever::masticleverctl
+{
+
+namespace
+{
+
+constexpr int watchWaitMs = 20'000;
+constexpr int badRequestStatus = 400;
+
+int exitCodeOf(step_result result)
+{
+    constexpr std::array codes{exit_code::unchanged, exit_code::changed, exit_code::refused, exit_code::unknown};
+    return codes[static_cast<std::size_t>(result)];
+}
+
+QString resultText(step_result result)
+{
+    constexpr std::array words{"unchanged", "changed", "refused", "unknown"};
+    return QLatin1StringView(words[static_cast<std::size_t>(result)]);
+}
+
+QString kindText(configuration::resource_kind kind)
+{
+    const auto text = configuration::toString(kind);
+    return QString::fromLatin1(text.data(), static_cast<qsizetype>(text.size()));
+}
+
+QString resourcePath(const QString &kind, const QString &name)
+{
+    return name.isEmpty() ? u"/v1/resources/"_s + kind : u"/v1/resources/"_s + kind + u'/' + name;
+}
+
+QString compactText(const QJsonObject &object)
+{
+    return QString::fromUtf8(QJsonDocument(object).toJson(QJsonDocument::Compact)) + u'\n';
+}
+
+} // namespace
+
+commands::commands(api &server, change_runner &runner, output_format format, writer out, writer err)
+    : m_server(server), m_runner(runner), m_format(format), m_out(std::move(out)), m_err(std::move(err))
+{ }
+
+int commands::apply(const apply_options &options)
+{
+    const declaration_set declared = readDeclarations(options.path);
+    for (const QString &fault : declared.faults) {
+        m_err(fault + u'\n');
+    }
+    if (!declared.faults.empty()) {
+        return exit_code::refused;
+    }
+    if (declared.items.empty()) {
+        m_err(u"no declarations in "_s + options.path + u'\n');
+        return exit_code::usage;
+    }
+    const auto present = readPresent();
+    if (!present) {
+        return exit_code::refused;
+    }
+    const std::vector<step> steps = makePlan(declared.items, *present, options.prune);
+    showPlan(steps);
+    if (options.dryRun) {
+        return steps.empty() ? exit_code::unchanged : exit_code::changed;
+    }
+    const auto report = [this](const step &what, const step_outcome &outcome) { showOutcome(what, outcome); };
+    return exitCodeOf(m_runner.runAll(steps, report));
+}
+
+int commands::get(const QString &kind, const QString &name)
+{
+    return showAnswer(m_server.send({"GET", resourcePath(kind, name), {}, {}, {}}),
+                      {u"kind"_s, u"name"_s, u"version"_s, u"in_force"_s});
+}
+
+int commands::describe(const QString &kind, const QString &name)
+{
+    const response answer = m_server.send({"GET", resourcePath(kind, name), {}, {}, {}});
+    if (!answer.isSuccess()) {
+        return fail(answer);
+    }
+    m_out(m_format == output_format::json
+              ? compactText(answer.body)
+              : QString::fromUtf8(QJsonDocument(answer.body).toJson(QJsonDocument::Indented)));
+    return exit_code::unchanged;
+}
+
+int commands::watch(std::uint64_t from, int rounds)
+{
+    for (int round = 0; rounds == 0 || round < rounds; ++round) {
+        const QString path = u"/v1/watch?from=%1&wait_ms=%2"_s.arg(from).arg(watchWaitMs);
+        const response answer = m_server.send({"GET", path, {}, {}, {}});
+        if (!answer.isSuccess()) {
+            return fail(answer);
+        }
+        const auto offset = static_cast<std::uint64_t>(answer.body.value(u"offset"_s).toInteger());
+        if (offset > from) {
+            m_out(m_format == output_format::json ? compactText(answer.body)
+                                                  : tableText(answer.body.value(u"changed"_s).toArray(),
+                                                              {u"kind"_s, u"name"_s, u"version"_s, u"in_force"_s}));
+            from = offset;
+        }
+    }
+    return exit_code::unchanged;
+}
+
+int commands::remove(const QString &kind, const QString &name, std::optional<std::uint64_t> version)
+{
+    const auto parsedKind = configuration::parseKind(kind.toStdString());
+    if (!parsedKind) {
+        m_err(u"the kinds are pipeline, team and endpoint\n"_s);
+        return exit_code::usage;
+    }
+    if (!version) {
+        const response present = m_server.send({"GET", resourcePath(kind, name), {}, {}, {}});
+        if (!present.isSuccess()) {
+            return fail(present);
+        }
+        version = static_cast<std::uint64_t>(present.body.value(u"version"_s).toInteger());
+    }
+    const step what{step_action::remove, *parsedKind, name.toStdString(), *version, {}, {}};
+    const step_outcome outcome = m_runner.run(what);
+    showOutcome(what, outcome);
+    return exitCodeOf(outcome.result);
+}
+
+int commands::drain(const QString &instance)
+{
+    const response answer = m_server.send({"POST", u"/v1/instances/%1/drain"_s.arg(instance), "{}", {}, {}});
+    if (!answer.isSuccess()) {
+        return fail(answer);
+    }
+    m_out(m_format == output_format::json ? compactText(answer.body) : instance + u" is leaving\n"_s);
+    return exit_code::changed;
+}
+
+int commands::listRuns()
+{
+    return showAnswer(m_server.send({"GET", u"/v1/operator/runs"_s, {}, {}, {}}),
+                      {u"team"_s, u"key"_s, u"pipeline"_s, u"stage"_s, u"owner"_s});
+}
+
+int commands::settleRun(const QString &team, const QString &key, const QByteArray &resultJson)
+{
+    const response answer
+        = m_server.send({"POST", u"/v1/operator/runs/%1/%2/settle"_s.arg(team, key), resultJson, {}, {}});
+    if (!answer.isSuccess()) {
+        return fail(answer);
+    }
+    m_out(m_format == output_format::json ? compactText(answer.body) : u"%1/%2 is settled\n"_s.arg(team, key));
+    return exit_code::changed;
+}
+
+std::optional<std::vector<present_resource>> commands::readPresent()
+{
+    using configuration::resource_kind;
+    std::vector<present_resource> present;
+    for (const auto kind : {resource_kind::endpoint, resource_kind::pipeline, resource_kind::team}) {
+        const response answer = m_server.send({"GET", resourcePath(kindText(kind), {}), {}, {}, {}});
+        if (!answer.isSuccess()) {
+            fail(answer);
+            return std::nullopt;
+        }
+        for (const auto &item : answer.body.value(u"items"_s).toArray()) {
+            const QJsonObject object = item.toObject();
+            const QByteArray spec = QJsonDocument(object.value(u"spec"_s).toObject()).toJson(QJsonDocument::Compact);
+            present.push_back({kind, object.value(u"name"_s).toString().toStdString(),
+                               static_cast<std::uint64_t>(object.value(u"version"_s).toInteger()), spec.toStdString()});
+        }
+    }
+    return present;
+}
+
+int commands::showAnswer(const response &answer, const QStringList &columns)
+{
+    if (!answer.isSuccess()) {
+        return fail(answer);
+    }
+    if (m_format == output_format::json) {
+        m_out(compactText(answer.body));
+        return exit_code::unchanged;
+    }
+    const QJsonArray items
+        = answer.body.contains(u"items"_s) ? answer.body.value(u"items"_s).toArray() : QJsonArray{answer.body};
+    m_out(tableText(items, columns));
+    return exit_code::unchanged;
+}
+
+/// An answer that is lost leaves only a request other than GET in doubt; those settle it before they come here.
+int commands::fail(const response &answer)
+{
+    const QString detail = answer.status == 0 ? answer.fault : answer.body.value(u"detail"_s).toString();
+    m_err(u"error: "_s + (detail.isEmpty() ? u"status %1"_s.arg(answer.status) : detail) + u'\n');
+    const bool isDoubtful = answer.status == 0 || answer.problem() == u"unknown"_s;
+    if (isDoubtful) {
+        return exit_code::unknown;
+    }
+    return answer.status == badRequestStatus ? exit_code::usage : exit_code::refused;
+}
+
+void commands::showPlan(const std::vector<step> &steps)
+{
+    if (m_format == output_format::json) {
+        return;
+    }
+    for (const step &what : steps) {
+        m_out(masticleverctl::describe(what));
+    }
+    m_out(u"plan: %1 changes\n"_s.arg(steps.size()));
+}
+
+void commands::showOutcome(const step &what, const step_outcome &outcome)
+{
+    const QString kind = kindText(what.kind);
+    const QString name = QString::fromStdString(what.name);
+    if (m_format == output_format::json) {
+        m_out(compactText({{u"kind"_s, kind},
+                           {u"name"_s, name},
+                           {u"result"_s, resultText(outcome.result)},
+                           {u"change_id"_s, outcome.changeId},
+                           {u"detail"_s, outcome.detail}}));
+        return;
+    }
+    QString line = u"%1/%2 %3"_s.arg(kind, name, resultText(outcome.result));
+    if (!outcome.detail.isEmpty()) {
+        line += u": "_s + outcome.detail;
+    }
+    if (outcome.result == step_result::unknown) {
+        line += u" (change id %1)"_s.arg(outcome.changeId);
+    }
+    m_out(line + u'\n');
+}
+
+} // namespace masticlever::masticleverctl
