--- a/packages/masticleverctl/src/change-runner.h
+++ b/packages/masticleverctl/src/change-runner.h
@@ -23,7 +23,7 @@
 };
 
 struct runner_options {
-    int attempts = 8; ///< of one change
+    int attempts = 4; ///< of one change
     std::chrono::milliseconds pauseBetween{1000};
 };
 
