--- a/packages/http/include/masticlever/http/manager-pool.h
+++ b/packages/http/include/masticlever/http/manager-pool.h
@@ -29,6 +29,8 @@
 
     QNetworkReply *get(const QNetworkRequest &request);
     QNetworkReply *put(const QNetworkRequest &request, const QByteArray &body);
+    /// An idempotent request of any \p method.
+    QNetworkReply *send(const QByteArray &method, const QNetworkRequest &request, const QByteArray &body);
     /// See http::postOnce.
     QNetworkReply *postOnce(const QNetworkRequest &request, QByteArray body);
 
@@ -38,7 +40,7 @@
     struct slot;
 
     slot &freeSlot();
-    QNetworkReply *send(const std::function<QNetworkReply *(QNetworkAccessManager &)> &start);
+    QNetworkReply *start(const std::function<QNetworkReply *(QNetworkAccessManager &)> &begin);
 
     std::vector<std::shared_ptr<slot>> m_slots;
 };
--- a/packages/http/src/manager-pool.cpp
+++ b/packages/http/src/manager-pool.cpp
@@ -29,17 +29,22 @@
 
 QNetworkReply *manager_pool::get(const QNetworkRequest &request)
 {
-    return send([&](QNetworkAccessManager &manager) { return manager.get(request); });
+    return start([&](QNetworkAccessManager &manager) { return manager.get(request); });
 }
 
 QNetworkReply *manager_pool::put(const QNetworkRequest &request, const QByteArray &body)
 {
-    return send([&](QNetworkAccessManager &manager) { return manager.put(request, body); });
+    return start([&](QNetworkAccessManager &manager) { return manager.put(request, body); });
+}
+
+QNetworkReply *manager_pool::send(const QByteArray &method, const QNetworkRequest &request, const QByteArray &body)
+{
+    return start([&](QNetworkAccessManager &manager) { return manager.sendCustomRequest(request, method, body); });
 }
 
 QNetworkReply *manager_pool::postOnce(const QNetworkRequest &request, QByteArray body)
 {
-    return send([&](QNetworkAccessManager &manager) { return http::postOnce(manager, request, std::move(body)); });
+    return start([&](QNetworkAccessManager &manager) { return http::postOnce(manager, request, std::move(body)); });
 }
 
 std::size_t manager_pool::inFlight() const
@@ -63,10 +68,10 @@
     return *m_slots.back();
 }
 
-QNetworkReply *manager_pool::send(const std::function<QNetworkReply *(QNetworkAccessManager &)> &start)
+QNetworkReply *manager_pool::start(const std::function<QNetworkReply *(QNetworkAccessManager &)> &begin)
 {
     slot &chosen = freeSlot();
-    QNetworkReply *reply = start(*chosen.manager);
+    QNetworkReply *reply = begin(*chosen.manager);
     ++chosen.inFlight;
     // A reply counts until its destruction or its end, whichever is first.
     const auto isCounted = std::make_shared<bool>(true);
