Bind a refusal to the claims that it must exclude

A refusal by another instance could pass for one's own although its hold had run out; a copy of a request that arrived before a refusal could claim after it; after an outage a claim could follow a 'not run' that was said without a record.

Change: refusals carry a token and count only when sent after they were asked for and read back before their deadline; claims carry how long the request has waited; after an outage longer than shortOutage keys from before its end are not claimed for refusalHold.

--- a/packages/ledger/include/masticlever/ledger/ledger.h
+++ b/packages/ledger/include/masticlever/ledger/ledger.h
@@ -114,8 +114,14 @@
     std::chrono::milliseconds clockSkew = std::chrono::seconds(1); ///< largest skew between callers and instances
     std::size_t entriesPerRecord = 64;
     std::size_t recordBytes = 1048576;
-    /// For so long after a refusal the key cannot be claimed: covers copies of the request that are under way.
-    std::chrono::milliseconds refusalHold = std::chrono::seconds(2);
+    /// For so long after a refusal requests that arrive cannot claim the key: covers copies that are under way.
+    /// At least twice claimTimeout.
+    std::chrono::milliseconds refusalHold = std::chrono::seconds(5);
+    std::chrono::milliseconds peerNotice = std::chrono::seconds(1); ///< largest age of what peers say of the log
+    /// After a longer one, keys from before its end cannot be claimed for refusalHold.
+    std::chrono::milliseconds shortOutage = std::chrono::seconds(1);
+    /// Without a read for so long the log counts as unreachable; reads wait for less.
+    common::duration readTimeout = std::chrono::seconds(10);
     /// An unfinished run is written again when its last full record is older; well below the log's retention.
     std::chrono::milliseconds carryAfter = std::chrono::hours(6);
     common::duration retryInterval = std::chrono::milliseconds(500); ///< between appends of one outcome
--- a/packages/ledger/src/detail/entry.cpp
+++ b/packages/ledger/src/detail/entry.cpp
@@ -120,6 +120,7 @@
         w.number("stage", e.stage);
         w.number("expected", e.expected);
         w.time("until", e.until);
+        w.number("waited_ms", static_cast<std::uint64_t>(e.waited.count()));
         return w.take();
     }
     std::string operator()(const finish_entry &e) const
@@ -147,6 +148,7 @@
         w.text("owner", e.owner);
         w.text("nonce", e.nonce);
         w.number("expected", e.expected);
+        w.number("token", e.token);
         w.time("until", e.until);
         w.number("hold_ms", static_cast<std::uint64_t>(e.hold.count()));
         return w.take();
@@ -228,6 +230,7 @@
     e.owner = r.text("owner");
     e.nonce = r.text("nonce");
     e.expected = r.number("expected");
+    e.token = r.number("token");
     e.until = r.time("until");
     e.hold = std::chrono::milliseconds(r.number("hold_ms"));
     return e;
@@ -245,6 +248,7 @@
     e.stage = r.stage("stage");
     e.expected = r.number("expected");
     e.until = r.time("until");
+    e.waited = std::chrono::milliseconds(r.number("waited_ms"));
     return e;
 }
 
--- a/packages/ledger/src/detail/entry.h
+++ b/packages/ledger/src/detail/entry.h
@@ -27,6 +27,7 @@
     std::uint32_t stage = 0;
     epoch expected = 0;
     wall_time until; ///< end of the key's window; later claims have no effect
+    std::chrono::milliseconds waited{0}; ///< from the request's arrival to this entry
 };
 
 /// Outcome of the claim \a nonce, told by its sender.
@@ -50,6 +51,7 @@
     std::string owner;
     std::string nonce;
     epoch expected = 0;
+    std::uint64_t token = 0; ///< of the writer: which of its refusals this is
     wall_time until;
     std::chrono::milliseconds hold{0};
 };
--- a/packages/ledger/src/detail/ledger-state.cpp
+++ b/packages/ledger/src/detail/ledger-state.cpp
@@ -82,6 +82,7 @@
     const bool wasReachable = reach.isReachable();
     reach.onReadEnded(next == batch.end, now, wallNow);
     out.prune(table);
+    settleRefusals(now);
     if (reach.isCaughtUp() && (now >= nextCarryCheck || !wasReachable)) {
         nextCarryCheck = now + carryCheckInterval;
         carryOldRuns(now, wallNow);
@@ -114,7 +115,7 @@
         events.emplace_back(run_taken{take->run, viewOf(take->run, wall_time())});
     }
     notify(detail::runOf(e));
-    settleRefusal(detail::runOf(e));
+    noteRefusal(e, result);
 }
 
 void run_ledger::state::onClaimRead(const detail::claim_entry &e, effect result, instant now)
@@ -142,12 +143,6 @@
     }
 }
 
-void run_ledger::state::sendVoid(const run_key &run, const std::string &nonce, instant now)
-{
-    ++counters.voidedClaims;
-    out.add(detail::refuse_entry{run, options.incarnation, nonce, 0, windowEnd(run), options.refusalHold}, now);
-}
-
 void run_ledger::state::notify(const run_key &run)
 {
     if (!reach.isCaughtUp()) {
@@ -159,24 +154,18 @@
     }
 }
 
-/// A refusal stands as soon as the run's epoch has moved on without a claim, whoever has moved it.
-void run_ledger::state::settleRefusal(const run_key &run)
+/// Whether the open claim of the run was written by this instance, whoever owns the run now.
+bool run_ledger::state::isOwnClaim(const detail::run_state &present) const
 {
-    const auto found = refusals.find(run);
-    const detail::run_state *present = table.find(run);
-    if (found == refusals.end() || !present || present->at == found->second.asked) {
-        return;
-    }
-    if (present->phase == run_phase::refused) {
-        refusals.erase(found);
-        events.emplace_back(refusal_recorded{run});
-        return;
-    }
-    const bool isBeingVoided = present->open && isOwn(present->open->owner) && out.isOutstanding(run);
-    if (!isBeingVoided) {
-        refusals.erase(found);
-        events.emplace_back(claim_lost{run, 0});
-    }
+    const detail::open_part *open = present.open.get();
+    return open && open->claimed && detail::isWriter(options.incarnation, open->nonce);
+}
+
+/// With the log reachable only a recorded refusal is certain.
+bool run_ledger::state::isNotRunCertain(const run_key &run, instant now) const
+{
+    const bool isDown = !reach.isReachable() || reach.hasReadTimedOut(now, options);
+    return isDown && !table.find(run) && reach.isAbsenceCertain(common::keyTime(run.key), now, options);
 }
 
 void run_ledger::state::endClaim(const std::string &nonce, instant now)
@@ -186,8 +175,7 @@
         return;
     }
     const run_key run = found->second.run;
-    const bool isCertain = !reach.isReachable() && reach.isAbsenceCertain(common::keyTime(run.key), now, options);
-    events.emplace_back(claim_unavailable{run, found->second.stage, isCertain});
+    events.emplace_back(claim_unavailable{run, found->second.stage, isNotRunCertain(run, now)});
     out.withdrawClaim(nonce);
     claims.erase(found);
 }
@@ -226,11 +214,12 @@
 
 void run_ledger::state::beginClaim(claim_request request, instant now)
 {
-    const bool metAnOutage = request.arrivedAt < reach.reachableSince();
-    if (!reach.isCaughtUp() || !reach.isReachable() || metAnOutage) {
-        const wall_time created = common::keyTime(request.run.key);
-        const bool isCertain = !reach.isReachable() && reach.isAbsenceCertain(created, now, options);
-        events.emplace_back(claim_unavailable{request.run, request.stage, isCertain});
+    const detail::run_state *present = table.find(request.run);
+    const wall_time created = common::keyTime(request.run.key);
+    const bool isAccepted = present && present->open;
+    const bool isReadCurrent = reach.isCaughtUp() && reach.isReachable() && !reach.hasReadTimedOut(now, options);
+    if (isAccepted ? !isReadCurrent : !reach.mayClaim(created, request.arrivedAt, now, options)) {
+        events.emplace_back(claim_unavailable{request.run, request.stage, isNotRunCertain(request.run, now)});
         return;
     }
     if (isHopeless(request)) {
@@ -249,36 +238,9 @@
     e.nonce = nonce;
     e.stage = request.stage;
     e.expected = request.expected;
-    out.add(std::move(e), now);
-}
-
-void run_ledger::state::beginRefusal(const run_key &run, instant now)
-{
-    std::erase_if(claims, [&](const auto &item) {
-        if (item.second.run == run) {
-            out.withdrawClaim(item.first);
-        }
-        return item.second.run == run;
-    });
-    const detail::run_state *present = table.find(run);
-    const bool isOwnClaim = present && present->open && present->open->claimed && isOwn(present->open->owner);
-    refusals[run] = {present ? present->at : 0, now + options.claimTimeout};
-    if (isOwnClaim) {
-        sendVoid(run, present->open->nonce, now);
-        return;
+    if (request.arrivedAt < now) {
+        e.waited = std::chrono::ceil<std::chrono::milliseconds>(now - request.arrivedAt);
     }
-    const bool isOthers = present && present->phase != run_phase::refused;
-    if (isOthers || (!present && table.mayPrecedeStart(run))) {
-        refusals.erase(run);
-        events.emplace_back(claim_lost{run, 0});
-        return;
-    }
-    detail::refuse_entry e;
-    e.run = run;
-    e.owner = options.incarnation;
-    e.expected = present ? present->at : 0;
-    e.until = windowEnd(run);
-    e.hold = options.refusalHold;
     out.add(std::move(e), now);
 }
 
--- a/packages/ledger/src/detail/ledger-state.h
+++ b/packages/ledger/src/detail/ledger-state.h
@@ -4,6 +4,7 @@
 #include "detail/reachability.h"
 #include "detail/run-table.h"
 
+#include <algorithm>
 #include <unordered_map>
 
 /// \file
@@ -17,14 +18,19 @@
         run_key run;
         std::uint32_t stage = 0;
         common::instant deadline;
-        bool mayLand = true; ///< false once it is certain that no append carries it
     };
     struct pending_refusal {
         epoch asked = 0; ///< epoch that the refusal moves on
+        std::uint64_t token = 0; ///< in the entries sent for it
         common::instant deadline;
+        bool isRecorded = false;
     };
 
-    explicit state(ledger_options given) : options(std::move(given)), out(options) { }
+    explicit state(ledger_options given) : options(std::move(given)), out(options)
+    {
+        const auto shortest = std::chrono::ceil<std::chrono::milliseconds>(2 * options.claimTimeout);
+        options.refusalHold = std::max(options.refusalHold, shortest);
+    }
 
     void onBatch(const platform::log_batch &batch, common::instant now, common::wall_time wallNow);
     void endOverdue(common::instant now);
@@ -43,6 +49,7 @@
     platform::log_offset next = 1;
     platform::log_offset head = 1;
     std::uint64_t nonces = 0;
+    std::uint64_t tokens = 0;
     std::unordered_map<std::string, pending_claim> claims; ///< by nonce
     std::unordered_map<run_key, pending_refusal> refusals;
     std::vector<event> events;
@@ -55,11 +62,17 @@
     void onEntryRead(const detail::entry &e, detail::effect result, common::instant now);
     void onClaimRead(const detail::claim_entry &e, detail::effect result, common::instant now);
     void sendVoid(const run_key &run, const std::string &nonce, common::instant now);
-    void settleRefusal(const run_key &run);
+    void noteRefusal(const detail::entry &e, detail::effect result);
+    std::optional<event> endOfRefusal(const run_key &run, const pending_refusal &refusal, common::instant now) const;
+    void settleRefusals(common::instant now);
+    detail::refuse_entry refusalOf(const run_key &run, const std::string &nonce, epoch expected) const;
+    void sendRefusal(const run_key &run, common::instant now);
     void notify(const run_key &run);
     void carryOldRuns(common::instant now, common::wall_time wallNow);
     common::wall_time windowEnd(const run_key &run) const { return common::keyTime(run.key) + options.window; }
     bool isOwn(const std::string &incarnation) const { return incarnation == options.incarnation; }
+    bool isNotRunCertain(const run_key &run, common::instant now) const;
+    bool isOwnClaim(const detail::run_state &present) const;
     bool isHopeless(const claim_request &request) const;
 };
 
--- a/packages/ledger/src/detail/run-table.cpp
+++ b/packages/ledger/src/detail/run-table.cpp
@@ -48,14 +48,13 @@
     return std::string_view(state.text).substr(0, state.digestLength);
 }
 
-/// Writer of the claim: nonces begin with the incarnation.
-bool isWriter(const std::string &owner, const std::string &nonce)
+} // namespace
+
+bool isWriter(const std::string &incarnation, const std::string &nonce)
 {
-    return !owner.empty() && nonce.starts_with(owner + '#');
+    return !incarnation.empty() && nonce.starts_with(incarnation + '#');
 }
 
-} // namespace
-
 void run_table::startAfterTruncation(wall_time first)
 {
     *this = run_table();
@@ -159,7 +158,7 @@
         return false;
     }
     if (state->phase == run_phase::refused) {
-        return m_logTime >= state->changedAt;
+        return m_logTime - e.waited >= state->changedAt;
     }
     const open_part &open = *state->open;
     const bool isNextStage = !open.claimed && (!open.done || e.stage > *open.done);
--- a/packages/ledger/src/detail/run-table.h
+++ b/packages/ledger/src/detail/run-table.h
@@ -44,6 +44,9 @@
     changed,
 };
 
+/// Whether the claim \p nonce was written by \p incarnation: nonces begin with it.
+bool isWriter(const std::string &incarnation, const std::string &nonce);
+
 class run_table
 {
 public:
