Add the peers' codec: authenticated datagrams and frames

Texts and lists go through cereal with a limit that is checked before memory is taken; cereal's own loaders were ruled out because they allocate what the message asks for. The code of a frame covers the challenge of the connection or the code of the request, so that a recorded frame is of no use.

--- /dev/null
+++ b/packages/peers/include/masticlever/peers/messages.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <masticlever/membership/membership.h>
+#include <masticlever/platform/log-service.h>
+
+#include <cstdint>
+#include <vector>
+
+/// \file
+/// Messages between daemons: datagrams with news of the membership, and requests for configuration records.
+
+namespace masticlever::peers
+{
+
+/// One datagram. The sender's own notice comes with every one; its heartbeat numbers the datagrams.
+struct gossip_message {
+    membership::instance_notice sender;
+    std::vector<membership::instance_notice> notices; ///< changes of other instances
+    std::vector<membership::lost_notice> losses;
+    std::vector<membership::endpoint_notice> leavingEndpoints;
+
+    bool operator==(const gossip_message &) const = default;
+};
+
+/// Asks for up to \c limit configuration records from offset \c from (inclusive).
+struct records_request {
+    platform::log_offset from = 1;
+    std::uint32_t limit = 0;
+
+    bool operator==(const records_request &) const = default;
+};
+
+/// Answer to a records_request; \c batch is empty unless \c available.
+struct records_answer {
+    bool available = false;
+    platform::log_batch batch;
+};
+
+} // namespace masticlever::peers
--- /dev/null
+++ b/packages/peers/src/codec.cpp
@@ -0,0 +1,206 @@
+#include <masticlever/common/digest.h>
+#include <masticlever/common/errors.h>
+#include <masticlever/peers/codec.h>
+
+#include "detail/bodies.h"
+
+#include <boost/outcome/try.hpp>
+
+#include <sstream>
+#include <utility>
+
+namespace masticlever::peers
+{
+
+namespace
+{
+
+using common::error;
+
+constexpr char protocolVersion = 1;
+constexpr char requestKind = 1;
+constexpr char answerKind = 2;
+constexpr std::size_t frameHeaderBytes = 2; // version and kind
+constexpr std::size_t recordOverheadBytes = 20; // offset, time and length
+constexpr std::size_t answerOverheadBytes = 128; // all of an answer's frame but its records
+// Keeps the codes of datagrams and frames apart although the key is the same.
+constexpr std::string_view datagramContext = "masticlever datagram";
+constexpr std::string_view frameContext = "masticlever frame";
+
+std::string codeFor(std::string_view key, std::string_view purpose, std::string_view context, std::string_view bytes)
+{
+    std::string covered;
+    covered.reserve(purpose.size() + context.size() + bytes.size());
+    covered.append(purpose).append(context).append(bytes);
+    return common::hmacSha256(key, covered);
+}
+
+template <typename Message> common::result<std::string> encodeBody(Message &message)
+{
+    try {
+        std::ostringstream stream;
+        cereal::PortableBinaryOutputArchive archive(stream);
+        detail::transferBody(archive, message);
+        return std::move(stream).str();
+    } catch (const cereal::Exception &) {
+        return make_error_code(error::too_large);
+    }
+}
+
+template <typename Message> common::result<Message> decodeBody(std::string_view body)
+{
+    try {
+        detail::view_buffer buffer(body);
+        std::istream stream(&buffer);
+        cereal::PortableBinaryInputArchive archive(stream);
+        Message message;
+        detail::transferBody(archive, message);
+        if (buffer.remaining() != 0) {
+            return make_error_code(error::malformed);
+        }
+        return message;
+    } catch (const cereal::Exception &) {
+        return make_error_code(error::malformed);
+    }
+}
+
+void dropLastOfLongest(gossip_message &message)
+{
+    const std::size_t notices = message.notices.size();
+    const std::size_t losses = message.losses.size();
+    if (notices >= losses && notices >= message.leavingEndpoints.size()) {
+        message.notices.pop_back();
+    } else if (losses >= message.leavingEndpoints.size()) {
+        message.losses.pop_back();
+    } else {
+        message.leavingEndpoints.pop_back();
+    }
+}
+
+bool hasItems(const gossip_message &message)
+{
+    return !message.notices.empty() || !message.losses.empty() || !message.leavingEndpoints.empty();
+}
+
+template <typename Message>
+common::result<std::string> encodeFrame(char kind, Message &message, std::string_view key, std::string_view context)
+{
+    BOOST_OUTCOME_TRY(body, encodeBody(message));
+    const std::size_t length = frameHeaderBytes + body.size() + codeBytes;
+    std::string frame;
+    frame.reserve(frameLengthBytes + length);
+    for (std::size_t shift = 8 * frameLengthBytes; shift > 0; shift -= 8) {
+        frame += static_cast<char>((length >> (shift - 8)) & 0xffU);
+    }
+    frame += protocolVersion;
+    frame += kind;
+    frame += body;
+    frame += codeFor(key, frameContext, context, frame);
+    return frame;
+}
+
+template <typename Message>
+common::result<Message> decodeFrame(char kind, std::string_view frame, std::string_view key, std::string_view context)
+{
+    constexpr std::size_t bodyPosition = frameLengthBytes + frameHeaderBytes;
+    if (frame.size() < bodyPosition + codeBytes || frame[frameLengthBytes] != protocolVersion) {
+        return make_error_code(error::malformed);
+    }
+    const std::string_view covered = frame.substr(0, frame.size() - codeBytes);
+    if (!common::equalConstantTime(codeFor(key, frameContext, context, covered), codeOf(frame))) {
+        return make_error_code(error::unauthenticated);
+    }
+    if (frame[frameLengthBytes + 1] != kind) {
+        return make_error_code(error::malformed);
+    }
+    return decodeBody<Message>(covered.substr(bodyPosition));
+}
+
+} // namespace
+
+common::result<std::string> encodeDatagram(gossip_message &message, std::string_view key)
+{
+    constexpr std::size_t maximumBody = maximumDatagramBytes - 1 - codeBytes;
+    BOOST_OUTCOME_TRY(body, encodeBody(message));
+    while (body.size() > maximumBody && hasItems(message)) {
+        dropLastOfLongest(message);
+        BOOST_OUTCOME_TRY(shorter, encodeBody(message));
+        body = std::move(shorter);
+    }
+    std::string datagram(1, protocolVersion);
+    datagram += body;
+    datagram += codeFor(key, datagramContext, {}, datagram);
+    return datagram;
+}
+
+common::result<gossip_message> decodeDatagram(std::string_view bytes, std::string_view key)
+{
+    if (bytes.size() > maximumDatagramBytes) {
+        return make_error_code(error::too_large);
+    }
+    if (bytes.size() <= 1 + codeBytes || bytes.front() != protocolVersion) {
+        return make_error_code(error::malformed);
+    }
+    const std::string_view covered = bytes.substr(0, bytes.size() - codeBytes);
+    if (!common::equalConstantTime(codeFor(key, datagramContext, {}, covered), codeOf(bytes))) {
+        return make_error_code(error::unauthenticated);
+    }
+    return decodeBody<gossip_message>(covered.substr(1));
+}
+
+common::result<std::string> encodeRequest(const records_request &request, std::string_view key,
+                                          std::string_view challenge)
+{
+    records_request copy = request;
+    return encodeFrame(requestKind, copy, key, challenge);
+}
+
+common::result<std::string> encodeAnswer(records_answer answer, std::string_view key, std::string_view requestCode)
+{
+    std::size_t total = answerOverheadBytes;
+    std::size_t fitting = 0;
+    for (const platform::log_record &record : answer.batch.records) {
+        total += recordOverheadBytes + record.payload.size();
+        if (total > maximumAnswerBytes || fitting >= detail::maximumRecords) {
+            break;
+        }
+        ++fitting;
+    }
+    answer.batch.records.resize(fitting);
+    return encodeFrame(answerKind, answer, key, requestCode);
+}
+
+common::result<std::size_t> frameLength(std::string_view bytes, std::size_t maximum)
+{
+    if (bytes.size() < frameLengthBytes) {
+        return std::size_t{0};
+    }
+    std::size_t length = 0;
+    for (const char c : bytes.substr(0, frameLengthBytes)) {
+        length = (length << 8U) | static_cast<unsigned char>(c);
+    }
+    if (length > maximum) {
+        return make_error_code(error::too_large);
+    }
+    if (length < frameHeaderBytes + codeBytes) {
+        return make_error_code(error::malformed);
+    }
+    return frameLengthBytes + length;
+}
+
+common::result<records_request> decodeRequest(std::string_view frame, std::string_view key, std::string_view challenge)
+{
+    return decodeFrame<records_request>(requestKind, frame, key, challenge);
+}
+
+common::result<records_answer> decodeAnswer(std::string_view frame, std::string_view key, std::string_view requestCode)
+{
+    return decodeFrame<records_answer>(answerKind, frame, key, requestCode);
+}
+
+std::string_view codeOf(std::string_view frame)
+{
+    return frame.size() < codeBytes ? std::string_view{} : frame.substr(frame.size() - codeBytes);
+}
+
+} // namespace masticlever::peers
--- /dev/null
+++ b/packages/peers/src/detail/bodies.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <masticlever/peers/messages.h>
+
+#include "detail/bounded-archive.h"
+
+#include <chrono>
+
+/// \file
+/// The bodies of the messages, each field with its limit.
+
+namespace masticlever::peers::detail
+{
+
+constexpr std::size_t maximumNameBytes = 64;
+constexpr std::size_t maximumAddressBytes = 64;
+constexpr std::size_t maximumListItems = 64;
+constexpr std::size_t maximumRecords = 4096;
+constexpr std::size_t maximumRecordBytes = std::size_t{1024} * 1024;
+
+template <typename Archive> void transferNotice(Archive &archive, membership::instance_notice &notice)
+{
+    transferText(archive, notice.name, maximumNameBytes);
+    transferText(archive, notice.incarnation, maximumNameBytes);
+    transferText(archive, notice.dataCentre, maximumNameBytes);
+    transferText(archive, notice.peerAddress, maximumAddressBytes);
+    archive(notice.heartbeat, notice.leaving, notice.logReachable, notice.configurationOffset);
+}
+
+template <typename Archive> void transferLoss(Archive &archive, membership::lost_notice &notice)
+{
+    transferText(archive, notice.incarnation, maximumNameBytes);
+    archive(notice.heartbeat);
+}
+
+template <typename Archive> void transferEndpoint(Archive &archive, membership::endpoint_notice &notice)
+{
+    transferText(archive, notice.address, maximumAddressBytes);
+    transferText(archive, notice.incarnation, maximumNameBytes);
+}
+
+template <typename Archive> void transferBody(Archive &archive, gossip_message &message)
+{
+    transferNotice(archive, message.sender);
+    transferList(archive, message.notices, maximumListItems, transferNotice<Archive>);
+    transferList(archive, message.losses, maximumListItems, transferLoss<Archive>);
+    transferList(archive, message.leavingEndpoints, maximumListItems, transferEndpoint<Archive>);
+}
+
+template <typename Archive> void transferBody(Archive &archive, records_request &request)
+{
+    archive(request.from, request.limit);
+}
+
+template <typename Archive> void transferRecord(Archive &archive, platform::log_record &record)
+{
+    auto milliseconds = static_cast<std::int64_t>(record.appendedAt.time_since_epoch().count());
+    archive(record.offset, milliseconds);
+    record.appendedAt = common::wall_time(std::chrono::milliseconds(milliseconds));
+    transferText<std::uint32_t>(archive, record.payload, maximumRecordBytes);
+}
+
+template <typename Archive> void transferBody(Archive &archive, records_answer &answer)
+{
+    archive(answer.available, answer.batch.head, answer.batch.end);
+    transferList<std::uint32_t>(archive, answer.batch.records, maximumRecords, transferRecord<Archive>);
+}
+
+} // namespace masticlever::peers::detail
--- /dev/null
+++ b/packages/peers/src/detail/bounded-archive.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include <cereal/archives/portable_binary.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <istream>
+#include <streambuf>
+#include <string>
+#include <string_view>
+#include <vector>
+
+/// \file
+/// Transfer of texts and lists through cereal archives, each with a limit that is checked before memory is taken.
+
+namespace masticlever::peers::detail
+{
+
+/// Reads from a view without copying it.
+class view_buffer : public std::streambuf
+{
+public:
+    explicit view_buffer(std::string_view view)
+    {
+        char *begin = const_cast<char *>(view.data()); // never written: there is no put area
+        setg(begin, begin, begin + view.size());
+    }
+
+    std::size_t remaining() const { return static_cast<std::size_t>(egptr() - gptr()); }
+};
+
+inline void requireWithin(std::size_t size, std::size_t maximum)
+{
+    if (size > maximum) {
+        throw cereal::Exception("size over its limit");
+    }
+}
+
+/// Both directions; \p size is the length written or read.
+template <typename Length, typename Archive>
+std::size_t transferSize(Archive &archive, std::size_t size, std::size_t maximum)
+{
+    requireWithin(size, maximum);
+    auto length = static_cast<Length>(size);
+    archive(length);
+    requireWithin(length, maximum);
+    return length;
+}
+
+template <typename Length = std::uint16_t, typename Archive>
+void transferText(Archive &archive, std::string &text, std::size_t maximum)
+{
+    const std::size_t size = transferSize<Length>(archive, text.size(), maximum);
+    text.resize(size);
+    archive(cereal::binary_data(text.data(), size));
+}
+
+/// Grows the list item by item when loading, so that a forged length takes no memory.
+template <typename Length = std::uint8_t, typename Archive, typename Item, typename Function>
+void transferList(Archive &archive, std::vector<Item> &items, std::size_t maximum, Function transferItem)
+{
+    const std::size_t size = transferSize<Length>(archive, items.size(), maximum);
+    if constexpr (Archive::is_loading::value) {
+        items.clear();
+        for (std::size_t i = 0; i < size; ++i) {
+            transferItem(archive, items.emplace_back());
+        }
+    } else {
+        for (Item &item : items) {
+            transferItem(archive, item);
+        }
+    }
+}
+
+} // namespace masticlever::peers::detail
