Add gossip and catch-up between peers

A round goes to the instance's watchers and one more in rotation; a leaving instance or endpoint is sent early and to 16 more. Seeded runs at 5% message loss showed four faults, mended here: the first heartbeats of listed instances crowded out real changes; a heartbeat that the watchers missed and another instance heard kept a dead instance alive there for minutes; an instance back from a pause took peers that had not heard of its return for lost; and two lost heartbeats in a row were enough for a false loss at one round a second, so rounds are 750 ms apart now, four to the time of suspicion.

--- a/packages/membership/include/masticlever/membership/membership.h
+++ b/packages/membership/include/masticlever/membership/membership.h
@@ -58,6 +58,8 @@
 
 struct membership_options {
     common::duration suspectAfter = std::chrono::seconds(3); ///< no heartbeat for so long: not live
+    /// Time for the first heartbeat of a newly watched instance, which may not know its watcher yet.
+    common::duration firstHeartbeatWithin = std::chrono::seconds(9);
     common::duration forgetAfter = std::chrono::minutes(10); ///< leaving notices are dropped after this time
     common::duration spreadFor = std::chrono::seconds(10); ///< a change is passed on to peers for so long
     common::duration listLag = std::chrono::seconds(30); ///< longest delay of the platform's list
@@ -75,14 +77,16 @@
     /// Returns whether the notice was newer than what was known.
     bool onNotice(const instance_notice &notice, common::instant now);
     /// Returns whether an instance was thereby lost. A loss of this incarnation is ignored: its next heartbeat
-    /// refutes it.
+    /// refutes it. A loss that is out of date has the later heartbeat passed on.
     bool onLost(const lost_notice &notice, common::instant now);
     void onEndpointLeaving(const endpoint_notice &notice, common::instant now);
-    /// Replaces this instance's notice; leaving stays set.
+    /// Replaces this instance's notice; leaving stays set and the heartbeat never falls.
     void setSelf(const instance_notice &self);
+    /// Raises this instance's heartbeat by one; called for each round of heartbeats.
+    void beat() { ++m_self.heartbeat; }
 
     /// Finds the watched instances that went silent; called at least once a second. After a pause of this process
-    /// the watched ones get their full time again.
+    /// the watched ones get the time of a first heartbeat again.
     void advance(common::instant now);
 
     const instance_notice &self() const { return m_self; }
@@ -135,6 +139,7 @@
     void refreshWatch(common::instant now);
     void forgetOld(common::instant now);
     bool isEntryLive(const entry &candidate, common::instant now) const;
+    bool isHeardInTime(const entry &watched, common::instant now) const;
     bool isToBeSpread(common::instant changedAt, common::instant now) const;
 
     membership_options m_options;
--- a/packages/membership/src/membership.cpp
+++ b/packages/membership/src/membership.cpp
@@ -41,12 +41,11 @@
     }
     const bool wasLost = known.lostAfter.has_value();
     const bool hadLeft = known.notice.leaving;
-    const bool isFirst = known.notice.heartbeat == 0;
     known.notice = notice;
     known.notice.leaving = notice.leaving || hadLeft;
     known.heardAt = now;
     known.lostAfter.reset();
-    if (wasLost || isFirst || known.notice.leaving != hadLeft) {
+    if (wasLost || known.notice.leaving != hadLeft) {
         known.changedAt = now;
     }
     if (wasLost) {
@@ -62,21 +61,31 @@
         return false;
     }
     entry &known = found->second;
-    if (known.lostAfter || notice.heartbeat < known.notice.heartbeat) {
+    const bool wasLost = known.lostAfter.has_value();
+    if (notice.heartbeat < known.notice.heartbeat) {
+        // The watcher missed a heartbeat that was heard here; without it its word would never count here.
+        known.changedAt = wasLost ? known.changedAt : now;
+        return false;
+    }
+    if (wasLost && notice.heartbeat == known.notice.heartbeat) {
         return false;
     }
     known.lostAfter = notice.heartbeat;
     known.notice.heartbeat = notice.heartbeat;
     known.changedAt = now;
-    refreshWatch(now);
-    return true;
+    if (!wasLost) {
+        refreshWatch(now);
+    }
+    return !wasLost;
 }
 
 void membership_table::setSelf(const instance_notice &self)
 {
     const bool leaving = m_self.leaving || self.leaving;
+    const std::uint64_t heartbeat = std::max(m_self.heartbeat, self.heartbeat);
     m_self = self;
     m_self.leaving = leaving;
+    m_self.heartbeat = heartbeat;
     m_selfPosition = common::stableHash(m_self.incarnation);
 }
 
@@ -107,12 +116,21 @@
         return false;
     }
     if (candidate.watchedSince) {
-        return now - std::max(candidate.heardAt, *candidate.watchedSince) <= m_options.suspectAfter;
+        return isHeardInTime(candidate, now);
     }
     // Its watchers would have said that it is lost; the long limit covers the loss of all of them at once.
     return candidate.listed || now - candidate.heardAt <= m_options.forgetAfter / 2;
 }
 
+bool membership_table::isHeardInTime(const entry &watched, common::instant now) const
+{
+    const bool isHeard = watched.notice.heartbeat > 0 && watched.heardAt >= *watched.watchedSince;
+    if (isHeard) {
+        return now - watched.heardAt <= m_options.suspectAfter;
+    }
+    return now - *watched.watchedSince <= m_options.firstHeartbeatWithin;
+}
+
 /// Walks back from this instance on the ring: the nearest live predecessors, and the lost ones between them.
 void membership_table::refreshWatch(common::instant now)
 {
--- a/packages/membership/src/platform-list.cpp
+++ b/packages/membership/src/platform-list.cpp
@@ -43,6 +43,9 @@
         notice.dataCentre = listed.dataCentre;
         notice.peerAddress = listed.peerAddress;
         known = add(notice, now);
+        if (known != nullptr) {
+            known->changedAt = {}; // the others read the list too
+        }
     }
     if (known != nullptr) {
         known->listed = true;
--- /dev/null
+++ b/packages/peers/include/masticlever/peers/gossip.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <masticlever/common/time.h>
+#include <masticlever/membership/membership.h>
+#include <masticlever/peers/messages.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+/// \file
+/// Which peers get which news, and when. A round goes to this instance's watchers and to a few others in rotation;
+/// changes are passed on for as long as the membership table says, so they reach all in a few rounds.
+
+namespace masticlever::peers
+{
+
+struct gossip_options {
+    common::duration interval = std::chrono::milliseconds(750); ///< between rounds; four go into suspectAfter
+    common::duration minimumGap = std::chrono::milliseconds(200); ///< between rounds that are sent early
+    std::size_t rotatingPeers = 1; ///< besides the watchers
+    std::size_t urgentPeers = 16; ///< besides the watchers, in a round that is sent early
+    std::size_t noticeLimit = 8; ///< changed notices in one message
+    std::size_t lossLimit = 8;
+    std::size_t endpointLimit = 8;
+};
+
+/// One message for several peers.
+struct gossip_round {
+    std::vector<std::string> addresses; ///< "IP:port"
+    gossip_message message;
+};
+
+class gossip
+{
+public:
+    /// \p table must outlive this object.
+    gossip(gossip_options options, membership::membership_table &table);
+
+    /// The round that is due, if any. Also lets the table find silent instances.
+    std::optional<gossip_round> onTime(common::instant now);
+    common::instant nextDueAt() const { return m_nextAt; }
+
+    /// Has the next round sent early and to more peers: this instance or an endpoint is leaving.
+    void sendEarly(common::instant now);
+
+    /// Takes the news over; false for a repeated or reflected message, which changes nothing.
+    bool onMessage(const gossip_message &message, common::instant now);
+
+private:
+    std::vector<std::string> roundPeers(common::instant now);
+    gossip_message roundMessage(common::instant now);
+
+    gossip_options m_options;
+    membership::membership_table &m_table;
+    common::instant m_nextAt;
+    common::instant m_sentAt;
+    bool m_isUrgent = false;
+    std::uint64_t m_rounds = 0;
+    std::map<std::string, std::uint64_t, std::less<>> m_lastMessages; ///< heartbeat by sender's incarnation
+};
+
+} // namespace masticlever::peers
--- /dev/null
+++ b/packages/peers/src/gossip.cpp
@@ -0,0 +1,100 @@
+#include <masticlever/peers/gossip.h>
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace masticlever::peers
+{
+
+namespace
+{
+
+/// More news than one message holds takes turns: each round begins where the one before ended.
+constexpr std::size_t candidateLimit = 512;
+
+template <typename Item> std::vector<Item> turn(std::vector<Item> all, std::size_t limit, std::uint64_t round)
+{
+    if (all.size() <= limit) {
+        return all;
+    }
+    const auto start = static_cast<std::ptrdiff_t>(round * limit % all.size());
+    std::rotate(all.begin(), all.begin() + start, all.end());
+    all.resize(limit);
+    return all;
+}
+
+} // namespace
+
+gossip::gossip(gossip_options options, membership::membership_table &table) : m_options(options), m_table(table) { }
+
+std::optional<gossip_round> gossip::onTime(common::instant now)
+{
+    if (now < m_nextAt) {
+        return std::nullopt;
+    }
+    m_table.advance(now);
+    std::erase_if(m_lastMessages, [&](const auto &item) { return !m_table.isLive(item.first, now); });
+    m_table.beat();
+    gossip_round round{roundPeers(now), roundMessage(now)};
+    ++m_rounds;
+    m_isUrgent = false;
+    m_sentAt = now;
+    m_nextAt = now + m_options.interval;
+    return round;
+}
+
+std::vector<std::string> gossip::roundPeers(common::instant now)
+{
+    std::vector<std::string> peers = m_table.watcherPeers(now);
+    const std::size_t others = m_isUrgent ? m_options.urgentPeers : m_options.rotatingPeers;
+    std::ranges::move(m_table.nextPeers(others, now), std::back_inserter(peers));
+    std::ranges::sort(peers);
+    peers.erase(std::unique(peers.begin(), peers.end()), peers.end());
+    return peers;
+}
+
+gossip_message gossip::roundMessage(common::instant now)
+{
+    gossip_message message;
+    std::vector<membership::instance_notice> notices = m_table.recentNotices(candidateLimit, now);
+    message.sender = std::move(notices.front());
+    notices.erase(notices.begin());
+    message.notices = turn(std::move(notices), m_options.noticeLimit, m_rounds);
+    message.losses = turn(m_table.recentLosses(candidateLimit, now), m_options.lossLimit, m_rounds);
+    message.leavingEndpoints
+        = turn(m_table.recentLeavingEndpoints(candidateLimit, now), m_options.endpointLimit, m_rounds);
+    return message;
+}
+
+void gossip::sendEarly(common::instant now)
+{
+    m_isUrgent = true;
+    m_nextAt = std::min(m_nextAt, std::max(now, m_sentAt + m_options.minimumGap));
+}
+
+bool gossip::onMessage(const gossip_message &message, common::instant now)
+{
+    const std::string &sender = message.sender.incarnation;
+    if (sender == m_table.self().incarnation) {
+        return false;
+    }
+    std::uint64_t &last = m_lastMessages[sender];
+    if (message.sender.heartbeat <= last) {
+        return false;
+    }
+    last = message.sender.heartbeat;
+    m_table.onNotice(message.sender, now);
+    for (const membership::instance_notice &notice : message.notices) {
+        m_table.onNotice(notice, now);
+    }
+    for (const membership::lost_notice &notice : message.losses) {
+        m_table.onLost(notice, now);
+    }
+    for (const membership::endpoint_notice &notice : message.leavingEndpoints) {
+        m_table.onEndpointLeaving(notice, now);
+    }
+    return true;
+}
+
+} // namespace masticlever::peers
--- /dev/null
+++ b/packages/peers/test/gossip-test.cpp
@@ -0,0 +1,218 @@
+#include <masticlever/peers/gossip.h>
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <functional>
+#include <memory>
+#include <random>
+
+using namespace masticlever::peers;
+using namespace masticlever::membership;
+using masticlever::common::instant;
+using masticlever::platform::instance_kind;
+using masticlever::platform::instance_state;
+using masticlever::platform::listed_instance;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+instance_notice makeNotice(int number)
+{
+    instance_notice notice;
+    notice.name = "entry-" + std::to_string(number);
+    notice.incarnation = "incarnation-" + std::to_string(number);
+    notice.peerAddress = std::to_string(number);
+    return notice;
+}
+
+struct node {
+    explicit node(int number) : table({}, makeNotice(number)), news({}, table) { }
+
+    membership_table table;
+    gossip news;
+    bool isDown = false;
+    std::function<bool(std::size_t to)> isCut = [](std::size_t) { return false; };
+};
+
+/// A fleet on a virtual clock; messages arrive at once, are lost at a rate, or stop at a cut.
+class fleet
+{
+public:
+    fleet(int size, std::uint64_t seed) : m_random(seed)
+    {
+        std::vector<listed_instance> list;
+        for (int i = 0; i < size; ++i) {
+            const auto notice = makeNotice(i);
+            list.push_back({notice.name, instance_kind::entry, instance_state::live, "", notice.peerAddress, "",
+                            notice.incarnation});
+            nodes.push_back(std::make_unique<node>(i));
+        }
+        for (auto &member : nodes) {
+            member->table.onList(list, now);
+        }
+    }
+
+    void run(masticlever::common::duration time)
+    {
+        const instant end = now + time;
+        for (; now < end; now += 50ms) {
+            for (std::size_t i = 0; i < nodes.size(); ++i) {
+                step(i);
+            }
+        }
+    }
+
+    /// How many of the running instances hold \p number for live.
+    int believers(int number) const
+    {
+        int count = 0;
+        for (const auto &member : nodes) {
+            const std::string incarnation = makeNotice(number).incarnation;
+            count += !member->isDown && member->table.isLive(incarnation, now) ? 1 : 0;
+        }
+        return count;
+    }
+
+    std::vector<std::unique_ptr<node>> nodes;
+    double lossRate = 0;
+    instant now = instant{} + 1h;
+
+private:
+    void step(std::size_t from)
+    {
+        node &sender = *nodes[from];
+        // Instances do not run in step.
+        const bool isTurn = m_random() % 4 != 0;
+        const auto round = sender.isDown || !isTurn ? std::nullopt : sender.news.onTime(now);
+        if (!round) {
+            return;
+        }
+        for (const std::string &address : round->addresses) {
+            const std::size_t to = std::stoul(address);
+            const bool isLost = std::uniform_real_distribution<>(0, 1)(m_random) < lossRate;
+            if (!isLost && !sender.isCut(to) && !nodes[to]->isDown) {
+                nodes[to]->news.onMessage(round->message, now);
+            }
+        }
+    }
+
+    std::mt19937_64 m_random;
+};
+
+} // namespace
+
+TEST_CASE("news spreads through the fleet")
+{
+    const int size = GENERATE(5, 16, 100);
+    const std::uint64_t seed = GENERATE(1, 2, 3);
+    INFO("size " << size << " seed " << seed);
+    fleet instances(size, seed);
+    instances.lossRate = 0.05;
+    instances.run(30s);
+    CHECK(instances.believers(0) == size);
+
+    SECTION("a dead instance is lost everywhere within seconds")
+    {
+        instances.nodes[0]->isDown = true;
+        instances.run(14s);
+        CHECK(instances.believers(0) == 0);
+        CHECK(instances.believers(1) == size - 1);
+
+        SECTION("and live again when it goes on after a pause")
+        {
+            instances.nodes[0]->isDown = false;
+            instances.run(9s);
+            CHECK(instances.believers(0) == size);
+            CHECK(instances.believers(1) == size);
+        }
+    }
+
+    SECTION("a leaving endpoint is known everywhere within seconds")
+    {
+        instances.nodes[1]->table.onEndpointLeaving({"10.0.0.1:80", "e"}, instances.now);
+        instances.nodes[1]->news.sendEarly(instances.now);
+        instances.run(5s);
+        for (const auto &member : instances.nodes) {
+            CHECK(member->table.isEndpointLeaving("10.0.0.1:80"));
+        }
+    }
+
+    SECTION("so is a leaving instance, which stays live until it stops")
+    {
+        auto self = instances.nodes[2]->table.self();
+        self.leaving = true;
+        instances.nodes[2]->table.setSelf(self);
+        instances.nodes[2]->news.sendEarly(instances.now);
+        instances.run(5s);
+        CHECK(instances.believers(2) == size);
+        for (const auto &member : instances.nodes) {
+            const auto live = member->table.liveInstances(instances.now);
+            CHECK(std::ranges::count_if(live, &instance_notice::leaving) == 1);
+        }
+    }
+}
+
+TEST_CASE("the halves of a cut fleet meet again")
+{
+    fleet instances(20, 4);
+    instances.run(5s);
+    for (std::size_t from = 0; from < 20; ++from) {
+        instances.nodes[from]->isCut = [from](std::size_t to) { return (from < 10) != (to < 10); };
+    }
+    instances.run(15s);
+    CHECK(instances.believers(0) == 10);
+    for (auto &member : instances.nodes) {
+        member->isCut = [](std::size_t) { return false; };
+    }
+    instances.run(40s);
+    for (int i = 0; i < 20; ++i) {
+        CHECK(instances.believers(i) == 20);
+    }
+}
+
+TEST_CASE("a round is sent early when something is leaving")
+{
+    node first(0);
+    const instant now = instant{} + 1h;
+    first.table.onNotice(makeNotice(1), now);
+    REQUIRE(first.news.onTime(now).has_value());
+    CHECK_FALSE(first.news.onTime(now + 300ms).has_value());
+    first.news.sendEarly(now + 300ms);
+    CHECK(first.news.nextDueAt() == now + 300ms);
+    const auto round = first.news.onTime(now + 300ms);
+    REQUIRE(round.has_value());
+
+    SECTION("but no more often than the gap allows")
+    {
+        first.news.sendEarly(now + 301ms);
+        CHECK(first.news.nextDueAt() == now + 500ms);
+    }
+
+    SECTION("a repeated message is refused, and so is one's own")
+    {
+        node second(1);
+        CHECK(second.news.onMessage(round->message, now));
+        CHECK_FALSE(second.news.onMessage(round->message, now));
+        CHECK_FALSE(first.news.onMessage(round->message, now));
+    }
+}
+
+TEST_CASE("more news than a message holds takes turns")
+{
+    node first(0);
+    instant now = instant{} + 1h;
+    for (int i = 0; i < 20; ++i) {
+        first.table.onEndpointLeaving({"10.0.0.1:" + std::to_string(i), "e"}, now);
+    }
+    std::vector<endpoint_notice> sent;
+    for (int round = 0; round < 3; ++round, now += 1s) {
+        const auto next = first.news.onTime(now);
+        REQUIRE(next.has_value());
+        sent.insert(sent.end(), next->message.leavingEndpoints.begin(), next->message.leavingEndpoints.end());
+    }
+    std::ranges::sort(sent);
+    sent.erase(std::unique(sent.begin(), sent.end()), sent.end());
+    CHECK(sent.size() == 20);
+}
