Serve a request through the daemon: the whole path as separate processes

Cause: the decisions stood without a process around them. Ruled out: long polling from the first read (an instance on an empty log was not ready for 2 s); a refusal of type "not run" from an instance that is not ready, which would not be true for a key that ran elsewhere. Change: masticleverd hosts configuration, ledger, membership, runs and the HTTP interfaces of callers and operators; drains on SIGTERM, reloads its certificate on SIGHUP.

--- a/packages/calls/src/http-call-client.cpp
+++ b/packages/calls/src/http-call-client.cpp
@@ -247,10 +247,8 @@
         }
     }
 
-    void end(const common::call_id &which, const runs::call_end &ended)
+    void end(const common::call_id &id, const runs::call_end &ended)
     {
-        // The caller's id may live in the exchange that ends here.
-        const common::call_id id = which;
         if (ended.status == runs::call_status::answered) {
             release(id);
         } else {
--- a/packages/gateway/include/masticlever/gateway/problem.h
+++ b/packages/gateway/include/masticlever/gateway/problem.h
@@ -3,6 +3,7 @@
 #include <masticlever/common/time.h>
 #include <masticlever/gateway/exchange.h>
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -18,6 +19,7 @@
     unknown,
     conflict,
     invalid,
+    rejected, ///< a declaration that does not hold, with its field
     unauthorized,
     forbidden,
     not_found,
--- /dev/null
+++ b/packages/gateway/src/detail/caller-sink.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <masticlever/gateway/caller-api.h>
+#include <masticlever/gateway/exchange.h>
+
+#include <QCryptographicHash>
+#include <QPointer>
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+
+/// \file
+/// Writes a run's answer to its caller, whole or as server-sent events.
+
+namespace masticlever::gateway::detail
+{
+
+class caller_sink : public answer_sink
+{
+public:
+    caller_sink(exchange &one, std::string key, bool wantsStream);
+
+    void onText(std::string_view text) override;
+    void onReply(const runs::reply &reply) override;
+
+private:
+    void answerWhole(const runs::reply &reply);
+    void endStream(const runs::reply &reply);
+    void answerProblemOf(const runs::reply &reply);
+
+    QPointer<exchange> m_exchange;
+    std::string m_key;
+    bool m_wantsStream;
+    QCryptographicHash m_digest;
+    std::size_t m_length = 0; ///< bytes of text sent
+};
+
+/// \p text as a JSON string, quotes included.
+std::string quoteJson(std::string_view text);
+
+} // namespace masticlever::gateway::detail
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -23,6 +23,8 @@
         return "Accepted";
     case 204:
         return "No Content";
+    case 307:
+        return "Temporary Redirect";
     case 400:
         return "Bad Request";
     case 401:
--- a/packages/gateway/src/problem.cpp
+++ b/packages/gateway/src/problem.cpp
@@ -31,6 +31,8 @@
         return {"urn:masticlever:conflict", "Conflict", 409};
     case problem_kind::invalid:
         return {"urn:masticlever:invalid", "The request is not valid", 400};
+    case problem_kind::rejected:
+        return {"urn:masticlever:rejected", "The declaration does not hold", 422};
     case problem_kind::unauthorized:
         return {"urn:masticlever:unauthorized", "No valid token", 401};
     case problem_kind::forbidden:
@@ -40,7 +42,7 @@
     case problem_kind::too_large:
         return {"urn:masticlever:too-large", "The body is too large", 413};
     case problem_kind::not_ready:
-        return {"urn:masticlever:not-run", "The instance is not ready", 503};
+        return {"urn:masticlever:not-ready", "The instance is not ready", 503};
     }
     return {"about:blank", "Error", 500};
 }
--- a/packages/ledger/include/masticlever/ledger/ledger.h
+++ b/packages/ledger/include/masticlever/ledger/ledger.h
@@ -180,6 +180,8 @@
     /// The log has been read up to its end since the start.
     bool isCaughtUp() const;
     bool isLogReachable() const;
+    /// Nothing of this instance is on its way to the log.
+    bool isIdle() const;
     platform::log_offset nextOffset() const;
 
     /// Unfinished runs whose owner is in \p lost.
--- a/packages/ledger/src/detail/outbox.h
+++ b/packages/ledger/src/detail/outbox.h
@@ -38,6 +38,7 @@
     void onTimer(instant now);
     instant nextWakeUp() const;
     bool isOutstanding(const run_key &run) const;
+    bool isEmpty() const { return m_items.empty(); }
     std::uint64_t appends() const { return m_appends; }
     std::uint64_t entriesSent() const { return m_entriesSent; }
 
--- a/packages/ledger/src/ledger.cpp
+++ b/packages/ledger/src/ledger.cpp
@@ -113,6 +113,11 @@
     return m_state->reach.isReachable();
 }
 
+bool run_ledger::isIdle() const
+{
+    return m_state->out.isEmpty();
+}
+
 platform::log_offset run_ledger::nextOffset() const
 {
     return m_state->next;
--- /dev/null
+++ b/packages/masticleverd/src/daemon.cpp
@@ -0,0 +1,328 @@
+#include "daemon.h"
+
+#include "signal-pipe.h"
+
+#include <masticlever/gateway/problem.h>
+#include <masticlever/platform/http-platform.h>
+#include <masticlever/telemetry/events.h>
+#include <masticlever/telemetry/tracing.h>
+
+#include <QCoreApplication>
+
+#include <algorithm>
+#include <csignal>
+#include <cstdio>
+#include <map>
+#include <utility>
+
+namespace masticlever::masticleverd
+{
+
+namespace
+{
+
+using telemetry::event;
+using telemetry::logEvent;
+
+routing::policy_kind policyOf(const std::string &name)
+{
+    static const std::map<std::string, routing::policy_kind> kinds{
+        {"random", routing::policy_kind::random},
+        {"round_robin", routing::policy_kind::round_robin},
+        {"least_in_flight", routing::policy_kind::least_in_flight},
+        {"two_choices", routing::policy_kind::two_choices},
+        {"two_choices_aged", routing::policy_kind::two_choices_aged},
+        {"prefix_affinity", routing::policy_kind::prefix_affinity},
+    };
+    return kinds.at(name);
+}
+
+} // namespace
+
+daemon::daemon(settings::daemon_settings settings)
+    : m_settings(std::move(settings)), m_incarnation(makeIncarnation(m_settings.name, m_random)),
+      m_log(platform::makeHttpLogService(m_settings.platformUrl, m_settings.name)),
+      m_list(platform::makeHttpInstanceList(m_settings.platformUrl, m_settings.name))
+{
+    buildHosts();
+    m_callers = std::make_unique<gateway::caller_api>(
+        *this, gateway::caller_options{.bodyLimitBytes = m_settings.bodyLimitBytes});
+    m_operators = std::make_unique<gateway::operator_api>(
+        *this, gateway::operator_options{m_settings.readTokenDigests, m_settings.changeTokenDigests});
+    m_server
+        = std::make_unique<gateway::http_server>(gateway::server_options{.address = m_settings.gateway,
+                                                                         .certificateFile = m_settings.certificateFile,
+                                                                         .privateKeyFile = m_settings.privateKeyFile,
+                                                                         .bodyLimitBytes = m_settings.bodyLimitBytes},
+                                                 [this](gateway::exchange &one) { handle(one); });
+    connect(&m_second, &QTimer::timeout, this, &daemon::everySecond);
+}
+
+daemon::~daemon() = default;
+
+void daemon::buildHosts()
+{
+    membership::instance_notice self;
+    self.name = m_settings.name;
+    self.incarnation = m_incarnation;
+    self.dataCentre = m_settings.dataCentre;
+    m_membership = std::make_unique<membership_host>(*m_list, m_settings, self, [this] { onMembershipChanged(); });
+    m_configuration = std::make_unique<configuration_host>(
+        *m_log, configuration::snapshot_writer_options{.records = m_settings.snapshotRecords},
+        [this] { return m_membership->rank(); }, [this] { onConfigurationChanged(); });
+    ledger::ledger_options ledgerOptions;
+    ledgerOptions.incarnation = m_incarnation;
+    ledgerOptions.claimTimeout = m_settings.claimTimeout;
+    ledgerOptions.window = m_settings.ledgerWindow;
+    m_ledger = std::make_unique<ledger_host>(*m_log, ledgerOptions, [this] { m_runs->pump(); });
+    run_host_options runOptions;
+    runOptions.incarnation = m_incarnation;
+    runOptions.router.policy = policyOf(m_settings.routingPolicy);
+    runOptions.router.instanceName = m_settings.name;
+    runOptions.admission.capacity = m_settings.capacity;
+    runOptions.admission.queueLimit = m_settings.queueLimit;
+    auto exporter = telemetry::makeSpanExporter({.url = m_settings.traceCollectorUrl},
+                                                {m_settings.name, m_incarnation, m_settings.dataCentre});
+    m_runs = std::make_unique<run_host>(std::move(runOptions), m_ledger->core(), m_random, std::move(exporter),
+                                        m_registry, [this] { m_ledger->pumpAppends(); });
+    m_runs->setReportHandler([this](const calls::endpoint_report &report) {
+        if (report.leaving) {
+            m_membership->onEndpointLeaving(report.address, report.incarnation);
+        }
+    });
+}
+
+std::string daemon::start()
+{
+    std::string fault = m_server->start();
+    if (!fault.empty()) {
+        return fault;
+    }
+    const std::string address = m_settings.gateway.host + ':' + std::to_string(m_server->port());
+    std::printf("listening %s\n", address.c_str());
+    std::fflush(stdout);
+    logEvent(event::started,
+             {{"instance", std::string_view(m_settings.name)},
+              {"incarnation", std::string_view(m_incarnation)},
+              {"address", std::string_view(address)}});
+    watchSignals();
+    m_membership->start(address, m_settings.peers.toString());
+    m_configuration->start();
+    m_ledger->start();
+    m_second.start(std::chrono::seconds(1));
+    return {};
+}
+
+void daemon::watchSignals()
+{
+    masticleverd::watchSignals(this, [this](int number) { onSignal(number); });
+}
+
+void daemon::onSignal(int number)
+{
+    if (number != SIGHUP) {
+        beginDrain();
+        return;
+    }
+    const std::string fault = m_server->reloadCertificate();
+    if (fault.empty()) {
+        logEvent(event::certificate_reloaded);
+    } else {
+        logEvent(event::certificate_invalid, {{"fault", std::string_view(fault)}});
+    }
+}
+
+void daemon::handle(gateway::exchange &one)
+{
+    const auto &path = one.request().path;
+    const bool isProbe = path.size() == 1 && (path[0] == "healthz" || path[0] == "readyz" || path[0] == "metrics");
+    if (isProbe) {
+        handleProbe(one);
+        return;
+    }
+    if (!m_callers->handle(one) && !m_operators->handle(one)) {
+        gateway::answerProblem(one,
+                               {.kind = gateway::problem_kind::not_found, .detail = "docs/API.md lists the paths"});
+    }
+}
+
+void daemon::handleProbe(gateway::exchange &one)
+{
+    const std::string &probe = one.request().path[0];
+    if (probe == "healthz") {
+        one.answer(200, "text/plain", "alive\n");
+        return;
+    }
+    if (probe == "readyz") {
+        const bool isDraining = m_drainStartedAt != common::instant::max();
+        const bool isUp = isReady() && !isDraining;
+        one.answer(isUp ? 200 : 503, "text/plain", isUp ? "ready\n" : (isDraining ? "leaving\n" : "not ready\n"));
+        return;
+    }
+    if (!m_operators->authorize(one, false)) {
+        return;
+    }
+    updateGauges();
+    one.answer(200, "text/plain; version=0.0.4", m_registry.exposition());
+}
+
+void daemon::updateGauges()
+{
+    using telemetry::metric_family;
+    static constexpr metric_family offset{"masticlever_configuration_offset", "Last configuration record applied."};
+    static constexpr metric_family ready{"masticlever_ready", "1 when the configuration is known."};
+    static constexpr metric_family inFlight{"masticlever_requests_in_flight", "Admitted requests."};
+    static constexpr metric_family queued{"masticlever_requests_queued", "Requests that wait for admission."};
+    static constexpr metric_family runs{"masticlever_ledger_runs", "Runs in the ledger's memory."};
+    static constexpr metric_family doubtful{"masticlever_ledger_unknown_runs", "Runs that wait to be settled."};
+    static constexpr metric_family reachable{"masticlever_log_reachable", "1 when the last read of the log succeeded."};
+    static constexpr metric_family live{"masticlever_instances_live", "Live entry instances as seen here."};
+    static constexpr metric_family appends{"masticlever_ledger_appends", "Appends of the ledger since the start."};
+    static constexpr metric_family spans{"masticlever_spans_lost",
+                                         "Spans that could not be delivered since the start."};
+    m_registry.gaugeOf(offset).set(static_cast<double>(configuration()->offset));
+    m_registry.gaugeOf(ready).set(isReady() ? 1 : 0);
+    m_registry.gaugeOf(inFlight).set(static_cast<double>(m_runs->inFlight()));
+    m_registry.gaugeOf(queued).set(static_cast<double>(m_runs->queued()));
+    m_registry.gaugeOf(runs).set(static_cast<double>(m_ledger->core().size()));
+    m_registry.gaugeOf(doubtful).set(static_cast<double>(m_ledger->core().unknownRuns().size()));
+    m_registry.gaugeOf(reachable).set(m_configuration->isLogReachable() ? 1 : 0);
+    m_registry.gaugeOf(live).set(static_cast<double>(m_membership->liveIncarnations().size()));
+    m_registry.gaugeOf(appends).set(static_cast<double>(m_ledger->core().counters().appends));
+    m_registry.gaugeOf(spans).set(static_cast<double>(m_runs->spansLost()));
+}
+
+runs::run_id daemon::submit(gateway::submission what, std::shared_ptr<gateway::answer_sink> sink)
+{
+    return m_runs->submit(std::move(what), std::move(sink));
+}
+
+gateway::run_status daemon::findRun(const common::run_key &key) const
+{
+    const ledger::run_view view = m_ledger->core().find(key, presentMoment().wall);
+    switch (view.standing) {
+    case ledger::run_standing::finished:
+        return {gateway::run_state::finished, runs::answerJson(view.answer)};
+    case ledger::run_standing::started:
+    case ledger::run_standing::between_stages:
+        return {view.unknown ? gateway::run_state::unknown : gateway::run_state::running, {}};
+    case ledger::run_standing::expired:
+        return {gateway::run_state::expired, {}};
+    case ledger::run_standing::absent:
+        break;
+    }
+    return {m_runs->hasRun(key) ? gateway::run_state::running : gateway::run_state::none, {}};
+}
+
+void daemon::submitChange(const configuration::change &what, change_handler done)
+{
+    m_configuration->submit(what, std::move(done));
+}
+
+configuration::change_outcome daemon::checkChange(const configuration::change &what) const
+{
+    return m_configuration->check(what);
+}
+
+std::optional<configuration::change_view> daemon::findChange(const std::string &id) const
+{
+    return m_configuration->find(id);
+}
+
+std::vector<gateway::instance_status> daemon::instances() const
+{
+    std::vector<gateway::instance_status> all;
+    for (const membership::instance_notice &one : m_membership->table().liveInstances(presentMoment().now)) {
+        all.push_back({one.name, one.incarnation, one.dataCentre, m_membership->addressOf(one.incarnation), one.leaving,
+                       one.logReachable, one.configurationOffset});
+    }
+    return all;
+}
+
+std::vector<gateway::doubtful_run> daemon::doubtfulRuns() const
+{
+    std::vector<gateway::doubtful_run> all;
+    for (const common::run_key &key : m_ledger->core().unknownRuns()) {
+        const ledger::run_view view = m_ledger->core().find(key, presentMoment().wall);
+        const runs::stage_label label = runs::claimedStage(view);
+        all.push_back({key, view.pipeline, label.name, view.owner, view.changedAt, label.hasStatusQuery});
+    }
+    return all;
+}
+
+gateway::settle_outcome daemon::settleRun(const common::run_key &key, const std::string &resultJson)
+{
+    const common::moment at = presentMoment();
+    const ledger::run_view view = m_ledger->core().find(key, at.wall);
+    if (!m_ledger->core().isLogReachable()) {
+        return gateway::settle_outcome::log_unreachable;
+    }
+    if (view.standing != ledger::run_standing::started || !view.unknown) {
+        return gateway::settle_outcome::not_in_doubt;
+    }
+    m_ledger->core().settle(key, view.stage, resultJson, at.now);
+    logEvent(event::run_settled, {{"team", std::string_view(key.team)}, {"run", std::string_view(key.key)}});
+    m_runs->pump();
+    return gateway::settle_outcome::accepted;
+}
+
+void daemon::onConfigurationChanged()
+{
+    m_runs->setConfiguration(configuration());
+    m_membership->setState(configuration()->offset, m_configuration->isLogReachable());
+    onMembershipChanged();
+    m_operators->onConfigurationChanged();
+    if (isReady() && !std::exchange(m_wasReady, true)) {
+        logEvent(event::ready, {{"offset", configuration()->offset}});
+    }
+}
+
+void daemon::onMembershipChanged()
+{
+    for (const auto &[name, endpoint] : configuration()->endpoints) {
+        const std::string &address = endpoint.spec.address;
+        m_runs->router().setLeaving(address, m_membership->table().isEndpointLeaving(address));
+    }
+    m_ledger->core().setPeerReachesLog(m_membership->table().isLogReachableByPeer(presentMoment().now));
+}
+
+void daemon::everySecond()
+{
+    m_membership->setState(configuration()->offset, m_ledger->core().isLogReachable());
+    m_membership->table().advance(presentMoment().now);
+    onMembershipChanged();
+    if (m_membership->isSettled()) {
+        m_ledger->takeOrphans(m_membership->liveIncarnations(), m_incarnation);
+    }
+    m_runs->retryUnknownRuns();
+    finishDrain();
+}
+
+void daemon::beginDrain()
+{
+    if (m_drainStartedAt != common::instant::max()) {
+        return;
+    }
+    m_drainStartedAt = presentMoment().now;
+    logEvent(event::drain_started, {{"runs", static_cast<std::uint64_t>(m_runs->runsInProgress())}});
+    m_membership->beginLeaving();
+}
+
+void daemon::finishDrain()
+{
+    if (m_drainStartedAt == common::instant::max()) {
+        return;
+    }
+    const common::duration drained = presentMoment().now - m_drainStartedAt;
+    if (drained < m_settings.drainNotice) {
+        return;
+    }
+    m_runs->stopAccepting();
+    const bool isIdle = m_runs->runsInProgress() == 0 && m_server->openExchanges() == 0 && m_ledger->core().isIdle();
+    if (isIdle || drained > m_settings.drainLimit) {
+        logEvent(event::drain_finished, {{"runs", static_cast<std::uint64_t>(m_runs->runsInProgress())}});
+        QCoreApplication::quit();
+    }
+}
+
+} // namespace masticlever::masticleverd
--- /dev/null
+++ b/packages/masticleverd/src/ledger-host.cpp
@@ -0,0 +1,99 @@
+#include "ledger-host.h"
+
+#include "clock.h"
+
+#include <masticlever/common/digest.h>
+#include <masticlever/telemetry/events.h>
+
+#include <QPointer>
+
+#include <algorithm>
+#include <utility>
+
+namespace masticlever::masticleverd
+{
+
+namespace
+{
+
+constexpr const char *logName = "ledger";
+constexpr std::chrono::milliseconds shortestWait{1};
+
+} // namespace
+
+const std::string &homeOf(const common::run_key &run, const std::vector<std::string> &live)
+{
+    const auto weight = [&](const std::string &incarnation) {
+        return common::stableHash(run.team + '/' + run.key + '@' + incarnation);
+    };
+    return *std::max_element(live.begin(), live.end(), [&](const std::string &left, const std::string &right) {
+        return weight(left) < weight(right);
+    });
+}
+
+ledger_host::ledger_host(platform::log_service &service, ledger::ledger_options options,
+                         std::function<void()> onActivity)
+    : m_service(service), m_ledger(std::move(options)), m_onActivity(std::move(onActivity)),
+      m_follower(
+          service, {.log = logName}, [this] { return m_ledger.nextOffset(); },
+          [this](const platform::log_batch &batch) {
+              const common::moment at = presentMoment();
+              m_ledger.onRecords(batch, at.now, at.wall);
+              if (!std::exchange(m_caughtUp, m_ledger.isCaughtUp()) && m_caughtUp) {
+                  telemetry::logEvent(telemetry::event::ledger_caught_up, {{"next_offset", m_ledger.nextOffset()}});
+              }
+              m_onActivity();
+          },
+          [this] {
+              const common::moment at = presentMoment();
+              m_ledger.onReadFailed(at.now, at.wall);
+              m_onActivity();
+          })
+{
+    m_timer.setSingleShot(true);
+    connect(&m_timer, &QTimer::timeout, this, [this] {
+        m_ledger.onTimer(presentMoment().now);
+        m_onActivity();
+    });
+}
+
+void ledger_host::armTimer()
+{
+    const common::instant next = m_ledger.nextWakeUp();
+    if (next == common::instant::max()) {
+        m_timer.stop();
+        return;
+    }
+    const auto wait = std::chrono::ceil<std::chrono::milliseconds>(next - presentMoment().now);
+    m_timer.start(std::max(wait, shortestWait));
+}
+
+void ledger_host::pumpAppends()
+{
+    const QPointer<ledger_host> self(this);
+    for (ledger::append_action &append : m_ledger.takeAppends(presentMoment().now)) {
+        m_service.append(logName, std::move(append.payload),
+                         [self, id = append.id](const common::result<platform::log_offset> &outcome) {
+                             if (self) {
+                                 self->m_ledger.onAppendEnded(id, outcome, presentMoment().now);
+                                 self->m_onActivity();
+                             }
+                         });
+    }
+    armTimer();
+}
+
+void ledger_host::takeOrphans(const std::vector<std::string> &live, std::string_view self)
+{
+    if (live.empty() || !m_ledger.isCaughtUp() || !m_ledger.isLogReachable()) {
+        return;
+    }
+    const common::moment at = presentMoment();
+    for (const common::run_key &run : m_ledger.unfinishedRunsOf(live)) {
+        if (homeOf(run, live) == self) {
+            m_ledger.take(run, at.now);
+        }
+    }
+}
+
+} // namespace masticlever::masticleverd
--- /dev/null
+++ b/packages/masticleverd/src/main.cpp
@@ -0,0 +1,47 @@
+#include "daemon.h"
+#include "options.h"
+
+#include <masticlever/settings/settings.h>
+#include <masticlever/telemetry/events.h>
+
+#include <QCoreApplication>
+
+#include <cstdio>
+#include <variant>
+
+using namespace masticlever;
+
+namespace
+{
+
+constexpr int settingsFault = 2;
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    int exitCode = 0;
+    const auto options = masticleverd::parseOptions(argc, argv, exitCode);
+    if (!options) {
+        return exitCode;
+    }
+    const auto read = settings::readSettings(options->settingsFile);
+    if (const auto *error = std::get_if<settings::settings_error>(&read)) {
+        std::fprintf(stderr, "%s\n", error->message.c_str());
+        return settingsFault;
+    }
+    const auto &accepted = std::get<settings::daemon_settings>(read);
+    if (options->checkOnly) {
+        std::printf("%s: good\n", options->settingsFile.c_str());
+        return 0;
+    }
+    telemetry::setLogLevel(telemetry::parseLogLevel(accepted.logLevel).value());
+    const QCoreApplication application(argc, argv);
+    masticleverd::daemon daemon(accepted);
+    const std::string fault = daemon.start();
+    if (!fault.empty()) {
+        std::fprintf(stderr, "masticleverd: %s\n", fault.c_str());
+        return 1;
+    }
+    return QCoreApplication::exec();
+}
--- /dev/null
+++ b/packages/masticleverd/src/membership-host.cpp
@@ -0,0 +1,154 @@
+#include "membership-host.h"
+
+#include "clock.h"
+
+#include <masticlever/telemetry/events.h>
+
+#include <QPointer>
+
+#include <algorithm>
+#include <utility>
+
+namespace masticlever::masticleverd
+{
+
+namespace
+{
+
+using telemetry::event;
+using telemetry::logEvent;
+
+} // namespace
+
+membership_host::membership_host(platform::instance_list &list, const settings::daemon_settings &settings,
+                                 membership::instance_notice self, std::function<void()> onChanged)
+    : m_list(list), m_settings(settings), m_table({.suspectAfter = settings.suspectAfter}, std::move(self)),
+      m_onChanged(std::move(onChanged))
+{
+    connect(&m_timer, &QTimer::timeout, this, &membership_host::poll);
+}
+
+void membership_host::start(const std::string &address, const std::string &peerAddress)
+{
+    membership::instance_notice self = m_table.self();
+    self.peerAddress = peerAddress;
+    m_table.setSelf(self);
+    m_self = {.name = self.name,
+              .kind = platform::instance_kind::entry,
+              .address = address,
+              .peerAddress = peerAddress,
+              .dataCentre = self.dataCentre,
+              .incarnation = self.incarnation};
+    m_startedAt = presentMoment().now;
+    announce();
+    poll();
+    m_timer.start(m_settings.listInterval);
+}
+
+void membership_host::announce()
+{
+    m_list.announce(m_self);
+}
+
+void membership_host::beginLeaving()
+{
+    membership::instance_notice self = m_table.self();
+    self.leaving = true;
+    m_table.setSelf(self);
+    m_self.state = platform::instance_state::leaving;
+    announce();
+}
+
+void membership_host::setState(std::uint64_t configurationOffset, bool logReachable)
+{
+    membership::instance_notice self = m_table.self();
+    self.configurationOffset = configurationOffset;
+    self.logReachable = logReachable;
+    m_table.setSelf(self);
+}
+
+void membership_host::onEndpointLeaving(const std::string &address, const std::string &incarnation)
+{
+    if (!m_table.isEndpointLeaving(address)) {
+        logEvent(event::endpoint_leaving, {{"address", std::string_view(address)}});
+    }
+    m_table.onEndpointLeaving({address, incarnation}, presentMoment().now);
+    m_onChanged();
+}
+
+void membership_host::poll()
+{
+    const QPointer<membership_host> self(this);
+    m_list.fetch([self](const common::result<std::vector<platform::listed_instance>> &outcome) {
+        if (!self) {
+            return;
+        }
+        if (outcome.has_value() != std::exchange(self->m_listReachable, outcome.has_value())) {
+            logEvent(outcome ? event::instance_list_reachable : event::instance_list_unreachable);
+        }
+        if (!outcome) {
+            self->m_onChanged();
+            return;
+        }
+        const auto &list = outcome.value();
+        for (const platform::listed_instance &listed : list) {
+            self->m_addresses[listed.incarnation] = listed.address;
+        }
+        const bool isListed = std::any_of(list.begin(), list.end(), [&](const platform::listed_instance &listed) {
+            return listed.incarnation == self->m_self.incarnation;
+        });
+        if (!isListed) {
+            self->announce();
+        }
+        self->m_listed = true;
+        self->m_table.onList(list, presentMoment().now);
+        self->logChanges();
+        self->m_onChanged();
+    });
+}
+
+void membership_host::logChanges()
+{
+    std::vector<std::string> live = liveIncarnations();
+    std::sort(live.begin(), live.end());
+    std::vector<std::string> difference;
+    std::set_difference(m_lastLive.begin(), m_lastLive.end(), live.begin(), live.end(), std::back_inserter(difference));
+    for (const std::string &lost : difference) {
+        logEvent(event::instance_lost, {{"incarnation", std::string_view(lost)}});
+    }
+    difference.clear();
+    std::set_difference(live.begin(), live.end(), m_lastLive.begin(), m_lastLive.end(), std::back_inserter(difference));
+    for (const std::string &joined : difference) {
+        logEvent(event::instance_live, {{"incarnation", std::string_view(joined)}});
+    }
+    m_lastLive = std::move(live);
+}
+
+std::vector<std::string> membership_host::liveIncarnations() const
+{
+    std::vector<std::string> live;
+    for (const membership::instance_notice &one : m_table.liveInstances(presentMoment().now)) {
+        live.push_back(one.incarnation);
+    }
+    return live;
+}
+
+std::size_t membership_host::rank() const
+{
+    const std::vector<std::string> live = liveIncarnations();
+    const auto own = std::find(live.begin(), live.end(), m_self.incarnation);
+    return static_cast<std::size_t>(own - live.begin());
+}
+
+bool membership_host::isSettled() const
+{
+    return m_listed && presentMoment().now > m_startedAt + m_settings.suspectAfter;
+}
+
+std::string membership_host::addressOf(const std::string &incarnation) const
+{
+    const auto found = m_addresses.find(incarnation);
+    return found == m_addresses.end() ? std::string() : found->second;
+}
+
+} // namespace masticlever::masticleverd
--- /dev/null
+++ b/packages/masticleverd/src/run-host.cpp
@@ -0,0 +1,224 @@
+#include "run-host.h"
+
+#include "clock.h"
+
+#include <masticlever/calls/http-call-client.h>
+#include <masticlever/telemetry/events.h>
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+namespace masticlever::masticleverd
+{
+
+namespace
+{
+
+using telemetry::event;
+using telemetry::logEvent;
+
+const char *nameOf(calls::drop_reason reason)
+{
+    switch (reason) {
+    case calls::drop_reason::wrong_call_id:
+        return "wrong_call_id";
+    case calls::drop_reason::wrong_digest:
+        return "wrong_digest";
+    case calls::drop_reason::cut:
+        return "cut";
+    case calls::drop_reason::too_large:
+        return "too_large";
+    }
+    return "cut";
+}
+
+void logLedgerEvent(const ledger::event &one)
+{
+    if (const auto *taken = std::get_if<ledger::run_taken>(&one)) {
+        logEvent(event::run_taken,
+                 {{"team", std::string_view(taken->run.team)}, {"run", std::string_view(taken->run.key)}});
+    } else if (const auto *gone = std::get_if<ledger::claim_unavailable>(&one)) {
+        logEvent(event::claim_given_up,
+                 {{"team", std::string_view(gone->run.team)}, {"run", std::string_view(gone->run.key)}});
+    }
+}
+
+} // namespace
+
+run_host::run_host(run_host_options options, ledger::run_ledger &ledger, common::random_source &random,
+                   std::unique_ptr<telemetry::span_exporter> exporter, telemetry::metric_registry &registry,
+                   std::function<void()> onLedgerWork)
+    : m_options(std::move(options)), m_ledger(ledger), m_router(m_options.router), m_admission(m_options.admission),
+      m_callIds(m_options.incarnation),
+      m_table({m_router, ledger, m_planner, m_callIds, random, m_options.incarnation}, m_admission),
+      m_client(calls::makeHttpCallClient(*this)), m_traces(std::move(exporter), random), m_metrics(registry),
+      m_onLedgerWork(std::move(onLedgerWork)), m_configuration(std::make_shared<configuration::snapshot>())
+{
+    m_timer.setSingleShot(true);
+    m_timer.setTimerType(Qt::PreciseTimer);
+    connect(&m_timer, &QTimer::timeout, this, [this] {
+        m_table.onTimer(presentMoment());
+        pump();
+    });
+}
+
+run_host::~run_host() = default;
+
+void run_host::setReportHandler(std::function<void(const calls::endpoint_report &)> handler)
+{
+    m_onReport = std::move(handler);
+}
+
+runs::run_id run_host::submit(gateway::submission what, std::shared_ptr<gateway::answer_sink> sink)
+{
+    const common::moment at = presentMoment();
+    caller one{std::move(sink), what.request.pipelineName, what.request.key.team, at.now};
+    const std::string pipeline = one.pipeline;
+    const runs::run_id id = m_table.submit(std::move(what.request), what.configuration, *what.pipeline, what.terms, at);
+    m_callers.emplace(id, std::move(one));
+    m_traces.onRequest(id, pipeline, what.traceparent);
+    pump();
+    return id;
+}
+
+void run_host::onCallerGone(runs::run_id id)
+{
+    if (m_callers.erase(id) > 0) {
+        m_traces.onRequestEnded(id, runs::disposition::failed);
+    }
+    m_table.onCallerGone(id, presentMoment());
+    pump();
+}
+
+void run_host::setConfiguration(const configuration::snapshot_ptr &current)
+{
+    if (m_configuration == current) {
+        return;
+    }
+    m_configuration = current;
+    m_router.update(*current, presentMoment().now);
+    m_endpointNames.clear();
+    for (const auto &[name, endpoint] : current->endpoints) {
+        m_endpointNames.emplace(endpoint.spec.address, name);
+    }
+}
+
+void run_host::pump()
+{
+    if (std::exchange(m_isPumping, true)) {
+        return;
+    }
+    for (;;) {
+        const auto events = m_ledger.takeEvents();
+        std::for_each(events.begin(), events.end(), logLedgerEvent);
+        m_table.onLedgerEvents(events, m_configuration, presentMoment());
+        auto actions = m_table.takeActions();
+        if (events.empty() && actions.empty()) {
+            break;
+        }
+        for (runs::table_action &one : actions) {
+            perform(one);
+        }
+    }
+    for (const runs::run_end &ended : m_table.takeEnds()) {
+        m_metrics.onEnd(ended);
+    }
+    m_isPumping = false;
+    m_onLedgerWork();
+    armTimer();
+}
+
+void run_host::perform(runs::table_action &one)
+{
+    if (auto *call = std::get_if<runs::send_call>(&one.what)) {
+        const std::string traceparent = m_traces.onCall(one.run, call->id, call->stageName, call->endpoint);
+        m_client->send(*call, traceparent);
+    } else if (auto *query = std::get_if<runs::query_status>(&one.what)) {
+        m_client->query(*query);
+    } else if (auto *cancelled = std::get_if<runs::cancel_call>(&one.what)) {
+        m_client->cancel(cancelled->id);
+        m_traces.onCallEnded(cancelled->id, false);
+    } else if (auto *text = std::get_if<runs::stream_text>(&one.what)) {
+        const auto found = m_callers.find(one.run);
+        if (found != m_callers.end()) {
+            caller &waiting = found->second;
+            if (!std::exchange(waiting.hasText, true)) {
+                m_metrics.onFirstText(waiting.pipeline, presentMoment().now - waiting.arrivedAt);
+            }
+            waiting.sink->onText(text->text);
+        }
+    } else if (auto *reply = std::get_if<runs::reply>(&one.what)) {
+        performReply(one.run, *reply);
+    }
+}
+
+void run_host::performReply(runs::run_id id, const runs::reply &reply)
+{
+    const auto found = m_callers.find(id);
+    if (found == m_callers.end()) {
+        return;
+    }
+    const caller waiting = std::move(found->second);
+    m_callers.erase(found);
+    m_metrics.onReply(waiting.pipeline, waiting.team, reply.outcome, presentMoment().now - waiting.arrivedAt);
+    m_traces.onRequestEnded(id, reply.outcome);
+    if (reply.outcome == runs::disposition::unknown) {
+        logEvent(event::run_unknown,
+                 {{"team", std::string_view(waiting.team)}, {"pipeline", std::string_view(waiting.pipeline)}});
+    }
+    waiting.sink->onReply(reply);
+}
+
+void run_host::retryUnknownRuns()
+{
+    m_table.retryUnknownRuns(m_configuration, presentMoment());
+    pump();
+}
+
+void run_host::armTimer()
+{
+    const common::instant next = m_table.nextWakeUp();
+    if (next == common::instant::max()) {
+        m_timer.stop();
+        return;
+    }
+    const auto wait = std::chrono::ceil<std::chrono::milliseconds>(next - presentMoment().now);
+    m_timer.start(std::max(wait, std::chrono::milliseconds(0)));
+}
+
+void run_host::onCallText(const common::call_id &id, std::string_view text)
+{
+    if (!m_table.onText(id, text, presentMoment())) {
+        m_metrics.onUnmatchedAnswer();
+    }
+    pump();
+}
+
+void run_host::onCallEnded(const common::call_id &id, const runs::call_end &ended)
+{
+    m_traces.onCallEnded(id, ended.status == runs::call_status::answered);
+    if (!m_table.onCallEnded(id, ended, presentMoment())) {
+        m_metrics.onUnmatchedAnswer();
+    }
+    pump();
+}
+
+void run_host::onEndpointReport(const calls::endpoint_report &report)
+{
+    const auto name = m_endpointNames.find(report.address);
+    if (report.hasLoad && name != m_endpointNames.end()) {
+        m_router.onLoadReport(name->second, report.load, report.age, presentMoment().now);
+    }
+    if (m_onReport) {
+        m_onReport(report);
+    }
+}
+
+void run_host::onAnswerDropped(calls::drop_reason reason)
+{
+    m_metrics.onDropped(reason);
+    logEvent(event::answer_dropped, {{"reason", std::string_view(nameOf(reason))}});
+}
+
+} // namespace masticlever::masticleverd
--- /dev/null
+++ b/packages/masticleverd/src/run-metrics.cpp
@@ -0,0 +1,109 @@
+#include "run-metrics.h"
+
+#include <array>
+#include <chrono>
+
+namespace masticlever::masticleverd
+{
+
+namespace
+{
+
+using telemetry::metric_family;
+
+constexpr std::array requestBuckets{0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 4.0, 8.0};
+constexpr std::array firstTextBuckets{0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.45, 0.61, 0.8, 1.2, 2.4};
+
+constexpr metric_family requests{"masticlever_requests_total", "Answers to callers, by outcome."};
+constexpr metric_family attained{"masticlever_requests_attained_total",
+                                 "Requests answered in full within their deadline."};
+constexpr metric_family ended{"masticlever_requests_ended_total", "Requests that are over."};
+constexpr metric_family seconds{.name = "masticlever_request_seconds",
+                                .help = "Time from a request's arrival to its answer.",
+                                .buckets = requestBuckets};
+constexpr metric_family firstText{.name = "masticlever_first_text_seconds",
+                                  .help = "Time from a request's arrival to its first text.",
+                                  .buckets = firstTextBuckets};
+constexpr metric_family stageCalls{"masticlever_stage_calls_total", "Calls to endpoints, by pipeline and stage."};
+constexpr metric_family stageCost{"masticlever_stage_cost_total", "Cost of the calls, by team and stage."};
+constexpr metric_family dropped{"masticlever_answers_dropped_total", "Answers of endpoints that were not passed on."};
+
+const char *nameOf(runs::disposition outcome)
+{
+    switch (outcome) {
+    case runs::disposition::answered:
+        return "answered";
+    case runs::disposition::not_run:
+        return "not_run";
+    case runs::disposition::failed:
+        return "failed";
+    case runs::disposition::unknown:
+        return "unknown";
+    case runs::disposition::conflict:
+        return "conflict";
+    }
+    return "failed";
+}
+
+const char *nameOf(calls::drop_reason reason)
+{
+    switch (reason) {
+    case calls::drop_reason::wrong_call_id:
+        return "wrong_call_id";
+    case calls::drop_reason::wrong_digest:
+        return "wrong_digest";
+    case calls::drop_reason::cut:
+        return "cut";
+    case calls::drop_reason::too_large:
+        return "too_large";
+    }
+    return "cut";
+}
+
+double inSeconds(common::duration time)
+{
+    return std::chrono::duration<double>(time).count();
+}
+
+} // namespace
+
+void run_metrics::onReply(std::string_view pipeline, std::string_view team, runs::disposition outcome,
+                          common::duration sinceArrival)
+{
+    m_registry.counterOf(requests, {{"pipeline", pipeline}, {"team", team}, {"outcome", nameOf(outcome)}}).add();
+    m_registry.histogramOf(seconds, {{"pipeline", pipeline}}).observe(inSeconds(sinceArrival));
+}
+
+void run_metrics::onFirstText(std::string_view pipeline, common::duration sinceArrival)
+{
+    m_registry.histogramOf(firstText, {{"pipeline", pipeline}}).observe(inSeconds(sinceArrival));
+}
+
+void run_metrics::onEnd(const runs::run_end &run)
+{
+    m_registry.counterOf(ended, {{"pipeline", run.pipeline}, {"team", run.team}}).add();
+    if (run.metDeadline) {
+        m_registry.counterOf(attained, {{"pipeline", run.pipeline}, {"team", run.team}}).add();
+    }
+    for (std::size_t i = 0; i < run.callsByStage.size(); ++i) {
+        if (run.callsByStage[i] == 0) {
+            continue;
+        }
+        const configuration::stage_spec &stage = run.spec.stages[i];
+        const double calls = run.callsByStage[i];
+        m_registry.counterOf(stageCalls, {{"pipeline", run.pipeline}, {"stage", stage.name}}).add(calls);
+        m_registry.counterOf(stageCost, {{"team", run.team}, {"stage", stage.name}}).add(calls * stage.costPerCall);
+    }
+}
+
+void run_metrics::onDropped(calls::drop_reason reason)
+{
+    m_registry.counterOf(dropped, {{"reason", nameOf(reason)}}).add();
+}
+
+void run_metrics::onUnmatchedAnswer()
+{
+    m_registry.counterOf(dropped, {{"reason", "call_has_ended"}}).add();
+}
+
+} // namespace masticlever::masticleverd
--- a/packages/runs/include/masticlever/runs/run-table.h
+++ b/packages/runs/include/masticlever/runs/run-table.h
@@ -57,6 +57,9 @@
     void retryUnknownRuns(const configuration::snapshot_ptr &configuration, common::moment at);
     void onTimer(common::moment at);
 
+    /// From now on new requests are refused; those under way go on.
+    void stopAccepting() { m_stopping = true; }
+
     common::instant nextWakeUp() const;
     /// Runs that are not done yet.
     std::size_t size() const { return m_runs.size(); }
@@ -76,6 +79,7 @@
     void settle(run_id id, common::moment at);
     void finish(run_id id, common::moment at);
     void insert(run_id id, run machine);
+    void onRunChanged(const common::run_key &key, const configuration::snapshot_ptr &configuration, common::moment at);
     void closeTicket(entry &one, common::moment at);
     void pollAdmission(common::moment at);
     template <typename Event> void forEachOfKey(const common::run_key &key, Event event, common::moment at);
@@ -93,6 +97,7 @@
     std::vector<table_action> m_actions;
     std::vector<run_end> m_ends;
     run_id m_lastId = 0;
+    bool m_stopping = false;
 };
 
 } // namespace masticlever::runs
--- a/packages/runs/include/masticlever/runs/run.h
+++ b/packages/runs/include/masticlever/runs/run.h
@@ -56,6 +56,8 @@
 
     /// \name Events
     /// \{
+    /// The request has come in; said once, before any other event.
+    void noteArrival(common::moment at);
     void start(common::moment at);
     /// Waits for the run of the same key that is under way on this instance.
     void join(std::string_view bodyDigest, common::moment at);
@@ -162,6 +164,7 @@
     common::instant m_wakeUp = common::instant::max();
     common::instant m_hedgeAt = common::instant::max();
     common::instant m_stageStartedAt;
+    common::instant m_arrivedAt = common::instant::max();
     ledger::epoch m_epoch = 0;
     ledger::epoch m_fencing = 0;
     std::uint32_t m_stage = 0;
@@ -175,6 +178,18 @@
     bool m_background = false; ///< no caller waits any more
     bool m_replied = false;
     bool m_metDeadline = false;
+    bool m_answerRecorded = false; ///< the ledger was given the final answer
 };
 
+/// The final answer of a finished run as JSON, from ledger::run_view::answer.
+std::string answerJson(std::string_view recordedAnswer);
+
+struct stage_label {
+    std::string name;
+    bool hasStatusQuery = false;
+};
+
+/// The claimed stage of \p view; empty when its position does not parse.
+stage_label claimedStage(const ledger::run_view &view);
+
 } // namespace masticlever::runs
--- a/packages/runs/include/masticlever/runs/stage-planner.h
+++ b/packages/runs/include/masticlever/runs/stage-planner.h
@@ -1,9 +1,14 @@
 #pragma once
 
 #include <masticlever/common/time.h>
+#include <masticlever/configuration/resources.h>
+#include <masticlever/routing/retry-budget.h>
+#include <masticlever/routing/stage-estimates.h>
 
 #include <cstdint>
+#include <map>
 #include <optional>
+#include <string>
 #include <string_view>
 
 /// \file
@@ -14,8 +19,8 @@
 
 struct stage_ref {
     std::string_view pipeline;
+    const configuration::pipeline_spec &spec;
     std::uint32_t stage = 0;
-    std::uint32_t stageCount = 1;
 };
 
 class stage_planner
@@ -33,8 +38,9 @@
     /// \p toFirstByte: until the answer or its first token.
     virtual void onAnswered(const stage_ref &stage, common::duration toFirstByte, common::duration whole) = 0;
     /// Takes one retry or hedge from the budget of the pipeline, if there is one.
-    virtual bool takeRetry(std::string_view pipeline, double share) = 0;
-    virtual void onSuccess(std::string_view pipeline, double share) = 0;
+    virtual bool takeRetry(const stage_ref &stage) = 0;
+    /// A call gave no sign for \p waited and was given up.
+    virtual void onGivenUp(const stage_ref &stage, common::duration waited) = 0;
 };
 
 /// A planner that learns nothing: half of the remaining time for a call, no hedges, every retry allowed.
@@ -45,8 +51,28 @@
     std::optional<common::duration> hedgeDelay(const stage_ref &stage) override;
     common::duration expectedFrom(const stage_ref &stage) override;
     void onAnswered(const stage_ref &stage, common::duration toFirstByte, common::duration whole) override;
-    bool takeRetry(std::string_view pipeline, double share) override;
-    void onSuccess(std::string_view pipeline, double share) override;
+    bool takeRetry(const stage_ref &stage) override;
+    void onGivenUp(const stage_ref &stage, common::duration waited) override;
+};
+
+/// Plans by learnt quantiles and by a budget of retries for each pipeline.
+class learned_planner : public stage_planner
+{
+public:
+    explicit learned_planner(routing::estimate_options options = {}) : m_estimates(options) { }
+
+    common::duration callTimeout(const stage_ref &stage, common::duration remaining) override;
+    std::optional<common::duration> hedgeDelay(const stage_ref &stage) override;
+    common::duration expectedFrom(const stage_ref &stage) override;
+    void onAnswered(const stage_ref &stage, common::duration toFirstByte, common::duration whole) override;
+    bool takeRetry(const stage_ref &stage) override;
+    void onGivenUp(const stage_ref &stage, common::duration waited) override;
+
+private:
+    routing::retry_budget &budgetOf(const stage_ref &stage);
+
+    routing::stage_estimates m_estimates;
+    std::map<std::string, routing::retry_budget, std::less<>> m_budgets; ///< by pipeline
 };
 
 } // namespace masticlever::runs
--- a/packages/runs/src/run-once.cpp
+++ b/packages/runs/src/run-once.cpp
@@ -13,7 +13,7 @@
 {
 
 constexpr common::duration retryAfterOutage = std::chrono::seconds(2);
-constexpr common::duration retryAfterRefusal = std::chrono::seconds(1);
+constexpr common::duration retryAfterRefusal = std::chrono::seconds(2); ///< not below the ledger's refusalHold
 constexpr common::duration sendLimit = std::chrono::seconds(60);
 constexpr common::duration refusalLimit = std::chrono::seconds(3);
 constexpr common::duration queryTimeout = std::chrono::milliseconds(500);
@@ -32,7 +32,6 @@
     const auto &ledger = m_environment.ledger;
     const ledger::run_view view = ledger.find(m_request.key, at.wall);
     if (view.standing == ledger::run_standing::absent && ledger.isLogReachable() && ledger.isCaughtUp()) {
-        m_epoch = view.at;
         const bool isOtherBody = !view.bodyDigest.empty() && view.bodyDigest != m_request.bodyDigest;
         if (!isOtherBody) {
             return true;
@@ -105,7 +104,8 @@
          .pipeline = m_request.pipelineName,
          .stage = m_stage,
          .position = detail::encodePosition({m_request.pipelineName, m_pipeline, m_request.body, m_results}),
-         .expected = m_epoch},
+         .expected = m_epoch,
+         .arrivedAt = m_arrivedAt},
         at.now);
 }
 
@@ -149,7 +149,7 @@
             sendOnce(at);
         }
     } else if (std::holds_alternative<ledger::claim_lost>(event)) {
-        if (m_phase == phase::claiming) {
+        if (m_phase == phase::claiming || m_phase == phase::refusing) {
             m_phase = phase::joining;
             onLedgerView(at);
             if (m_background && m_phase == phase::joining) {
@@ -230,6 +230,7 @@
         m_environment.planner.onAnswered(stageRef(), at.now - sentAt, at.now - sentAt);
         const std::string answer = isLastStage() ? detail::encodeAnswer({ended.body, false}) : std::string();
         m_environment.ledger.finishStage(m_request.key, m_stage, ended.body, answer, at.now);
+        m_answerRecorded = !answer.empty();
         m_ranOnce = true;
         completeStage(ended.body, at);
         return;
@@ -299,12 +300,8 @@
         = ended.status == call_status::answered ? detail::parseStatus(ended.body) : detail::status_answer{};
     if (status.state == detail::status_state::done) {
         m_wakeUp = common::instant::max();
-        const std::string answer = isLastStage() ? detail::encodeAnswer({status.result, false}) : std::string();
         m_environment.ledger.settle(m_request.key, m_stage, status.result, at.now);
         m_ranOnce = true;
-        if (!answer.empty()) {
-            m_environment.ledger.finishRun(m_request.key, answer, at.now);
-        }
         completeStage(status.result, at);
         return;
     }
--- a/packages/runs/src/run-repeatable.cpp
+++ b/packages/runs/src/run-repeatable.cpp
@@ -1,6 +1,5 @@
 #include "detail/position.h"
 
-#include <masticlever/common/digest.h>
 #include <masticlever/runs/run.h>
 
 #include <algorithm>
@@ -50,10 +49,11 @@
     const bool isPrefixCached = stage().streamed;
     const std::string_view prefix = std::string_view(m_request.body).substr(0, prefixLength);
     return m_environment.router.choose({.pool = stage().pool,
-                                        .prefixHash = isPrefixCached ? common::stableHash(prefix) : 0,
+                                        .prefixHash = isPrefixCached ? routing::hashPrefix(prefix) : 0,
                                         .exclude = m_tried,
                                         .random = m_environment.random.next(),
-                                        .now = at.now});
+                                        .now = at.now,
+                                        .repeatable = stage().repeatable});
 }
 
 void run::sendAttempt(common::moment at)
@@ -103,6 +103,7 @@
     }
     if (found->firstByteAt == common::instant::max()) {
         found->firstByteAt = at.now;
+        m_environment.router.onProgress(found->endpoint, at.now - found->sentAt, at.now);
     }
     found->timeoutAt = at.now + tokenGapLimit;
     while (m_attempts.size() > 1) {
@@ -165,7 +166,7 @@
         return;
     }
     const bool hasTime = remaining(at) > m_environment.planner.expectedFrom(stageRef());
-    if (hasTime && m_environment.planner.takeRetry(m_request.pipelineName, m_pipeline.retryBudget)) {
+    if (hasTime && m_environment.planner.takeRetry(stageRef())) {
         sendAttempt(at);
         return;
     }
@@ -196,6 +197,7 @@
     for (std::size_t i = m_attempts.size(); i-- > 0;) {
         if (at.now >= m_attempts[i].timeoutAt) {
             m_actions.emplace_back(cancel_call{m_attempts[i].id});
+            m_environment.planner.onGivenUp(stageRef(), at.now - m_attempts[i].sentAt);
             dropAttempt(i, routing::call_outcome::timed_out, at);
         }
     }
@@ -205,7 +207,7 @@
     }
     if (at.now >= m_hedgeAt) {
         m_hedgeAt = common::instant::max();
-        if (m_environment.planner.takeRetry(m_request.pipelineName, m_pipeline.retryBudget)) {
+        if (m_environment.planner.takeRetry(stageRef())) {
             sendAttempt(at);
         }
     }
--- a/packages/runs/src/run-table.cpp
+++ b/packages/runs/src/run-table.cpp
@@ -10,6 +10,8 @@
 namespace
 {
 
+constexpr common::duration retryAfterStop = std::chrono::seconds(1);
+
 std::string refusalText(admission::refusal_reason reason)
 {
     switch (reason) {
@@ -50,11 +52,20 @@
     if (sameKey != m_byKey.end()) {
         const std::string digest = m_runs.at(sameKey->second).machine.request().bodyDigest;
         insert(id, run(m_environment, std::move(request), configuration, pipeline));
+        m_runs.at(id).machine.noteArrival(at);
         m_runs.at(id).machine.join(digest, at);
         settle(id, at);
         return id;
     }
-    const stage_ref whole{request.pipelineName, 0, static_cast<std::uint32_t>(pipeline.stages.size())};
+    const stage_ref whole{request.pipelineName, pipeline, 0};
+    if (m_stopping) {
+        insert(id, run(m_environment, std::move(request), configuration, pipeline));
+        run &refused = m_runs.at(id).machine;
+        refused.noteArrival(at);
+        refused.refuseAtDoor(refusalText(admission::refusal_reason::stopping), retryAfterStop, at);
+        settle(id, at);
+        return id;
+    }
     const admission::decision decision
         = m_admission.request({.team = request.key.team,
                                .weight = terms.weight,
@@ -65,6 +76,7 @@
                               at.now);
     insert(id, run(m_environment, std::move(request), configuration, pipeline));
     entry &one = m_runs.at(id);
+    one.machine.noteArrival(at);
     if (decision.outcome == admission::decision::verdict::refused) {
         one.machine.refuseAtDoor(refusalText(decision.reason), decision.retryAfter, at);
         settle(id, at);
@@ -220,6 +232,20 @@
         }
         forEachOfKey(
             keyOf(event), [&](run &machine) { machine.onLedgerEvent(event, at); }, at);
+        if (std::holds_alternative<ledger::run_changed>(event)) {
+            onRunChanged(keyOf(event), configuration, at);
+        }
+    }
+}
+
+void run_table::onRunChanged(const common::run_key &key, const configuration::snapshot_ptr &configuration,
+                             common::moment at)
+{
+    const ledger::run_view view = m_environment.ledger.find(key, at.wall);
+    const bool isOwn = view.owner == m_environment.incarnation;
+    // An operator or a later status answer has settled the stage: the run goes on.
+    if (isOwn && view.standing == ledger::run_standing::between_stages && !hasRun(key)) {
+        resume(key, view, configuration, at);
     }
 }
 
--- a/packages/runs/src/run.cpp
+++ b/packages/runs/src/run.cpp
@@ -62,7 +62,15 @@
 
 stage_ref run::stageRef() const
 {
-    return {m_request.pipelineName, m_stage, static_cast<std::uint32_t>(m_pipeline.stages.size())};
+    return {m_request.pipelineName, m_pipeline, m_stage};
+}
+
+void run::noteArrival(common::moment at)
+{
+    m_arrivedAt = at.now;
+    if (m_recorded) {
+        m_epoch = m_environment.ledger.find(m_request.key, at.wall).at;
+    }
 }
 
 void run::start(common::moment at)
@@ -131,10 +139,9 @@
 {
     const bool isText = m_pipeline.stages.back().streamed;
     const std::string result = isText ? m_results.back() : std::move(m_results.back());
-    if (m_recorded && m_pipeline.stages.back().repeatable) {
+    if (m_recorded && !m_answerRecorded) {
         m_environment.ledger.finishRun(m_request.key, detail::encodeAnswer({result, isText}), at.now);
     }
-    m_environment.planner.onSuccess(m_request.pipelineName, m_pipeline.retryBudget);
     if (!m_replied) {
         m_metDeadline = at.now <= m_request.deadline;
         replyWith({.outcome = disposition::answered, .result = result, .isText = isText}, at);
@@ -309,4 +316,20 @@
     return std::exchange(m_actions, {});
 }
 
+std::string answerJson(std::string_view recordedAnswer)
+{
+    detail::recorded_answer answer = detail::decodeAnswer(recordedAnswer);
+    return answer.isText ? detail::quoteJson(answer.result) : std::move(answer.result);
+}
+
+stage_label claimedStage(const ledger::run_view &view)
+{
+    const auto position = detail::decodePosition(view.position);
+    if (!position || view.stage >= position->pipeline.stages.size()) {
+        return {};
+    }
+    const configuration::stage_spec &stage = position->pipeline.stages[view.stage];
+    return {stage.name, !stage.statusPath.empty()};
+}
+
 } // namespace masticlever::runs
