--- a/packages/routing/include/masticlever/routing/retry-budget.h
+++ b/packages/routing/include/masticlever/routing/retry-budget.h
@@ -23,8 +23,10 @@
 
     /// A call of any stage was answered.
     void onSuccess();
-    /// Takes the token for one retry or hedge of \p stage; false when there is none or \p stage is not repeatable.
-    bool take(const configuration::stage_spec &stage);
+    /// Takes the token for one retry or hedge; false when there is none.
+    bool take();
+    /// As take(), and false when \p stage is not repeatable.
+    bool take(const configuration::stage_spec &stage) { return stage.repeatable && take(); }
     /// Gives back the token of a retry that was not sent.
     void refund();
     /// Takes over a changed configuration; tokens above the new capacity are lost.
--- a/packages/routing/include/masticlever/routing/stage-estimates.h
+++ b/packages/routing/include/masticlever/routing/stage-estimates.h
@@ -34,8 +34,8 @@
 
     /// A call of the stage was answered in full \p service after it was sent.
     void onAnswered(std::string_view pipeline, std::string_view stage, common::duration service);
-    /// A call was given up after \p waited: counted as at least that long.
-    void onGivenUp(std::string_view pipeline, std::string_view stage, common::duration waited);
+    /// A call that gave no sign was given up after \p waited: counted as at least that long.
+    void onGivenUp(std::string_view pipeline, const configuration::stage_spec &stage, common::duration waited);
     /// The first token of a streamed stage came \p delay after the call was sent.
     void onFirstToken(std::string_view pipeline, std::string_view stage, common::duration delay);
 
--- a/packages/routing/src/detail/pool.cpp
+++ b/packages/routing/src/detail/pool.cpp
@@ -49,13 +49,6 @@
 
 } // namespace
 
-member *pool::find(std::string_view name)
-{
-    const auto found
-        = std::find_if(m_members.begin(), m_members.end(), [&](const member &m) { return m.view.name == name; });
-    return found == m_members.end() ? nullptr : &*found;
-}
-
 void pool::inherit(const pool &previous)
 {
     m_streamed = previous.m_streamed;
@@ -163,7 +156,6 @@
     }
     for (member &m : m_members) {
         if (m.takesWork() && m.health.isProbeDue(request.now) && !contains(request.exclude, m.view.name)) {
-            m.health.startProbe();
             return &m;
         }
     }
--- a/packages/routing/src/detail/pool.h
+++ b/packages/routing/src/detail/pool.h
@@ -30,7 +30,6 @@
 public:
     std::vector<member> &members() { return m_members; }
     const std::vector<member> &members() const { return m_members; }
-    member *find(std::string_view name);
 
     /// Picks an endpoint by \p policy; nothing when none is left.
     member *choose(const choice_request &request, choice_policy &policy, const router_options &options);
--- a/packages/routing/src/retry-budget.cpp
+++ b/packages/routing/src/retry-budget.cpp
@@ -10,9 +10,9 @@
     add(m_options.perSuccess);
 }
 
-bool retry_budget::take(const configuration::stage_spec &stage)
+bool retry_budget::take()
 {
-    if (!stage.repeatable || m_tokens < 1) {
+    if (m_tokens < 1) {
         return false;
     }
     m_tokens -= 1;
--- a/packages/routing/src/router.cpp
+++ b/packages/routing/src/router.cpp
@@ -52,7 +52,6 @@
     router_options options;
     std::unique_ptr<choice_policy> policy;
     pool_map pools;
-    std::map<std::string, pool *, std::less<>> poolOf; ///< by endpoint
     std::set<std::string, std::less<>> leaving; ///< addresses
 
     struct location {
@@ -61,6 +60,8 @@
 
         explicit operator bool() const { return endpoint != nullptr; }
     };
+    std::map<std::string, location, std::less<>> locations; ///< by endpoint
+
     location find(std::string_view endpoint);
     void addMember(pool_map &next, const std::string &name, const configuration::endpoint_spec &spec,
                    common::instant now);
@@ -69,11 +70,8 @@
 
 router::state::location router::state::find(std::string_view endpoint)
 {
-    const auto found = poolOf.find(endpoint);
-    if (found == poolOf.end()) {
-        return {};
-    }
-    return {found->second, found->second->find(endpoint)};
+    const auto found = locations.find(endpoint);
+    return found == locations.end() ? location{} : found->second;
 }
 
 void router::state::addMember(pool_map &next, const std::string &name, const configuration::endpoint_spec &spec,
@@ -132,12 +130,12 @@
             owner.inherit(before->second);
         }
     }
-    m_state->poolOf.clear();
+    m_state->locations.clear();
     m_state->pools = std::move(next);
     for (auto &[name, owner] : m_state->pools) {
         keepSubset(owner.members(), m_state->options);
-        for (const member &endpoint : owner.members()) {
-            m_state->poolOf.emplace(endpoint.view.name, &owner);
+        for (member &endpoint : owner.members()) {
+            m_state->locations.emplace(endpoint.view.name, state::location{&owner, &endpoint});
         }
     }
 }
@@ -174,6 +172,9 @@
 void router::onSent(std::string_view endpoint, common::instant now)
 {
     if (const auto at = m_state->find(endpoint)) {
+        if (at.endpoint->health.isProbeDue(now)) {
+            at.endpoint->health.startProbe();
+        }
         at.endpoint->health.onSent(at.endpoint->view.inFlight, now);
         ++at.endpoint->view.inFlight;
     }
--- a/packages/routing/src/stage-estimates.cpp
+++ b/packages/routing/src/stage-estimates.cpp
@@ -106,9 +106,11 @@
     m_state->record(pipeline, stage).service.record(service);
 }
 
-void stage_estimates::onGivenUp(std::string_view pipeline, std::string_view stage, common::duration waited)
+void stage_estimates::onGivenUp(std::string_view pipeline, const configuration::stage_spec &stage,
+                                common::duration waited)
 {
-    m_state->record(pipeline, stage).service.record(waited);
+    stage_record &record = m_state->record(pipeline, stage.name);
+    (stage.streamed ? record.firstToken : record.service).record(waited);
 }
 
 void stage_estimates::onFirstToken(std::string_view pipeline, std::string_view stage, common::duration delay)
--- a/packages/runs/include/masticlever/runs/stage-planner.h
+++ b/packages/runs/include/masticlever/runs/stage-planner.h
@@ -32,6 +32,8 @@
 
     /// \p toFirstByte: until the answer or its first token.
     virtual void onAnswered(const stage_ref &stage, common::duration toFirstByte, common::duration whole) = 0;
+    /// A call gave no sign for \p waited and was given up.
+    virtual void onTimedOut(const stage_ref & /*stage*/, common::duration /*waited*/) { }
     /// Takes one retry or hedge from the budget of the pipeline, if there is one.
     virtual bool takeRetry(std::string_view pipeline, double share) = 0;
     virtual void onSuccess(std::string_view pipeline, double share) = 0;
--- a/packages/runs/src/run-repeatable.cpp
+++ b/packages/runs/src/run-repeatable.cpp
@@ -53,7 +53,8 @@
                                         .prefixHash = isPrefixCached ? common::stableHash(prefix) : 0,
                                         .exclude = m_tried,
                                         .random = m_environment.random.next(),
-                                        .now = at.now});
+                                        .now = at.now,
+                                        .repeatable = stage().repeatable});
 }
 
 void run::sendAttempt(common::moment at)
@@ -104,6 +105,7 @@
     if (found->firstByteAt == common::instant::max()) {
         found->firstByteAt = at.now;
     }
+    m_environment.router.onProgress(found->endpoint, found->firstByteAt - found->sentAt, at.now);
     found->timeoutAt = at.now + tokenGapLimit;
     while (m_attempts.size() > 1) {
         // The first call that yields text is the one whose text the caller gets.
@@ -195,6 +197,9 @@
 {
     for (std::size_t i = m_attempts.size(); i-- > 0;) {
         if (at.now >= m_attempts[i].timeoutAt) {
+            if (m_attempts[i].firstByteAt == common::instant::max()) {
+                m_environment.planner.onTimedOut(stageRef(), at.now - m_attempts[i].sentAt);
+            }
             m_actions.emplace_back(cancel_call{m_attempts[i].id});
             dropAttempt(i, routing::call_outcome::timed_out, at);
         }
