Plan by learnt quantiles, probe ejected endpoints, tick the ledger

Cause: two learned planners had grown apart; ejected endpoints of pools that serve only non-repeatable stages came back late; the ledger tells outages by regular ticks and none came while it was idle. Ruled out: a planner that keeps its own copy of the pipelines (a run keeps the specification it began with, so the planner is handed that one; the test of a pipeline that is not configured has no object any more). Change: one learned_planner, fed the run's own specification; connect probes once a second; ticks every 500 ms; Retry-After not below the ledger's hold after a refusal.

--- a/packages/masticleverd/src/daemon.cpp
+++ b/packages/masticleverd/src/daemon.cpp
@@ -295,6 +295,7 @@
         m_ledger->takeOrphans(m_membership->liveIncarnations(), m_incarnation);
     }
     m_runs->retryUnknownRuns();
+    m_runs->probeEndpoints();
     finishDrain();
 }
 
--- a/packages/masticleverd/src/ledger-host.cpp
+++ b/packages/masticleverd/src/ledger-host.cpp
@@ -18,6 +18,7 @@
 
 constexpr const char *logName = "ledger";
 constexpr std::chrono::milliseconds shortestWait{1};
+constexpr std::chrono::milliseconds longestWait{500};
 
 } // namespace
 
@@ -59,12 +60,10 @@
 
 void ledger_host::armTimer()
 {
-    const common::instant next = m_ledger.nextWakeUp();
-    if (next == common::instant::max()) {
-        m_timer.stop();
-        return;
-    }
-    const auto wait = std::chrono::ceil<std::chrono::milliseconds>(next - presentMoment().now);
+    // The ledger tells an outage and a pause of this process apart by regular ticks.
+    const common::instant now = presentMoment().now;
+    const common::instant next = std::min(m_ledger.nextWakeUp(), now + longestWait);
+    const auto wait = std::chrono::ceil<std::chrono::milliseconds>(next - now);
     m_timer.start(std::max(wait, shortestWait));
 }
 
--- a/packages/masticleverd/src/run-host.cpp
+++ b/packages/masticleverd/src/run-host.cpp
@@ -5,6 +5,10 @@
 #include <masticlever/calls/http-call-client.h>
 #include <masticlever/telemetry/events.h>
 
+#include <QByteArray>
+#include <QString>
+#include <QTcpSocket>
+
 #include <algorithm>
 #include <utility>
 #include <variant>
@@ -18,6 +22,8 @@
 using telemetry::event;
 using telemetry::logEvent;
 
+constexpr std::chrono::milliseconds probeTimeout{500};
+
 const char *nameOf(calls::drop_reason reason)
 {
     switch (reason) {
@@ -176,6 +182,31 @@
     pump();
 }
 
+void run_host::probeEndpoints()
+{
+    for (const routing::candidate &endpoint : m_router.dueProbes(presentMoment().now)) {
+        probe(endpoint);
+    }
+}
+
+void run_host::probe(const routing::candidate &endpoint)
+{
+    const std::size_t colon = endpoint.address.rfind(':');
+    const QString host = QString::fromStdString(endpoint.address.substr(0, colon));
+    const quint16 port = QByteArray::fromStdString(endpoint.address.substr(colon + 1)).toUShort();
+    auto *socket = new QTcpSocket(this);
+    const auto finish = [this, socket, name = endpoint.name](bool answered) {
+        socket->disconnect(this);
+        socket->abort();
+        socket->deleteLater();
+        m_router.onProbed(name, answered, presentMoment().now);
+    };
+    connect(socket, &QTcpSocket::connected, this, [finish] { finish(true); });
+    connect(socket, &QTcpSocket::errorOccurred, this, [finish] { finish(false); });
+    QTimer::singleShot(probeTimeout, socket, [finish] { finish(false); });
+    socket->connectToHost(host, port);
+}
+
 void run_host::armTimer()
 {
     const common::instant next = m_table.nextWakeUp();
--- a/packages/masticleverd/src/run-host.h
+++ b/packages/masticleverd/src/run-host.h
@@ -8,8 +8,8 @@
 #include <masticlever/gateway/caller-api.h>
 #include <masticlever/ledger/ledger.h>
 #include <masticlever/routing/router.h>
+#include <masticlever/runs/learned-planner.h>
 #include <masticlever/runs/run-table.h>
-#include <masticlever/runs/stage-planner.h>
 
 #include <QObject>
 #include <QTimer>
@@ -47,6 +47,8 @@
     /// Hands the ledger's events to the runs and performs what follows from them.
     void pump();
     void retryUnknownRuns();
+    /// Connects to ejected endpoints whose time is over, to bring them back without risking a request.
+    void probeEndpoints();
     void stopAccepting() { m_table.stopAccepting(); }
 
     bool hasRun(const common::run_key &key) const { return m_table.hasRun(key); }
@@ -74,6 +76,7 @@
 
     void perform(runs::table_action &one);
     void performReply(runs::run_id id, const runs::reply &reply);
+    void probe(const routing::candidate &endpoint);
     void armTimer();
 
     run_host_options m_options;
--- a/packages/runs/include/masticlever/runs/stage-planner.h
+++ b/packages/runs/include/masticlever/runs/stage-planner.h
@@ -2,13 +2,9 @@
 
 #include <masticlever/common/time.h>
 #include <masticlever/configuration/resources.h>
-#include <masticlever/routing/retry-budget.h>
-#include <masticlever/routing/stage-estimates.h>
 
 #include <cstdint>
-#include <map>
 #include <optional>
-#include <string>
 #include <string_view>
 
 /// \file
@@ -37,8 +33,6 @@
 
     /// \p toFirstByte: until the answer or its first token.
     virtual void onAnswered(const stage_ref &stage, common::duration toFirstByte, common::duration whole) = 0;
-    /// A call gave no sign for \p waited and was given up.
-    virtual void onTimedOut(const stage_ref & /*stage*/, common::duration /*waited*/) { }
     /// Takes one retry or hedge from the budget of the pipeline, if there is one.
     virtual bool takeRetry(const stage_ref &stage) = 0;
     /// A call gave no sign for \p waited and was given up.
@@ -57,24 +51,4 @@
     void onGivenUp(const stage_ref &stage, common::duration waited) override;
 };
 
-/// Plans by learnt quantiles and by a budget of retries for each pipeline.
-class learned_planner : public stage_planner
-{
-public:
-    explicit learned_planner(routing::estimate_options options = {}) : m_estimates(options) { }
-
-    common::duration callTimeout(const stage_ref &stage, common::duration remaining) override;
-    std::optional<common::duration> hedgeDelay(const stage_ref &stage) override;
-    common::duration expectedFrom(const stage_ref &stage) override;
-    void onAnswered(const stage_ref &stage, common::duration toFirstByte, common::duration whole) override;
-    bool takeRetry(const stage_ref &stage) override;
-    void onGivenUp(const stage_ref &stage, common::duration waited) override;
-
-private:
-    routing::retry_budget &budgetOf(const stage_ref &stage);
-
-    routing::stage_estimates m_estimates;
-    std::map<std::string, routing::retry_budget, std::less<>> m_budgets; ///< by pipeline
-};
-
 } // namespace masticlever::runs
--- a/packages/runs/src/run-once.cpp
+++ b/packages/runs/src/run-once.cpp
@@ -12,8 +12,8 @@
 namespace
 {
 
-constexpr common::duration retryAfterOutage = std::chrono::seconds(2);
-constexpr common::duration retryAfterRefusal = std::chrono::seconds(2); ///< not below the ledger's refusalHold
+constexpr common::duration retryAfterOutage = std::chrono::seconds(5);
+constexpr common::duration retryAfterRefusal = std::chrono::seconds(5); ///< not below the ledger's refusalHold
 constexpr common::duration sendLimit = std::chrono::seconds(60);
 constexpr common::duration refusalLimit = std::chrono::seconds(3);
 constexpr common::duration queryTimeout = std::chrono::milliseconds(500);
--- a/packages/runs/src/run-repeatable.cpp
+++ b/packages/runs/src/run-repeatable.cpp
@@ -105,7 +105,6 @@
         found->firstByteAt = at.now;
         m_environment.router.onProgress(found->endpoint, at.now - found->sentAt, at.now);
     }
-    m_environment.router.onProgress(found->endpoint, found->firstByteAt - found->sentAt, at.now);
     found->timeoutAt = at.now + tokenGapLimit;
     while (m_attempts.size() > 1) {
         // The first call that yields text is the one whose text the caller gets.
@@ -198,10 +197,9 @@
     for (std::size_t i = m_attempts.size(); i-- > 0;) {
         if (at.now >= m_attempts[i].timeoutAt) {
             if (m_attempts[i].firstByteAt == common::instant::max()) {
-                m_environment.planner.onTimedOut(stageRef(), at.now - m_attempts[i].sentAt);
+                m_environment.planner.onGivenUp(stageRef(), at.now - m_attempts[i].sentAt);
             }
             m_actions.emplace_back(cancel_call{m_attempts[i].id});
-            m_environment.planner.onGivenUp(stageRef(), at.now - m_attempts[i].sentAt);
             dropAttempt(i, routing::call_outcome::timed_out, at);
         }
     }
