Add the peer service: heartbeats over UDP, records over TCP

A server sends a challenge first and serves one request on each connection, so a recorded request is refused; lengths are checked before a frame is read, and connections are bounded in number and time.

--- /dev/null
+++ b/packages/peers/src/detail/records-server.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <masticlever/common/result.h>
+#include <masticlever/peers/codec.h>
+
+#include <QHostAddress>
+#include <QTcpServer>
+#include <QTcpSocket>
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <system_error>
+
+namespace masticlever::peers::detail
+{
+
+/// Serves one request for configuration records on each connection.
+class records_server
+{
+public:
+    using provider = std::function<records_answer(const records_request &)>;
+    using refused_handler = std::function<void(std::error_code)>;
+
+    struct options {
+        std::string key;
+        std::size_t maximumConnections = 0;
+        std::chrono::milliseconds timeout{0};
+    };
+
+    records_server(options settings, provider records, refused_handler refused);
+
+    bool listen(const QHostAddress &host, std::uint16_t port) { return m_server.listen(host, port); }
+    std::uint16_t port() const { return m_server.serverPort(); }
+    void close() { m_server.close(); }
+    std::uint64_t served() const { return m_served; }
+    std::uint64_t bytesSent() const { return m_bytesSent; }
+    std::uint64_t bytesReceived() const { return m_bytesReceived; }
+
+private:
+    void accept();
+    void onReadable(QTcpSocket &socket, const std::string &challenge);
+    void answer(QTcpSocket &socket, const std::string &frame, const std::string &challenge);
+    void refuse(QTcpSocket &socket, std::error_code reason);
+
+    options m_options;
+    provider m_records;
+    refused_handler m_refused;
+    std::size_t m_connections = 0;
+    std::uint64_t m_served = 0;
+    std::uint64_t m_bytesSent = 0;
+    std::uint64_t m_bytesReceived = 0;
+    QTcpServer m_server; // last: its connections end before the state that their slots use
+};
+
+} // namespace masticlever::peers::detail
