--- /dev/null
+++ b/packages/routing/test/capacity-test.cpp
@@ -0,0 +1,41 @@
+#include <masticlever/routing/capacity.h>
+
+#include <catch2/catch.hpp>
+
+using namespace masticlever;
+using namespace std::chrono_literals;
+
+TEST_CASE("the pool that limits the rate decides how many requests may be in flight")
+{
+    configuration::snapshot snapshot;
+    const auto add = [&](const std::string &name, const std::string &pool, std::size_t slots) {
+        snapshot.endpoints[name].spec.pool = pool;
+        snapshot.endpoints[name].spec.address = name;
+        snapshot.endpoints[name].spec.slots = slots;
+    };
+    add("ledger-1", "ledger", 4);
+    add("engine-1", "engine", 8);
+    add("engine-2", "engine", 8);
+    configuration::pipeline_spec spec;
+    spec.stages.resize(2);
+    spec.stages[0].name = "lookup";
+    spec.stages[0].pool = "ledger";
+    spec.stages[1].name = "generate";
+    spec.stages[1].pool = "engine";
+    routing::router router({});
+    router.update(snapshot, common::instant{1s});
+    routing::stage_estimates estimates;
+    CHECK(routing::sustainableInFlight("advice", spec, estimates, router) == 0);
+
+    for (int i = 0; i < 50; ++i) {
+        estimates.onAnswered("advice", "lookup", 10ms);
+        estimates.onAnswered("advice", "generate", 1s);
+    }
+    CHECK(routing::sustainableInFlight("advice", spec, estimates, router) == Approx(16.2).epsilon(0.02));
+
+    SECTION("an endpoint that leaves takes its slots with it")
+    {
+        router.setLeaving("engine-2", true);
+        CHECK(routing::sustainableInFlight("advice", spec, estimates, router) == Approx(8.1).epsilon(0.02));
+    }
+}
