Wire the peers into the daemon

Cause: instances did not hear each other; the status of a resource showed offset 0 for all others. Ruled out: a separate message for a whole state; a record without an offset carries it. Change: heartbeats, leaving notices and missing configuration records go between daemons; a daemon whose records are no longer kept hands out its whole state.

--- a/bench/policy/entry-instance.cpp
+++ b/bench/policy/entry-instance.cpp
@@ -64,7 +64,6 @@
       m_runs({m_router, m_ledger, m_planner, m_callIds, m_random, options.name}, m_admission)
 {
     m_router.update(*m_configuration, clock.now());
-    m_planner.update(*m_configuration);
     log.addReader(*this);
     adjustCapacity();
 }
--- a/packages/masticleverd/src/daemon.cpp
+++ b/packages/masticleverd/src/daemon.cpp
@@ -2,6 +2,7 @@
 
 #include "signal-pipe.h"
 
+#include <masticlever/common/errors.h>
 #include <masticlever/gateway/problem.h>
 #include <masticlever/platform/http-platform.h>
 #include <masticlever/telemetry/events.h>
@@ -75,6 +76,55 @@
     ledgerOptions.claimTimeout = m_settings.claimTimeout;
     ledgerOptions.window = m_settings.ledgerWindow;
     m_ledger = std::make_unique<ledger_host>(*m_log, ledgerOptions, [this] { m_runs->pump(); });
+    buildPeers();
+    buildRuns();
+}
+
+void daemon::buildPeers()
+{
+    peers::peer_settings peerSettings;
+    peerSettings.listenAddress = m_settings.peers.toString();
+    peerSettings.key = m_settings.peersKey;
+    peerSettings.gossip.interval = m_settings.heartbeatInterval;
+    peers::peer_handlers handlers;
+    handlers.recordsFrom = [this](platform::log_offset from, std::size_t limit) { return recordsForPeer(from, limit); };
+    handlers.onRecords = [this](const platform::log_batch &batch) { return onPeerRecords(batch); };
+    handlers.onNews = [this] { onMembershipChanged(); };
+    handlers.onRefused = [](std::error_code reason, std::uint64_t count) {
+        logEvent(event::peer_message_refused, {{"reason", std::string_view(reason.message())}, {"count", count}});
+    };
+    m_peers
+        = std::make_unique<peers::peer_service>(std::move(peerSettings), m_membership->table(), std::move(handlers));
+}
+
+common::result<platform::log_batch> daemon::recordsForPeer(platform::log_offset from, std::size_t limit) const
+{
+    const configuration::replayer &replayed = m_configuration->replayer();
+    if (auto batch = replayed.recordsFrom(from, limit)) {
+        return *batch;
+    }
+    if (!replayed.isReady() || replayed.current()->offset < from) {
+        return make_error_code(common::error::unavailable);
+    }
+    // The records are not kept any more: the whole state goes out instead, as a record without an offset.
+    platform::log_batch batch;
+    batch.records.push_back({.payload = replayed.encodeSnapshot()});
+    return batch;
+}
+
+platform::log_offset daemon::onPeerRecords(const platform::log_batch &batch)
+{
+    const bool isState = batch.records.size() == 1 && batch.records.front().offset == 0;
+    if (isState) {
+        m_configuration->onPeerState(batch.records.front().payload);
+    } else {
+        m_configuration->onPeerRecords(batch);
+    }
+    return configuration()->offset;
+}
+
+void daemon::buildRuns()
+{
     run_host_options runOptions;
     runOptions.incarnation = m_incarnation;
     runOptions.router.policy = policyOf(m_settings.routingPolicy);
@@ -88,6 +138,7 @@
     m_runs->setReportHandler([this](const calls::endpoint_report &report) {
         if (report.leaving) {
             m_membership->onEndpointLeaving(report.address, report.incarnation);
+            m_peers->announceEndpointLeaving({report.address, report.incarnation});
         }
     });
 }
@@ -98,6 +149,10 @@
     if (!fault.empty()) {
         return fault;
     }
+    const auto peerPort = m_peers->listen();
+    if (!peerPort) {
+        return m_settings.peers.toString() + ": " + peerPort.error().message();
+    }
     const std::string address = m_settings.gateway.host + ':' + std::to_string(m_server->port());
     std::printf("listening %s\n", address.c_str());
     std::fflush(stdout);
@@ -106,7 +161,7 @@
               {"incarnation", std::string_view(m_incarnation)},
               {"address", std::string_view(address)}});
     watchSignals();
-    m_membership->start(address, m_settings.peers.toString());
+    m_membership->start(address, m_settings.peers.host + ':' + std::to_string(peerPort.value()));
     m_configuration->start();
     m_ledger->start();
     m_second.start(std::chrono::seconds(1));
@@ -269,7 +324,7 @@
 void daemon::onConfigurationChanged()
 {
     m_runs->setConfiguration(configuration());
-    m_membership->setState(configuration()->offset, m_configuration->isLogReachable());
+    m_peers->setState(m_ledger->core().isLogReachable(), configuration()->offset);
     onMembershipChanged();
     m_operators->onConfigurationChanged();
     if (isReady() && !std::exchange(m_wasReady, true)) {
@@ -288,8 +343,7 @@
 
 void daemon::everySecond()
 {
-    m_membership->setState(configuration()->offset, m_ledger->core().isLogReachable());
-    m_membership->table().advance(presentMoment().now);
+    m_peers->setState(m_ledger->core().isLogReachable(), configuration()->offset);
     onMembershipChanged();
     if (m_membership->isSettled()) {
         m_ledger->takeOrphans(m_membership->liveIncarnations(), m_incarnation);
@@ -307,6 +361,7 @@
     m_drainStartedAt = presentMoment().now;
     logEvent(event::drain_started, {{"runs", static_cast<std::uint64_t>(m_runs->runsInProgress())}});
     m_membership->beginLeaving();
+    m_peers->announceLeaving();
 }
 
 void daemon::finishDrain()
--- a/packages/masticleverd/src/daemon.h
+++ b/packages/masticleverd/src/daemon.h
@@ -9,6 +9,7 @@
 #include <masticlever/gateway/caller-api.h>
 #include <masticlever/gateway/http-server.h>
 #include <masticlever/gateway/operator-api.h>
+#include <masticlever/peers/peer-service.h>
 #include <masticlever/settings/settings.h>
 #include <masticlever/telemetry/metrics.h>
 
@@ -55,6 +56,8 @@
 
 private:
     void buildHosts();
+    void buildPeers();
+    void buildRuns();
     void handle(gateway::exchange &one);
     void handleProbe(gateway::exchange &one);
     void updateGauges();
@@ -62,6 +65,8 @@
     void onMembershipChanged();
     void everySecond();
     void finishDrain();
+    common::result<platform::log_batch> recordsForPeer(platform::log_offset from, std::size_t limit) const;
+    platform::log_offset onPeerRecords(const platform::log_batch &batch);
     void watchSignals();
     void onSignal(int number);
 
@@ -73,6 +78,7 @@
     std::unique_ptr<platform::instance_list> m_list;
     std::unique_ptr<membership_host> m_membership;
     std::unique_ptr<configuration_host> m_configuration;
+    std::unique_ptr<peers::peer_service> m_peers;
     std::unique_ptr<ledger_host> m_ledger;
     std::unique_ptr<run_host> m_runs;
     std::unique_ptr<gateway::caller_api> m_callers;
--- a/packages/masticleverd/src/membership-host.cpp
+++ b/packages/masticleverd/src/membership-host.cpp
@@ -59,14 +59,6 @@
     announce();
 }
 
-void membership_host::setState(std::uint64_t configurationOffset, bool logReachable)
-{
-    membership::instance_notice self = m_table.self();
-    self.configurationOffset = configurationOffset;
-    self.logReachable = logReachable;
-    m_table.setSelf(self);
-}
-
 void membership_host::onEndpointLeaving(const std::string &address, const std::string &incarnation)
 {
     if (!m_table.isEndpointLeaving(address)) {
--- a/packages/masticleverd/src/membership-host.h
+++ b/packages/masticleverd/src/membership-host.h
@@ -29,7 +29,6 @@
 
     /// \p address of the HTTP service and \p peerAddress, "IP:port", once both listen.
     void start(const std::string &address, const std::string &peerAddress);
-    void setState(std::uint64_t configurationOffset, bool logReachable);
     void beginLeaving();
     void onEndpointLeaving(const std::string &address, const std::string &incarnation);
 
--- a/packages/runs/include/masticlever/runs/learned-planner.h
+++ b/packages/runs/include/masticlever/runs/learned-planner.h
@@ -19,6 +19,8 @@
 public:
     explicit learned_planner(routing::estimate_options options = {}) : m_estimates(options) { }
 
+    const routing::stage_estimates &estimates() const { return m_estimates; }
+
     common::duration callTimeout(const stage_ref &stage, common::duration remaining) override;
     std::optional<common::duration> hedgeDelay(const stage_ref &stage) override;
     common::duration expectedFrom(const stage_ref &stage) override;
