--- a/tests/process/drain-test.cpp
+++ b/tests/process/drain-test.cpp
@@ -17,6 +17,7 @@
     setup->fault(u"order-1"_s, u"slow"_s, 1, 1'500);
 
     std::vector<http_call_ptr> streams;
+    streams.reserve(8);
     for (int i = 0; i < 8; ++i) {
         streams.push_back(setup->send(0, u"chat"_s, request(u"lot %1"_s.arg(i), 150), {.stream = true}));
     }
--- a/tests/process/load-test.cpp
+++ b/tests/process/load-test.cpp
@@ -52,6 +52,7 @@
     SECTION("32 streams to one endpoint begin at once")
     {
         std::vector<http_call_ptr> streams;
+        streams.reserve(32);
         for (int i = 0; i < 32; ++i) {
             streams.push_back(setup->send(0, u"advice"_s, request(u"lot %1"_s.arg(i), 400), {.stream = true}));
         }
--- a/tests/process/orders-test.cpp
+++ b/tests/process/orders-test.cpp
@@ -107,6 +107,7 @@
     SECTION("at three instances at once: one sends")
     {
         std::vector<http_call_ptr> calls;
+        calls.reserve(9);
         for (int i = 0; i < 9; ++i) {
             calls.push_back(setup->send(static_cast<std::size_t>(i % 3), u"booking"_s, body, caller));
         }
