--- a/packages/ledger/include/masticlever/ledger/ledger.h
+++ b/packages/ledger/include/masticlever/ledger/ledger.h
@@ -115,13 +115,14 @@
     std::size_t entriesPerRecord = 64;
     std::size_t recordBytes = 1048576;
     /// For so long after a refusal requests that arrive cannot claim the key: covers copies that are under way.
-    /// At least twice claimTimeout.
-    std::chrono::milliseconds refusalHold = std::chrono::seconds(5);
+    /// Raised to claimTimeout, readTimeout and two seconds of transit together if it is less.
+    std::chrono::milliseconds refusalHold = std::chrono::seconds(7);
     std::chrono::milliseconds peerNotice = std::chrono::seconds(1); ///< largest age of what peers say of the log
     /// After a longer one, keys from before its end cannot be claimed for refusalHold.
     std::chrono::milliseconds shortOutage = std::chrono::seconds(1);
-    /// Without a read for so long the log counts as unreachable; reads wait for less.
-    common::duration readTimeout = std::chrono::seconds(10);
+    /// Without a read for so long the log counts as unreachable, and so does a stall of the process; reads wait for
+    /// a third of it at most.
+    common::duration readTimeout = std::chrono::seconds(3);
     /// An unfinished run is written again when its last full record is older; well below the log's retention.
     std::chrono::milliseconds carryAfter = std::chrono::hours(6);
     common::duration retryInterval = std::chrono::milliseconds(500); ///< between appends of one outcome
@@ -151,6 +152,7 @@
     void onRecords(const platform::log_batch &batch, common::instant now, common::wall_time wallNow);
     void onReadFailed(common::instant now, common::wall_time wallNow);
     void onAppendEnded(std::uint64_t id, common::result<platform::log_offset> outcome, common::instant now);
+    /// Called at least every half of ledger_options::peerNotice; a longer gap makes absence uncertain.
     void onTimer(common::instant now);
     /// Whether any live peer says that it reaches the log.
     void setPeerReachesLog(bool reachable);
@@ -180,6 +182,9 @@
     /// The log has been read up to its end since the start.
     bool isCaughtUp() const;
     bool isLogReachable() const;
+    /// Caught up, and so long ago that no peer says "not run" without a record in the belief that nobody reaches the
+    /// log. Before that the balancer sends this instance no request.
+    bool isReady(common::instant now) const;
     platform::log_offset nextOffset() const;
 
     /// Unfinished runs whose owner is in \p lost.
--- a/packages/ledger/src/detail/ledger-state.cpp
+++ b/packages/ledger/src/detail/ledger-state.cpp
@@ -164,8 +164,7 @@
 /// With the log reachable only a recorded refusal is certain.
 bool run_ledger::state::isNotRunCertain(const run_key &run, instant now) const
 {
-    const bool isDown = !reach.isReachable() || reach.hasReadTimedOut(now, options);
-    return isDown && !table.find(run) && reach.isAbsenceCertain(common::keyTime(run.key), now, options);
+    return !reach.isCurrent(now) && !table.find(run) && reach.isAbsenceCertain(common::keyTime(run.key), now);
 }
 
 void run_ledger::state::endClaim(const std::string &nonce, instant now)
@@ -217,8 +216,7 @@
     const detail::run_state *present = table.find(request.run);
     const wall_time created = common::keyTime(request.run.key);
     const bool isAccepted = present && present->open;
-    const bool isReadCurrent = reach.isCaughtUp() && reach.isReachable() && !reach.hasReadTimedOut(now, options);
-    if (isAccepted ? !isReadCurrent : !reach.mayClaim(created, request.arrivedAt, now, options)) {
+    if (isAccepted ? !reach.isCurrent(now) : !reach.mayClaim(created, request.arrivedAt, now)) {
         events.emplace_back(claim_unavailable{request.run, request.stage, isNotRunCertain(request.run, now)});
         return;
     }
--- a/packages/ledger/src/detail/ledger-state.h
+++ b/packages/ledger/src/detail/ledger-state.h
@@ -26,9 +26,10 @@
         bool isRecorded = false;
     };
 
-    explicit state(ledger_options given) : options(std::move(given)), out(options)
+    explicit state(ledger_options given) : options(std::move(given)), out(options), reach(options)
     {
-        const auto shortest = std::chrono::ceil<std::chrono::milliseconds>(2 * options.claimTimeout);
+        const common::duration least = options.claimTimeout + options.readTimeout + detail::longestTransit;
+        const auto shortest = std::chrono::ceil<std::chrono::milliseconds>(least);
         options.refusalHold = std::max(options.refusalHold, shortest);
     }
 
--- a/packages/ledger/src/detail/reachability.cpp
+++ b/packages/ledger/src/detail/reachability.cpp
@@ -5,17 +5,20 @@
 namespace masticlever::ledger::detail
 {
 
+using common::instant;
+using common::wall_time;
 using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 
-void reachability::onReadEnded(bool isComplete, common::instant now, common::wall_time wallNow)
+void reachability::onReadEnded(bool isComplete, instant now, wall_time wallNow)
 {
     m_clockPair = now;
     m_wallPair = wallNow;
-    if (!m_reachable) {
-        m_reachable = true;
-        m_reachableSince = now;
+    if (!m_reachable || isStale(now)) {
         m_outageBefore = m_hasBeenReachable ? now - m_lastRead : common::duration(0);
+        m_reachableSince = now;
+        m_firstRead = m_hasBeenReachable ? m_firstRead : now;
+        m_reachable = true;
         m_hasBeenReachable = true;
     }
     m_lastRead = now;
@@ -26,7 +29,7 @@
     onTimer(now);
 }
 
-void reachability::onReadFailed(common::instant now, common::wall_time wallNow)
+void reachability::onReadFailed(instant now, wall_time wallNow)
 {
     m_clockPair = now;
     m_wallPair = wallNow;
@@ -34,56 +37,61 @@
     onTimer(now);
 }
 
-bool reachability::hasReadTimedOut(common::instant now, const ledger_options &options) const
-{
-    return m_reachable && now - m_lastRead > options.readTimeout;
-}
-
-bool reachability::mayClaim(common::wall_time keyCreated, common::instant arrivedAt, common::instant now,
-                            const ledger_options &options) const
-{
-    if (!m_caughtUp || !m_reachable || arrivedAt < m_reachableSince || hasReadTimedOut(now, options)) {
-        return false;
-    }
-    if (m_outageBefore <= options.shortOutage || now >= m_reachableSince + options.refusalHold) {
-        return true;
-    }
-    return keyCreated > wallAt(m_reachableSince) + options.clockSkew + options.peerNotice;
-}
-
 void reachability::setPeerReaches(bool reachable)
 {
     m_peerLossIsNew = m_peerLossIsNew || (m_peerReaches && !reachable);
     m_peerReaches = reachable;
 }
 
-void reachability::onTimer(common::instant now)
+void reachability::onTimer(instant now)
 {
-    if (m_peerReaches || m_peerLossIsNew) {
+    m_reachable = m_reachable && !isStale(now);
+    if (m_peerReaches || m_peerLossIsNew || hasStalled(now)) {
         m_peerReachedUntil = now;
     }
+    m_lastEvent = now;
     m_peerLossIsNew = false;
 }
 
-common::wall_time reachability::wallAt(common::instant now) const
+wall_time reachability::wallAt(instant now) const
 {
     return m_wallPair + duration_cast<milliseconds>(now - m_clockPair);
 }
 
-bool reachability::isAbsenceCertain(common::wall_time keyCreated, common::instant now,
-                                    const ledger_options &options) const
+bool reachability::isCurrent(instant now) const
+{
+    return m_caughtUp && m_reachable && !isStale(now);
+}
+
+bool reachability::isReady(instant now) const
+{
+    return m_caughtUp && now >= m_firstRead + m_options->peerNotice + longestTransit;
+}
+
+bool reachability::mayClaim(wall_time keyCreated, instant arrivedAt, instant now) const
+{
+    if (!isCurrent(now) || arrivedAt < m_reachableSince) {
+        return false;
+    }
+    if (m_outageBefore <= m_options->shortOutage || now >= m_reachableSince + m_options->refusalHold) {
+        return true;
+    }
+    return keyCreated > wallAt(m_reachableSince) + m_options->clockSkew + m_options->peerNotice;
+}
+
+bool reachability::isAbsenceCertain(wall_time keyCreated, instant now) const
 {
     if (!m_caughtUp) {
         return false;
     }
-    if (m_reachable && !hasReadTimedOut(now, options)) {
-        return now - m_completeReadEnd <= options.readFreshness;
+    if (isCurrent(now)) {
+        return now - m_completeReadEnd <= m_options->readFreshness;
     }
-    if (m_peerReaches || m_peerLossIsNew) {
+    if (m_peerReaches || m_peerLossIsNew || hasStalled(now)) {
         return false;
     }
-    const common::instant lastReached = std::max(m_completeReadEnd, m_peerReachedUntil);
-    const milliseconds margin = options.clockSkew + options.peerNotice + options.shortOutage;
+    const instant lastReached = std::max(m_completeReadEnd, m_peerReachedUntil);
+    const milliseconds margin = m_options->clockSkew + m_options->peerNotice + m_options->shortOutage;
     return keyCreated > wallAt(lastReached) + margin;
 }
 
--- a/packages/ledger/src/detail/run-table.cpp
+++ b/packages/ledger/src/detail/run-table.cpp
@@ -265,6 +265,7 @@
     state.changedAt = m_logTime + e.hold;
     state.text = std::string();
     state.digestLength = 0;
+    state.pipeline = 0;
     state.open.reset();
     m_open.erase(key);
 }
--- a/packages/ledger/src/detail/run-table.h
+++ b/packages/ledger/src/detail/run-table.h
@@ -101,7 +101,7 @@
     std::map<packed_key, platform::log_offset> m_orphans; ///< newest entry of runs whose start was not read
     std::vector<std::string> m_teams;
     std::unordered_map<std::string, std::uint32_t> m_teamNumbers;
-    std::vector<std::string> m_pipelines;
+    std::vector<std::string> m_pipelines{std::string()}; ///< the first stands for none
     wall_time m_logTime; ///< newest time stamp of the log service
     wall_time m_nextSweep;
     wall_time m_firstRead; ///< service time of the first record read; zero when the log was read from offset 1
--- a/packages/ledger/src/ledger.cpp
+++ b/packages/ledger/src/ledger.cpp
@@ -100,7 +100,7 @@
 
 bool run_ledger::isAbsenceCertain(wall_time keyCreated, instant now) const
 {
-    return m_state->reach.isAbsenceCertain(keyCreated, now, m_state->options);
+    return m_state->reach.isAbsenceCertain(keyCreated, now);
 }
 
 bool run_ledger::isCaughtUp() const
@@ -113,6 +113,11 @@
     return m_state->reach.isReachable();
 }
 
+bool run_ledger::isReady(instant now) const
+{
+    return m_state->reach.isReady(now);
+}
+
 platform::log_offset run_ledger::nextOffset() const
 {
     return m_state->next;
--- a/packages/ledger/test/ledger-test.cpp
+++ b/packages/ledger/test/ledger-test.cpp
@@ -1,3 +1,5 @@
+#include "run-names.h"
+
 #include <masticlever/ledger/ledger.h>
 
 #include <catch2/catch.hpp>
@@ -13,12 +15,9 @@
 
 const common::wall_time epochTime{1790000000000ms};
 
-run_key runNamed(const std::string &team, int number, common::wall_time created = epochTime)
+run_key runNamed(const std::string &team, unsigned number)
 {
-    char text[40];
-    const auto ms = static_cast<unsigned long long>(created.time_since_epoch().count());
-    std::snprintf(text, sizeof text, "%08llx-%04llx-7000-8000-%012x", ms >> 16U, ms & 0xffffU, number);
-    return {team, text};
+    return test::runNamed(team, number, epochTime);
 }
 
 /// A log in memory, with a virtual clock.
