--- a/packages/ledger/include/masticlever/ledger/ledger.h
+++ b/packages/ledger/include/masticlever/ledger/ledger.h
@@ -185,6 +185,8 @@
     /// Caught up, and so long ago that no peer says "not run" without a record in the belief that nobody reaches the
     /// log. Before that the balancer sends this instance no request.
     bool isReady(common::instant now) const;
+    /// Nothing of this instance is on its way to the log.
+    bool isIdle() const;
     platform::log_offset nextOffset() const;
 
     /// Unfinished runs whose owner is in \p lost.
--- a/packages/ledger/src/ledger.cpp
+++ b/packages/ledger/src/ledger.cpp
@@ -118,6 +118,11 @@
     return m_state->reach.isReady(now);
 }
 
+bool run_ledger::isIdle() const
+{
+    return m_state->out.isEmpty();
+}
+
 platform::log_offset run_ledger::nextOffset() const
 {
     return m_state->next;
