Let an instance's capacity follow the utilisation of the limiting pool

Cause: a fixed headroom of 1.5 over the equal share refused requests at load 0.7, because requests spread unevenly over 14 instances, and filled the engines' queues past saturation.

--- a/bench/policy/entry-instance.cpp
+++ b/bench/policy/entry-instance.cpp
@@ -18,8 +18,7 @@
 constexpr common::duration appendDelay = 3ms;
 constexpr common::duration readDelay = 2ms;
 constexpr common::duration keepAliveInterval = 200ms;
-constexpr common::duration housekeepingInterval = 500ms;
-constexpr double capacityHeadroom = 1.5; ///< requests spread unevenly over the instances
+constexpr common::duration housekeepingInterval = 100ms;
 
 routing::router_options withName(routing::router_options options, const std::string &name)
 {
@@ -214,13 +213,13 @@
 
 void entry_instance::adjustCapacity()
 {
-    double fleet = 0;
+    double share = 0;
     for (const auto &[name, pipeline] : m_configuration->pipelines) {
-        fleet = std::max(fleet, routing::sustainableInFlight(name, pipeline.spec, m_planner.estimates(), m_router));
+        const auto fleet = routing::capacityOf(name, pipeline.spec, m_planner.estimates(), m_router, m_clock.now());
+        share = std::max(share, routing::instanceShare(fleet, m_options.fleetSize));
     }
-    if (fleet > 0) {
-        const double own = fleet * capacityHeadroom / static_cast<double>(m_options.fleetSize);
-        m_admission.setCapacity(static_cast<std::size_t>(std::ceil(own)));
+    if (share > 0) {
+        m_admission.setCapacity(static_cast<std::size_t>(std::ceil(share)));
     }
     probe();
     m_clock.schedule(housekeepingInterval, [this] {
--- a/packages/routing/include/masticlever/routing/capacity.h
+++ b/packages/routing/include/masticlever/routing/capacity.h
@@ -12,9 +12,18 @@
 namespace masticlever::routing
 {
 
-/// Little's law on the stage whose pool limits the rate: requests of \p pipeline in flight, over the whole fleet,
-/// that keep every slot of that pool busy. Zero while stages are not known.
-double sustainableInFlight(std::string_view pipeline, const configuration::pipeline_spec &spec,
-                           const stage_estimates &estimates, const router &router);
+struct pipeline_capacity {
+    double inFlight = 0; ///< over the whole fleet; 0 while stages are not known
+    double utilisation = 0; ///< of the limiting pool, queued calls included
+};
+
+/// Little's law on the stage whose pool limits the rate: requests of \p pipeline in flight that keep every slot of
+/// that pool busy.
+pipeline_capacity capacityOf(std::string_view pipeline, const configuration::pipeline_spec &spec,
+                             const stage_estimates &estimates, const router &router, common::instant now);
+
+/// Requests that one of \p instances equal instances may have in flight. Requests spread unevenly, so an instance
+/// may go far above its equal share while the pool has room, and not above it once the pool is full.
+double instanceShare(const pipeline_capacity &fleet, std::size_t instances);
 
 } // namespace masticlever::routing
--- a/packages/routing/include/masticlever/routing/router.h
+++ b/packages/routing/include/masticlever/routing/router.h
@@ -107,6 +107,8 @@
     std::size_t poolSize(std::string_view pool) const;
     /// Slots of all endpoints of \p pool that take work.
     std::size_t poolSlots(std::string_view pool) const;
+    /// Estimated calls of the whole fleet at these endpoints, running and queued there, per slot.
+    double poolUtilisation(std::string_view pool, common::instant now) const;
 
 private:
     struct state;
--- a/packages/routing/src/policies.cpp
+++ b/packages/routing/src/policies.cpp
@@ -1,5 +1,6 @@
 #include <masticlever/routing/router.h>
 
+#include "detail/load-estimate.h"
 #include "detail/rendezvous.h"
 
 #include <masticlever/common/digest.h>
@@ -13,7 +14,6 @@
 namespace
 {
 
-constexpr double reportHalfWeightUs = 500000; ///< age at which a report counts half
 constexpr double affinityOverload = 1.25; ///< times the mean utilisation that an affine endpoint may have
 constexpr double affinityFreeUtilisation = 0.7; ///< up to this an affine endpoint is always taken
 constexpr std::size_t prefixBytes = 256;
@@ -43,46 +43,10 @@
     return (static_cast<double>(endpoint.inFlight) + 1) / capacity;
 }
 
-double reportWeight(const candidate &endpoint, common::instant now)
-{
-    if (endpoint.reportedAt == common::instant{}) {
-        return 0;
-    }
-    const auto age = static_cast<double>((now - endpoint.reportedAt).count());
-    return reportHalfWeightUs / (reportHalfWeightUs + std::max(age, 0.0));
-}
-
-/// Calls of other instances as last reported.
-double reportedByOthers(const candidate &endpoint)
-{
-    return std::max(0.0, endpoint.reportedLoad - static_cast<double>(endpoint.inFlightAtReport));
-}
-
-/// Mean of the reported calls of other instances, weighted by the age of the reports.
-double usualOthers(std::span<const candidate> candidates, common::instant now)
-{
-    double sum = 0;
-    double weights = 0;
-    for (const candidate &endpoint : candidates) {
-        const double weight = reportWeight(endpoint, now);
-        sum += weight * reportedByOthers(endpoint);
-        weights += weight;
-    }
-    return weights > 0 ? sum / weights : 0;
-}
-
-/// Estimated calls at \p endpoint: own ones exactly, others from the report, which fades to \p usual.
-double agedLoad(const candidate &endpoint, double usual, common::instant now)
-{
-    const double weight = reportWeight(endpoint, now);
-    const double others = weight * reportedByOthers(endpoint) + (1 - weight) * usual;
-    return static_cast<double>(endpoint.inFlight) + others;
-}
-
 double agedScore(const candidate &endpoint, double usual, common::instant now)
 {
     const double capacity = static_cast<double>(endpoint.slots) * endpoint.startWeight;
-    return (agedLoad(endpoint, usual, now) + 1) / capacity;
+    return (detail::agedLoad(endpoint, usual, now) + 1) / capacity;
 }
 
 class random_policy : public choice_policy
@@ -146,7 +110,7 @@
             return 0;
         }
         const index_pair drawn = drawTwo(candidates.size(), request.random);
-        const double usual = usualOthers(candidates, request.now);
+        const double usual = detail::usualOthers(candidates, request.now);
         const double first = agedScore(candidates[drawn.first], usual, request.now);
         const double second = agedScore(candidates[drawn.second], usual, request.now);
         return second < first ? drawn.second : drawn.first;
@@ -162,12 +126,12 @@
         if (request.prefixHash == 0 || candidates.size() == 1) {
             return m_fallback.choose(candidates, request);
         }
-        const double usual = usualOthers(candidates, request.now);
+        const double usual = detail::usualOthers(candidates, request.now);
         const double bound = loadBound(candidates, usual, request.now);
         const index_pair best = highestRanks(candidates, request.prefixHash);
         for (const std::size_t index : {best.first, best.second}) {
             const candidate &endpoint = candidates[index];
-            if (agedLoad(endpoint, usual, request.now) <= bound * static_cast<double>(endpoint.slots)) {
+            if (detail::agedLoad(endpoint, usual, request.now) <= bound * static_cast<double>(endpoint.slots)) {
                 return index;
             }
         }
@@ -181,7 +145,7 @@
         double load = 0;
         double slots = 0;
         for (const candidate &endpoint : candidates) {
-            load += agedLoad(endpoint, usual, now);
+            load += detail::agedLoad(endpoint, usual, now);
             slots += static_cast<double>(endpoint.slots);
         }
         return std::max(affinityFreeUtilisation, affinityOverload * load / slots);
--- a/packages/routing/src/router.cpp
+++ b/packages/routing/src/router.cpp
@@ -1,5 +1,6 @@
 #include <masticlever/routing/router.h>
 
+#include "detail/load-estimate.h"
 #include "detail/pool.h"
 #include "detail/rendezvous.h"
 
@@ -259,6 +260,28 @@
     return owner == m_state->pools.end() ? 0 : owner->second.members().size();
 }
 
+double router::poolUtilisation(std::string_view pool, common::instant now) const
+{
+    const auto owner = m_state->pools.find(pool);
+    if (owner == m_state->pools.end()) {
+        return 0;
+    }
+    std::vector<candidate> serving;
+    double slots = 0;
+    for (const member &endpoint : owner->second.members()) {
+        if (endpoint.takesWork() && endpoint.health.currentPhase() == endpoint_health::phase::serving) {
+            serving.push_back(endpoint.view);
+            slots += static_cast<double>(endpoint.view.slots);
+        }
+    }
+    const double usual = detail::usualOthers(serving, now);
+    double load = 0;
+    for (const candidate &endpoint : serving) {
+        load += detail::agedLoad(endpoint, usual, now);
+    }
+    return slots > 0 ? load / slots : 0;
+}
+
 std::size_t router::poolSlots(std::string_view pool) const
 {
     const auto owner = m_state->pools.find(pool);
--- a/packages/routing/test/capacity-test.cpp
+++ b/packages/routing/test/capacity-test.cpp
@@ -25,17 +25,30 @@
     routing::router router({});
     router.update(snapshot, common::instant{1s});
     routing::stage_estimates estimates;
-    CHECK(routing::sustainableInFlight("advice", spec, estimates, router) == 0);
+    const common::instant now{1s};
+    CHECK(routing::capacityOf("advice", spec, estimates, router, now).inFlight == 0);
 
     for (int i = 0; i < 50; ++i) {
         estimates.onAnswered("advice", "lookup", 10ms);
         estimates.onAnswered("advice", "generate", 1s);
     }
-    CHECK(routing::sustainableInFlight("advice", spec, estimates, router) == Approx(16.2).epsilon(0.02));
+    CHECK(routing::capacityOf("advice", spec, estimates, router, now).inFlight == Approx(16.2).epsilon(0.02));
+
+    SECTION("an instance may exceed its equal share only while the pool has room")
+    {
+        const auto idle = routing::capacityOf("advice", spec, estimates, router, now);
+        CHECK(routing::instanceShare(idle, 4) > 12);
+        for (const std::string name : {"engine-1", "engine-2"}) {
+            router.onLoadReport(name, 9, 0ms, now);
+        }
+        const auto full = routing::capacityOf("advice", spec, estimates, router, now);
+        CHECK(full.utilisation > 1);
+        CHECK(routing::instanceShare(full, 4) <= 4.1);
+    }
 
     SECTION("an endpoint that leaves takes its slots with it")
     {
         router.setLeaving("engine-2", true);
-        CHECK(routing::sustainableInFlight("advice", spec, estimates, router) == Approx(8.1).epsilon(0.02));
+        CHECK(routing::capacityOf("advice", spec, estimates, router, now).inFlight == Approx(8.1).epsilon(0.02));
     }
 }
