Let a team that got less than its share save up credit

Cause: with some four requests a second on each instance, a small team's share is less than one request a second there, and its ordinary bursts exceeded it: refused although within its share over any ten seconds.

--- a/packages/admission/src/admission.cpp
+++ b/packages/admission/src/admission.cpp
@@ -50,9 +50,9 @@
     ticket lastTicket = 0;
 
     bool hasRoom() const { return static_cast<double>(inFlight.size()) < capacity.value(); }
-    bool mayBorrow(const team_state &team) const;
+    bool mayBorrow(const team_state &team, double cost) const;
     common::duration drainTime(std::size_t requests, common::instant now) const;
-    common::duration expectedWait(const team_state &team, common::instant now) const;
+    common::duration expectedWait(const team_state &team, double cost, common::instant now) const;
     void start(team_map::value_type &team, ticket id, double startTag);
     decision admit(team_map::value_type &team, double cost);
     decision enqueue(team_map::value_type &team, const entry_request &entry, double cost, common::instant now);
@@ -62,13 +62,10 @@
 
 /// A team below its share of the capacity starts at once, even when others hold all of it: what they hold drains
 /// slowly on an instance with few requests a second, and the share would come too late.
-bool controller::state::mayBorrow(const team_state &team) const
+bool controller::state::mayBorrow(const team_state &team, double cost) const
 {
-    if (static_cast<double>(inFlight.size()) >= capacity.value() * (1 + borrowedShare)) {
-        return false;
-    }
-    const double share = capacity.value() * team.weight / queue.activeWeight(team);
-    return static_cast<double>(team.inFlight) + 1 <= std::max(share, 1.0);
+    const double limit = capacity.value() * (1 + borrowedShare);
+    return static_cast<double>(inFlight.size()) < limit && team.queue.empty() && queue.isBehind(team, cost);
 }
 
 common::duration controller::state::drainTime(std::size_t requests, common::instant now) const
@@ -81,12 +78,12 @@
 }
 
 /// Time until a new request of \p team would start.
-common::duration controller::state::expectedWait(const team_state &team, common::instant now) const
+common::duration controller::state::expectedWait(const team_state &team, double cost, common::instant now) const
 {
     if (queue.size() == 0 && hasRoom()) {
         return common::duration::zero();
     }
-    if (team.queue.empty() && mayBorrow(team)) {
+    if (mayBorrow(team, cost)) {
         return common::duration::zero();
     }
     const std::size_t before = queue.countBefore(queue.startTagFor(team));
@@ -170,7 +167,7 @@
     if (m_state->inFlight.empty() && entry.remaining > common::duration::zero()) {
         return m_state->admit(team, cost);
     }
-    const common::duration wait = m_state->expectedWait(team.second, now);
+    const common::duration wait = m_state->expectedWait(team.second, cost, now);
     const common::duration spare = entry.remaining - entry.expectedService;
     if (wait > spare) {
         return refused(refusal_reason::deadline_unreachable, wait - std::max(spare, common::duration::zero()));
@@ -179,7 +176,7 @@
         return refused(refusal_reason::queue_timeout, wait - m_state->options.queueLimit);
     }
     const bool firstInLine = m_state->queue.size() == 0 && m_state->hasRoom();
-    if (firstInLine || (team.second.queue.empty() && m_state->mayBorrow(team.second))) {
+    if (firstInLine || m_state->mayBorrow(team.second, cost)) {
         return m_state->admit(team, cost);
     }
     return m_state->enqueue(team, entry, cost, now);
--- a/packages/admission/src/detail/fair-queue.cpp
+++ b/packages/admission/src/detail/fair-queue.cpp
@@ -5,6 +5,13 @@
 namespace masticlever::admission::detail
 {
 
+namespace
+{
+
+constexpr double creditLimit = 10; ///< seconds of service for each unit of weight
+
+} // namespace
+
 team_map::value_type &fair_queue::team(std::string_view name, double weight)
 {
     auto found = m_teams.find(name);
@@ -18,14 +25,19 @@
 
 void fair_queue::forget(team_map::value_type &idle)
 {
-    if (!idle.second.isActive() && idle.second.finishTag <= m_virtualTime) {
+    if (!idle.second.isActive() && idle.second.finishTag <= m_virtualTime - creditLimit) {
         m_teams.erase(m_teams.find(idle.first));
     }
 }
 
 double fair_queue::startTagFor(const team_state &team) const
 {
-    return std::max(m_virtualTime, team.finishTag);
+    return std::max(m_virtualTime - creditLimit, team.finishTag);
+}
+
+bool fair_queue::isBehind(const team_state &team, double cost) const
+{
+    return startTagFor(team) + cost / team.weight <= m_virtualTime;
 }
 
 double fair_queue::charge(team_state &team, double cost) const
@@ -94,13 +106,4 @@
     return count;
 }
 
-double fair_queue::activeWeight(const team_state &self) const
-{
-    double sum = self.isActive() ? 0 : self.weight;
-    for (const auto &[name, team] : m_teams) {
-        sum += team.isActive() ? team.weight : 0;
-    }
-    return sum;
-}
-
 } // namespace masticlever::admission::detail
--- a/packages/admission/src/detail/fair-queue.h
+++ b/packages/admission/src/detail/fair-queue.h
@@ -34,8 +34,8 @@
 
 using team_map = std::map<std::string, team_state, std::less<>>;
 
-/// The teams with their queues. A team that was idle starts at the present virtual time: it neither saves up
-/// credit nor pays for use while nobody waited.
+/// The teams with their queues. Virtual time advances with the service that the busiest teams get for their weight;
+/// a team that got less saves up a limited credit, so that a small team's short bursts stay within its share.
 class fair_queue
 {
 public:
@@ -54,11 +54,11 @@
     /// False when \p id does not wait.
     bool erase(ticket id);
 
+    /// Whether \p team has had no more than its share, one more request of \p cost included.
+    bool isBehind(const team_state &team, double cost) const;
     /// Entries that would be served before one with \p startTag.
     std::size_t countBefore(double startTag) const;
     double startTagFor(const team_state &team) const;
-    /// Sum of the weights of teams with requests in flight or queued, and of \p self.
-    double activeWeight(const team_state &self) const;
     std::size_t size() const { return m_size; }
     team_map &teams() { return m_teams; }
     const team_map &teams() const { return m_teams; }
