Leave the affine engine as soon as it is busier than the mean

Cause: popular prefixes pulled their engine up to 1.25 times the mean utilisation, so it queued while others had free slots.

--- a/packages/routing/src/policies.cpp
+++ b/packages/routing/src/policies.cpp
@@ -14,7 +14,7 @@
 namespace
 {
 
-constexpr double affinityOverload = 1.25; ///< times the mean utilisation that an affine endpoint may have
+constexpr double affinityOverload = 1.0; ///< times the mean utilisation that an affine endpoint may have
 constexpr double affinityFreeUtilisation = 0.7; ///< up to this an affine endpoint is always taken
 constexpr std::size_t prefixBytes = 256;
 
