Let a request wait up to 1.5 s for its start

Cause: 98 of 100 refusals of small teams at load 2.0 came from the queue's limit of 500 ms, with three seconds of the deadline unused.

--- a/packages/admission/include/masticlever/admission/admission.h
+++ b/packages/admission/include/masticlever/admission/admission.h
@@ -48,7 +48,7 @@
 struct admission_options {
     std::size_t capacity = 64; ///< requests in flight on this instance at first
     std::size_t minimumCapacity = 4;
-    common::duration queueLimit = std::chrono::milliseconds(500); ///< longest wait of a queued request
+    common::duration queueLimit = std::chrono::milliseconds(1500); ///< longest wait of a queued request
 };
 
 class controller
