--- a/packages/configuration/include/masticlever/configuration/snapshot-writer.h
+++ b/packages/configuration/include/masticlever/configuration/snapshot-writer.h
@@ -19,7 +19,7 @@
     std::uint64_t records = 200; ///< changes since the newest snapshot; well below the log's retention
     std::chrono::milliseconds refresh = std::chrono::hours(1); ///< age at which a quiet log gets a new one
     common::duration stagger = std::chrono::seconds(5); ///< head start of each rank over the next
-    common::duration retryInterval = std::chrono::seconds(30); ///< after an append that was lost or refused
+    common::duration retryInterval = std::chrono::seconds(5); ///< after an append that was lost or refused
 };
 
 class snapshot_writer
@@ -31,8 +31,9 @@
     /// among the live ones, from 0.
     std::optional<std::string> poll(const replayer &replayed, std::size_t rank, common::instant now,
                                     common::wall_time wallNow);
-    /// The append has ended, whatever came of it.
-    void onAppendEnded(common::instant now);
+    /// The append has ended. One that was lost or refused is tried again after the retry interval; one that is in the
+    /// log is waited for in the replay, so that the next one may follow at once.
+    void onAppendEnded(bool isAppended, common::instant now);
 
     /// Whether retention could take the base away unless a new snapshot is written.
     bool isDue(const replayer &replayed, common::wall_time wallNow) const;
@@ -41,6 +42,7 @@
     snapshot_writer_options m_options;
     std::optional<common::instant> m_dueSince;
     common::instant m_notBefore = common::instant::min();
+    platform::log_offset m_awaited = 0; ///< offset covered by the snapshot that is to be read back
     bool m_inFlight = false;
 };
 
--- a/packages/configuration/src/snapshot-writer.cpp
+++ b/packages/configuration/src/snapshot-writer.cpp
@@ -28,17 +28,22 @@
         m_dueSince = now;
     }
     const common::instant turn = *m_dueSince + m_options.stagger * static_cast<common::duration::rep>(rank);
-    if (m_inFlight || now < turn || now < m_notBefore) {
+    const bool isReadBack = m_awaited != 0 && replayed.newestSnapshot().covers >= m_awaited;
+    if (m_inFlight || now < turn || (now < m_notBefore && !isReadBack)) {
         return std::nullopt;
     }
     m_inFlight = true;
+    m_awaited = replayed.current()->offset;
     return replayed.encodeSnapshot();
 }
 
-void snapshot_writer::onAppendEnded(common::instant now)
+void snapshot_writer::onAppendEnded(bool isAppended, common::instant now)
 {
     m_inFlight = false;
     m_notBefore = now + m_options.retryInterval;
+    if (!isAppended) {
+        m_awaited = 0;
+    }
 }
 
 bool snapshot_writer::isDue(const replayer &replayed, common::wall_time wallNow) const
--- a/packages/configuration/test/replay-faults-test.cpp
+++ b/packages/configuration/test/replay-faults-test.cpp
@@ -195,7 +195,7 @@
     } else {
         m_lateAppends.push_back(*payload);
     }
-    self.writer.onAppendEnded(m_now);
+    self.writer.onAppendEnded(true, m_now);
 }
 
 void world::passRecords(instance &to, instance &from)
--- a/packages/configuration/test/snapshot-writer-test.cpp
+++ b/packages/configuration/test/snapshot-writer-test.cpp
@@ -39,7 +39,7 @@
         REQUIRE(payload);
         CHECK_FALSE(writer.poll(reader, 0, start, wallStart));
         log.append(*payload);
-        writer.onAppendEnded(start);
+        writer.onAppendEnded(true, start);
         readAll(reader, log);
         CHECK_FALSE(writer.isDue(reader, wallStart));
 
@@ -49,6 +49,7 @@
             CHECK_FALSE(writer.isDue(reader, wallStart));
             grow(1);
             CHECK(writer.isDue(reader, wallStart));
+            CHECK(writer.poll(reader, 0, start, wallStart));
         }
         SECTION("or with time, so that a quiet log keeps its base")
         {
@@ -73,7 +74,7 @@
         SECTION("and try again some time after a lost append")
         {
             const auto later = start + 2 * options.stagger;
-            writer.onAppendEnded(later);
+            writer.onAppendEnded(false, later);
             CHECK_FALSE(writer.poll(reader, 2, later, wallStart));
             CHECK(writer.poll(reader, 2, later + options.retryInterval, wallStart));
         }
--- a/packages/masticleverd/src/configuration-host.cpp
+++ b/packages/masticleverd/src/configuration-host.cpp
@@ -152,7 +152,7 @@
         if (!self) {
             return;
         }
-        self->m_snapshots.onAppendEnded(presentMoment().now);
+        self->m_snapshots.onAppendEnded(outcome.has_value(), presentMoment().now);
         if (outcome) {
             logEvent(event::snapshot_written, {{"covers", covers}, {"offset", outcome.value()}});
         }
--- a/packages/masticleverd/src/daemon.cpp
+++ b/packages/masticleverd/src/daemon.cpp
@@ -25,6 +25,8 @@
 using telemetry::event;
 using telemetry::logEvent;
 
+constexpr std::chrono::milliseconds membershipInterval{400}; ///< below half of ledger_options::peerNotice
+
 routing::policy_kind policyOf(const std::string &name)
 {
     static const std::map<std::string, routing::policy_kind> kinds{
@@ -57,6 +59,7 @@
                                                                          .bodyLimitBytes = m_settings.bodyLimitBytes},
                                                  [this](gateway::exchange &one) { handle(one); });
     connect(&m_second, &QTimer::timeout, this, &daemon::everySecond);
+    connect(&m_membershipTick, &QTimer::timeout, this, &daemon::onMembershipChanged);
 }
 
 daemon::~daemon() = default;
@@ -165,6 +168,7 @@
     m_configuration->start();
     m_ledger->start();
     m_second.start(std::chrono::seconds(1));
+    m_membershipTick.start(membershipInterval);
     return {};
 }
 
@@ -210,7 +214,7 @@
     }
     if (probe == "readyz") {
         const bool isDraining = m_drainStartedAt != common::instant::max();
-        const bool isUp = isReady() && !isDraining;
+        const bool isUp = isReady() && m_ledger->core().isReady(presentMoment().now) && !isDraining;
         one.answer(isUp ? 200 : 503, "text/plain", isUp ? "ready\n" : (isDraining ? "leaving\n" : "not ready\n"));
         return;
     }
@@ -344,7 +348,6 @@
 void daemon::everySecond()
 {
     m_peers->setState(m_ledger->core().isLogReachable(), configuration()->offset);
-    onMembershipChanged();
     if (m_membership->isSettled()) {
         m_ledger->takeOrphans(m_membership->liveIncarnations(), m_incarnation);
     }
--- a/packages/masticleverd/src/daemon.h
+++ b/packages/masticleverd/src/daemon.h
@@ -85,6 +85,7 @@
     std::unique_ptr<gateway::operator_api> m_operators;
     std::unique_ptr<gateway::http_server> m_server;
     QTimer m_second;
+    QTimer m_membershipTick;
     common::instant m_drainStartedAt = common::instant::max();
     bool m_wasReady = false;
 };
--- a/packages/runs/include/masticlever/runs/run.h
+++ b/packages/runs/include/masticlever/runs/run.h
@@ -171,6 +171,7 @@
     std::vector<std::string> m_queryTargets; ///< names of the pool's endpoints
     std::uint32_t m_queries = 0;
     std::uint32_t m_waits = 0;
+    std::uint32_t m_refusals = 0; ///< asked of the ledger
     phase m_phase = phase::idle;
     bool m_recorded = false;
     bool m_claimed = false; ///< a claim of this run has been granted here
--- a/packages/runs/src/run-once.cpp
+++ b/packages/runs/src/run-once.cpp
@@ -12,13 +12,14 @@
 namespace
 {
 
-constexpr common::duration retryAfterOutage = std::chrono::seconds(5);
-constexpr common::duration retryAfterRefusal = std::chrono::seconds(5); ///< not below the ledger's refusalHold
+constexpr common::duration retryAfterOutage = std::chrono::seconds(7); ///< likewise
+constexpr common::duration retryAfterRefusal = std::chrono::seconds(7); ///< not below the ledger's refusalHold
 constexpr common::duration sendLimit = std::chrono::seconds(60);
 constexpr common::duration refusalLimit = std::chrono::seconds(3);
 constexpr common::duration queryTimeout = std::chrono::milliseconds(500);
 constexpr common::duration queryPause = std::chrono::milliseconds(200);
 constexpr std::uint32_t queryRounds = 3;
+constexpr std::uint32_t refusalLimitOfRun = 3;
 
 } // namespace
 
@@ -31,7 +32,8 @@
 {
     const auto &ledger = m_environment.ledger;
     const ledger::run_view view = ledger.find(m_request.key, at.wall);
-    if (view.standing == ledger::run_standing::absent && ledger.isLogReachable() && ledger.isCaughtUp()) {
+    const bool isUsable = ledger.isLogReachable() && ledger.isReady(at.now);
+    if (view.standing == ledger::run_standing::absent && isUsable) {
         const bool isOtherBody = !view.bodyDigest.empty() && view.bodyDigest != m_request.bodyDigest;
         if (!isOtherBody) {
             return true;
@@ -68,11 +70,8 @@
         return;
     }
     case ledger::run_standing::absent:
-        replyWith({.outcome = disposition::not_run,
-                   .detail = "another submission of this key was refused",
-                   .retryAfter = retryAfterRefusal},
-                  at);
-        end();
+        // Another instance's refusal may be older than a claim that has not been read here yet.
+        refuseClaim("another submission of this key was refused", retryAfterRefusal, at);
         return;
     case ledger::run_standing::expired:
         replyWith({.outcome = disposition::unknown, .detail = "the key is older than the recorded window"}, at);
@@ -112,10 +111,15 @@
 void run::refuseClaim(std::string detail, common::duration retryAfter, common::moment at)
 {
     const auto &ledger = m_environment.ledger;
-    if (!ledger.isLogReachable() || !ledger.isCaughtUp()) {
+    if (!ledger.isLogReachable() || !ledger.isReady(at.now)) {
         onClaimUnavailable(ledger.isAbsenceCertain(common::keyTime(m_request.key.key), at.now), at);
         return;
     }
+    if (m_refusals == refusalLimitOfRun) {
+        onClaimUnavailable(false, at);
+        return;
+    }
+    ++m_refusals;
     m_refusalDetail = std::move(detail);
     m_refusalRetryAfter = retryAfter;
     m_phase = phase::refusing;
