--- a/packages/routing/src/router.cpp
+++ b/packages/routing/src/router.cpp
@@ -1,5 +1,6 @@
 #include <masticlever/routing/router.h>
 
+#include "detail/load-estimate.h"
 #include "detail/pool.h"
 #include "detail/rendezvous.h"
 
@@ -52,7 +53,6 @@
     router_options options;
     std::unique_ptr<choice_policy> policy;
     pool_map pools;
-    std::map<std::string, pool *, std::less<>> poolOf; ///< by endpoint
     std::set<std::string, std::less<>> leaving; ///< addresses
 
     struct location {
@@ -61,6 +61,8 @@
 
         explicit operator bool() const { return endpoint != nullptr; }
     };
+    std::map<std::string, location, std::less<>> locations; ///< by endpoint
+
     location find(std::string_view endpoint);
     void addMember(pool_map &next, const std::string &name, const configuration::endpoint_spec &spec,
                    common::instant now);
@@ -69,11 +71,8 @@
 
 router::state::location router::state::find(std::string_view endpoint)
 {
-    const auto found = poolOf.find(endpoint);
-    if (found == poolOf.end()) {
-        return {};
-    }
-    return {found->second, found->second->find(endpoint)};
+    const auto found = locations.find(endpoint);
+    return found == locations.end() ? location{} : found->second;
 }
 
 void router::state::addMember(pool_map &next, const std::string &name, const configuration::endpoint_spec &spec,
@@ -132,12 +131,12 @@
             owner.inherit(before->second);
         }
     }
-    m_state->poolOf.clear();
+    m_state->locations.clear();
     m_state->pools = std::move(next);
     for (auto &[name, owner] : m_state->pools) {
         keepSubset(owner.members(), m_state->options);
-        for (const member &endpoint : owner.members()) {
-            m_state->poolOf.emplace(endpoint.view.name, &owner);
+        for (member &endpoint : owner.members()) {
+            m_state->locations.emplace(endpoint.view.name, state::location{&owner, &endpoint});
         }
     }
 }
@@ -174,6 +173,9 @@
 void router::onSent(std::string_view endpoint, common::instant now)
 {
     if (const auto at = m_state->find(endpoint)) {
+        if (at.endpoint->health.isProbeDue(now)) {
+            at.endpoint->health.startProbe();
+        }
         at.endpoint->health.onSent(at.endpoint->view.inFlight, now);
         ++at.endpoint->view.inFlight;
     }
@@ -258,6 +260,28 @@
     return owner == m_state->pools.end() ? 0 : owner->second.members().size();
 }
 
+double router::poolUtilisation(std::string_view pool, common::instant now) const
+{
+    const auto owner = m_state->pools.find(pool);
+    if (owner == m_state->pools.end()) {
+        return 0;
+    }
+    std::vector<candidate> serving;
+    double slots = 0;
+    for (const member &endpoint : owner->second.members()) {
+        if (endpoint.takesWork() && endpoint.health.currentPhase() == endpoint_health::phase::serving) {
+            serving.push_back(endpoint.view);
+            slots += static_cast<double>(endpoint.view.slots);
+        }
+    }
+    const double usual = detail::usualOthers(serving, now);
+    double load = 0;
+    for (const candidate &endpoint : serving) {
+        load += detail::agedLoad(endpoint, usual, now);
+    }
+    return slots > 0 ? load / slots : 0;
+}
+
 std::size_t router::poolSlots(std::string_view pool) const
 {
     const auto owner = m_state->pools.find(pool);
--- /dev/null
+++ b/packages/runs/include/masticlever/runs/learned-planner.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <masticlever/routing/retry-budget.h>
+#include <masticlever/routing/stage-estimates.h>
+#include <masticlever/runs/stage-planner.h>
+
+#include <map>
+#include <string>
+
+/// \file
+/// Time and retry allowances from what the stages of each pipeline have needed lately.
+
+namespace masticlever::runs
+{
+
+/// Plans by learnt quantiles and by a budget of retries for each pipeline.
+class learned_planner : public stage_planner
+{
+public:
+    explicit learned_planner(routing::estimate_options options = {}) : m_estimates(options) { }
+
+    const routing::stage_estimates &estimates() const { return m_estimates; }
+
+    common::duration callTimeout(const stage_ref &stage, common::duration remaining) override;
+    std::optional<common::duration> hedgeDelay(const stage_ref &stage) override;
+    common::duration expectedFrom(const stage_ref &stage) override;
+    void onAnswered(const stage_ref &stage, common::duration toFirstByte, common::duration whole) override;
+    bool takeRetry(const stage_ref &stage) override;
+    void onGivenUp(const stage_ref &stage, common::duration waited) override;
+
+private:
+    routing::retry_budget &budgetOf(const stage_ref &stage);
+
+    routing::stage_estimates m_estimates;
+    std::map<std::string, routing::retry_budget, std::less<>> m_budgets; ///< by pipeline
+};
+
+} // namespace masticlever::runs
--- a/packages/runs/src/run-once.cpp
+++ b/packages/runs/src/run-once.cpp
@@ -12,13 +12,14 @@
 namespace
 {
 
-constexpr common::duration retryAfterOutage = std::chrono::seconds(2);
-constexpr common::duration retryAfterRefusal = std::chrono::seconds(1);
+constexpr common::duration retryAfterOutage = std::chrono::seconds(7); ///< likewise
+constexpr common::duration retryAfterRefusal = std::chrono::seconds(7); ///< not below the ledger's refusalHold
 constexpr common::duration sendLimit = std::chrono::seconds(60);
 constexpr common::duration refusalLimit = std::chrono::seconds(3);
 constexpr common::duration queryTimeout = std::chrono::milliseconds(500);
 constexpr common::duration queryPause = std::chrono::milliseconds(200);
 constexpr std::uint32_t queryRounds = 3;
+constexpr std::uint32_t refusalLimitOfRun = 3;
 
 } // namespace
 
@@ -31,8 +32,8 @@
 {
     const auto &ledger = m_environment.ledger;
     const ledger::run_view view = ledger.find(m_request.key, at.wall);
-    if (view.standing == ledger::run_standing::absent && ledger.isLogReachable() && ledger.isCaughtUp()) {
-        m_epoch = view.at;
+    const bool isUsable = ledger.isLogReachable() && ledger.isReady(at.now);
+    if (view.standing == ledger::run_standing::absent && isUsable) {
         const bool isOtherBody = !view.bodyDigest.empty() && view.bodyDigest != m_request.bodyDigest;
         if (!isOtherBody) {
             return true;
@@ -69,11 +70,8 @@
         return;
     }
     case ledger::run_standing::absent:
-        replyWith({.outcome = disposition::not_run,
-                   .detail = "another submission of this key was refused",
-                   .retryAfter = retryAfterRefusal},
-                  at);
-        end();
+        // Another instance's refusal may be older than a claim that has not been read here yet.
+        refuseClaim("another submission of this key was refused", retryAfterRefusal, at);
         return;
     case ledger::run_standing::expired:
         replyWith({.outcome = disposition::unknown, .detail = "the key is older than the recorded window"}, at);
@@ -105,17 +103,23 @@
          .pipeline = m_request.pipelineName,
          .stage = m_stage,
          .position = detail::encodePosition({m_request.pipelineName, m_pipeline, m_request.body, m_results}),
-         .expected = m_epoch},
+         .expected = m_epoch,
+         .arrivedAt = m_arrivedAt},
         at.now);
 }
 
 void run::refuseClaim(std::string detail, common::duration retryAfter, common::moment at)
 {
     const auto &ledger = m_environment.ledger;
-    if (!ledger.isLogReachable() || !ledger.isCaughtUp()) {
+    if (!ledger.isLogReachable() || !ledger.isReady(at.now)) {
         onClaimUnavailable(ledger.isAbsenceCertain(common::keyTime(m_request.key.key), at.now), at);
         return;
     }
+    if (m_refusals == refusalLimitOfRun) {
+        onClaimUnavailable(false, at);
+        return;
+    }
+    ++m_refusals;
     m_refusalDetail = std::move(detail);
     m_refusalRetryAfter = retryAfter;
     m_phase = phase::refusing;
@@ -149,7 +153,7 @@
             sendOnce(at);
         }
     } else if (std::holds_alternative<ledger::claim_lost>(event)) {
-        if (m_phase == phase::claiming) {
+        if (m_phase == phase::claiming || m_phase == phase::refusing) {
             m_phase = phase::joining;
             onLedgerView(at);
             if (m_background && m_phase == phase::joining) {
@@ -230,6 +234,7 @@
         m_environment.planner.onAnswered(stageRef(), at.now - sentAt, at.now - sentAt);
         const std::string answer = isLastStage() ? detail::encodeAnswer({ended.body, false}) : std::string();
         m_environment.ledger.finishStage(m_request.key, m_stage, ended.body, answer, at.now);
+        m_answerRecorded = !answer.empty();
         m_ranOnce = true;
         completeStage(ended.body, at);
         return;
@@ -299,12 +304,8 @@
         = ended.status == call_status::answered ? detail::parseStatus(ended.body) : detail::status_answer{};
     if (status.state == detail::status_state::done) {
         m_wakeUp = common::instant::max();
-        const std::string answer = isLastStage() ? detail::encodeAnswer({status.result, false}) : std::string();
         m_environment.ledger.settle(m_request.key, m_stage, status.result, at.now);
         m_ranOnce = true;
-        if (!answer.empty()) {
-            m_environment.ledger.finishRun(m_request.key, answer, at.now);
-        }
         completeStage(status.result, at);
         return;
     }
