--- a/packages/masticleverd/src/daemon.cpp
+++ b/packages/masticleverd/src/daemon.cpp
@@ -2,6 +2,7 @@
 
 #include "signal-pipe.h"
 
+#include <masticlever/common/errors.h>
 #include <masticlever/gateway/problem.h>
 #include <masticlever/platform/http-platform.h>
 #include <masticlever/telemetry/events.h>
@@ -24,6 +25,8 @@
 using telemetry::event;
 using telemetry::logEvent;
 
+constexpr std::chrono::milliseconds membershipInterval{400}; ///< below half of ledger_options::peerNotice
+
 routing::policy_kind policyOf(const std::string &name)
 {
     static const std::map<std::string, routing::policy_kind> kinds{
@@ -56,6 +59,7 @@
                                                                          .bodyLimitBytes = m_settings.bodyLimitBytes},
                                                  [this](gateway::exchange &one) { handle(one); });
     connect(&m_second, &QTimer::timeout, this, &daemon::everySecond);
+    connect(&m_membershipTick, &QTimer::timeout, this, &daemon::onMembershipChanged);
 }
 
 daemon::~daemon() = default;
@@ -75,6 +79,55 @@
     ledgerOptions.claimTimeout = m_settings.claimTimeout;
     ledgerOptions.window = m_settings.ledgerWindow;
     m_ledger = std::make_unique<ledger_host>(*m_log, ledgerOptions, [this] { m_runs->pump(); });
+    buildPeers();
+    buildRuns();
+}
+
+void daemon::buildPeers()
+{
+    peers::peer_settings peerSettings;
+    peerSettings.listenAddress = m_settings.peers.toString();
+    peerSettings.key = m_settings.peersKey;
+    peerSettings.gossip.interval = m_settings.heartbeatInterval;
+    peers::peer_handlers handlers;
+    handlers.recordsFrom = [this](platform::log_offset from, std::size_t limit) { return recordsForPeer(from, limit); };
+    handlers.onRecords = [this](const platform::log_batch &batch) { return onPeerRecords(batch); };
+    handlers.onNews = [this] { onMembershipChanged(); };
+    handlers.onRefused = [](std::error_code reason, std::uint64_t count) {
+        logEvent(event::peer_message_refused, {{"reason", std::string_view(reason.message())}, {"count", count}});
+    };
+    m_peers
+        = std::make_unique<peers::peer_service>(std::move(peerSettings), m_membership->table(), std::move(handlers));
+}
+
+common::result<platform::log_batch> daemon::recordsForPeer(platform::log_offset from, std::size_t limit) const
+{
+    const configuration::replayer &replayed = m_configuration->replayer();
+    if (auto batch = replayed.recordsFrom(from, limit)) {
+        return *batch;
+    }
+    if (!replayed.isReady() || replayed.current()->offset < from) {
+        return make_error_code(common::error::unavailable);
+    }
+    // The records are not kept any more: the whole state goes out instead, as a record without an offset.
+    platform::log_batch batch;
+    batch.records.push_back({.payload = replayed.encodeSnapshot()});
+    return batch;
+}
+
+platform::log_offset daemon::onPeerRecords(const platform::log_batch &batch)
+{
+    const bool isState = batch.records.size() == 1 && batch.records.front().offset == 0;
+    if (isState) {
+        m_configuration->onPeerState(batch.records.front().payload);
+    } else {
+        m_configuration->onPeerRecords(batch);
+    }
+    return configuration()->offset;
+}
+
+void daemon::buildRuns()
+{
     run_host_options runOptions;
     runOptions.incarnation = m_incarnation;
     runOptions.router.policy = policyOf(m_settings.routingPolicy);
@@ -88,6 +141,7 @@
     m_runs->setReportHandler([this](const calls::endpoint_report &report) {
         if (report.leaving) {
             m_membership->onEndpointLeaving(report.address, report.incarnation);
+            m_peers->announceEndpointLeaving({report.address, report.incarnation});
         }
     });
 }
@@ -98,6 +152,10 @@
     if (!fault.empty()) {
         return fault;
     }
+    const auto peerPort = m_peers->listen();
+    if (!peerPort) {
+        return m_settings.peers.toString() + ": " + peerPort.error().message();
+    }
     const std::string address = m_settings.gateway.host + ':' + std::to_string(m_server->port());
     std::printf("listening %s\n", address.c_str());
     std::fflush(stdout);
@@ -106,10 +164,11 @@
               {"incarnation", std::string_view(m_incarnation)},
               {"address", std::string_view(address)}});
     watchSignals();
-    m_membership->start(address, m_settings.peers.toString());
+    m_membership->start(address, m_settings.peers.host + ':' + std::to_string(peerPort.value()));
     m_configuration->start();
     m_ledger->start();
     m_second.start(std::chrono::seconds(1));
+    m_membershipTick.start(membershipInterval);
     return {};
 }
 
@@ -155,7 +214,7 @@
     }
     if (probe == "readyz") {
         const bool isDraining = m_drainStartedAt != common::instant::max();
-        const bool isUp = isReady() && !isDraining;
+        const bool isUp = isReady() && m_ledger->core().isReady(presentMoment().now) && !isDraining;
         one.answer(isUp ? 200 : 503, "text/plain", isUp ? "ready\n" : (isDraining ? "leaving\n" : "not ready\n"));
         return;
     }
@@ -269,7 +328,7 @@
 void daemon::onConfigurationChanged()
 {
     m_runs->setConfiguration(configuration());
-    m_membership->setState(configuration()->offset, m_configuration->isLogReachable());
+    m_peers->setState(m_ledger->core().isLogReachable(), configuration()->offset);
     onMembershipChanged();
     m_operators->onConfigurationChanged();
     if (isReady() && !std::exchange(m_wasReady, true)) {
@@ -288,13 +347,12 @@
 
 void daemon::everySecond()
 {
-    m_membership->setState(configuration()->offset, m_ledger->core().isLogReachable());
-    m_membership->table().advance(presentMoment().now);
-    onMembershipChanged();
+    m_peers->setState(m_ledger->core().isLogReachable(), configuration()->offset);
     if (m_membership->isSettled()) {
         m_ledger->takeOrphans(m_membership->liveIncarnations(), m_incarnation);
     }
     m_runs->retryUnknownRuns();
+    m_runs->probeEndpoints();
     finishDrain();
 }
 
@@ -306,6 +364,7 @@
     m_drainStartedAt = presentMoment().now;
     logEvent(event::drain_started, {{"runs", static_cast<std::uint64_t>(m_runs->runsInProgress())}});
     m_membership->beginLeaving();
+    m_peers->announceLeaving();
 }
 
 void daemon::finishDrain()
