Answer a key under its hold at once, without renewing the hold

Cause: an early repeat of a refused key was refused by a new record, which renewed the key's hold; a caller that asks again before Retry-After never got through (process test "an endpoint answers a call badly", failed before). Ruled out: a shorter hold (it covers copies of the request that are under way); saying "not run" without a record. Conclusion: an eager caller gets through when the hold is over.

--- a/packages/runs/include/masticlever/runs/run.h
+++ b/packages/runs/include/masticlever/runs/run.h
@@ -136,6 +136,7 @@
 
     // Non-repeatable stages, in run-once.cpp.
     bool openRecorded(common::moment at);
+    void replyHeld(common::duration left, common::moment at);
     void beginClaim(common::moment at);
     void sendOnce(common::moment at);
     void onOnceEnded(const call_end &ended, common::moment at);
--- a/packages/runs/src/run-once.cpp
+++ b/packages/runs/src/run-once.cpp
@@ -35,9 +35,14 @@
     const bool isUsable = ledger.isLogReachable() && ledger.isReady(at.now);
     if (view.standing == ledger::run_standing::absent && isUsable) {
         const bool isOtherBody = !view.bodyDigest.empty() && view.bodyDigest != m_request.bodyDigest;
-        if (!isOtherBody) {
+        const bool isHeld = view.claimableFrom > at.wall;
+        if (!isOtherBody && !isHeld) {
             return true;
         }
+        if (isHeld) {
+            replyHeld(view.claimableFrom - at.wall, at);
+            return false;
+        }
     }
     if (view.standing == ledger::run_standing::absent && view.bodyDigest.empty()) {
         const bool certain = ledger.isAbsenceCertain(common::keyTime(m_request.key.key), at.now);
@@ -49,6 +54,16 @@
     return false;
 }
 
+void run::replyHeld(common::duration left, common::moment at)
+{
+    // A refusal of this submission would renew the hold, and an eager caller would never get through.
+    replyWith({.outcome = disposition::unknown,
+               .detail = "the key was refused a moment ago and is held; this instance sent nothing",
+               .retryAfter = left},
+              at);
+    end();
+}
+
 void run::onLedgerView(common::moment at)
 {
     const ledger::run_view view = m_environment.ledger.find(m_request.key, at.wall);
