--- a/tests/process/fleet.h
+++ b/tests/process/fleet.h
@@ -49,6 +49,8 @@
     void restartDaemon(std::size_t index);
     bool waitUntilReady(std::size_t index);
     bool waitUntilReady();
+    /// Whether daemon \p index has heard from every daemon that it has applied \p offset of the configuration.
+    bool seesFleetAt(std::size_t index, qint64 offset);
 
     /// Adds an endpoint process and lists it with the platform; it serves only after a resource names it.
     program &startEndpoint(const QString &name, const QString &stage, const QStringList &options = {});
@@ -124,6 +126,7 @@
 
     void startPrograms(fleet &target) const;
     void declare(fleet &target) const;
+    qint64 resourceCount() const;
 
     std::size_t m_daemons = 3;
     std::map<QString, QString> m_settings;
