--- a/packages/runs/include/masticlever/runs/stage-planner.h
+++ b/packages/runs/include/masticlever/runs/stage-planner.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <masticlever/common/time.h>
+#include <masticlever/configuration/resources.h>
 
 #include <cstdint>
 #include <optional>
@@ -14,8 +15,8 @@
 
 struct stage_ref {
     std::string_view pipeline;
+    const configuration::pipeline_spec &spec;
     std::uint32_t stage = 0;
-    std::uint32_t stageCount = 1;
 };
 
 class stage_planner
@@ -32,11 +33,10 @@
 
     /// \p toFirstByte: until the answer or its first token.
     virtual void onAnswered(const stage_ref &stage, common::duration toFirstByte, common::duration whole) = 0;
-    /// A call gave no sign for \p waited and was given up.
-    virtual void onTimedOut(const stage_ref & /*stage*/, common::duration /*waited*/) { }
     /// Takes one retry or hedge from the budget of the pipeline, if there is one.
-    virtual bool takeRetry(std::string_view pipeline, double share) = 0;
-    virtual void onSuccess(std::string_view pipeline, double share) = 0;
+    virtual bool takeRetry(const stage_ref &stage) = 0;
+    /// A call gave no sign for \p waited and was given up.
+    virtual void onGivenUp(const stage_ref &stage, common::duration waited) = 0;
 };
 
 /// A planner that learns nothing: half of the remaining time for a call, no hedges, every retry allowed.
@@ -47,8 +47,8 @@
     std::optional<common::duration> hedgeDelay(const stage_ref &stage) override;
     common::duration expectedFrom(const stage_ref &stage) override;
     void onAnswered(const stage_ref &stage, common::duration toFirstByte, common::duration whole) override;
-    bool takeRetry(std::string_view pipeline, double share) override;
-    void onSuccess(std::string_view pipeline, double share) override;
+    bool takeRetry(const stage_ref &stage) override;
+    void onGivenUp(const stage_ref &stage, common::duration waited) override;
 };
 
 } // namespace masticlever::runs
--- a/packages/runs/src/stage-planner.cpp
+++ b/packages/runs/src/stage-planner.cpp
@@ -22,11 +22,11 @@
                                common::duration /*whole*/)
 { }
 
-bool fixed_planner::takeRetry(std::string_view /*pipeline*/, double /*share*/)
+bool fixed_planner::takeRetry(const stage_ref & /*stage*/)
 {
     return true;
 }
 
-void fixed_planner::onSuccess(std::string_view /*pipeline*/, double /*share*/) { }
+void fixed_planner::onGivenUp(const stage_ref & /*stage*/, common::duration /*waited*/) { }
 
 } // namespace masticlever::runs
