--- a/bench/policy/entry-instance.h
+++ b/bench/policy/entry-instance.h
@@ -66,6 +66,8 @@
     void onBatch(const platform::log_batch &batch);
     /// The instance is lost with its data centre: it hears and does nothing any more.
     void stop() { m_stopped = true; }
+    /// Membership has noticed how many instances are live.
+    void setFleetSize(std::size_t instances) { m_options.fleetSize = instances; }
     bool isStopped() const { return m_stopped; }
     /// Calls of ended runs by stage name since the last resetCalls().
     const std::map<std::string, std::size_t> &callsByStage() const { return m_calls; }
--- a/bench/policy/scenario.cpp
+++ b/bench/policy/scenario.cpp
@@ -18,6 +18,7 @@
 constexpr common::duration callerHop = 1ms;
 constexpr common::duration callerDeadline = 4s;
 constexpr common::duration tail = 7s; ///< after the last request
+constexpr common::duration membershipDelay = 3s; ///< until the others know of lost instances
 constexpr common::duration decidable = 20ms;
 const common::duration queueLimit = admission::admission_options{}.queueLimit;
 constexpr std::size_t prefixes = 40;
@@ -79,6 +80,7 @@
     void arrive();
     void ask();
     void inject();
+    void announceFleetSize();
     double rate() const;
     entry_instance *pickInstance();
     runs::run_request makeRequest(record &made);
@@ -218,6 +220,15 @@
     m_clock.schedule(callerHop, [this, instance, made, request] { instance->submit(request, callerFor(made)); });
 }
 
+void fleet::announceFleetSize()
+{
+    const auto isLive = [](const auto &instance) { return !instance->isStopped(); };
+    const auto live = std::count_if(m_instances.begin(), m_instances.end(), isLive);
+    for (const auto &instance : m_instances) {
+        instance->setFleetSize(static_cast<std::size_t>(live));
+    }
+}
+
 void fleet::inject()
 {
     const std::string slow = m_what.faultPool.empty() ? m_where.slowPool : m_what.faultPool;
@@ -246,6 +257,7 @@
         for (std::size_t i = 0; i < m_instances.size(); i += m_where.dataCentres) {
             m_instances[i]->stop();
         }
+        m_clock.schedule(membershipDelay, [this] { announceFleetSize(); });
         return;
     }
 }
