Give up calls of stages that are not known at half of the budget

Cause: an instance sees a rare pipeline's stage 20 times in a minute; until then a repeatable call to a silent endpoint waited for the whole deadline. Ten samples now make a stage known.

--- a/packages/routing/include/masticlever/routing/stage-estimates.h
+++ b/packages/routing/include/masticlever/routing/stage-estimates.h
@@ -15,7 +15,7 @@
 {
 
 struct estimate_options {
-    std::size_t minimumSamples = 20; ///< below this a stage counts as not known
+    std::size_t minimumSamples = 10; ///< below this a stage counts as not known
     double laterQuantile = 0.5; ///< reserved for each later stage
     double hedgeQuantile = 0.95;
     double timeoutQuantile = 0.99; ///< base of the timeout of one attempt
@@ -50,7 +50,7 @@
     /// the stage is not known.
     common::duration hedgeDelay(std::string_view pipeline, const configuration::stage_spec &stage) const;
     /// When one attempt that gave no sign (no answer, or no first token of a streamed stage) is given up so that
-    /// another endpoint may be tried within \p budget. At most \p budget.
+    /// another endpoint may be tried within \p budget. At most \p budget; half of it while the stage is not known.
     common::duration attemptTimeout(std::string_view pipeline, const configuration::stage_spec &stage,
                                     common::duration budget) const;
     /// Median delay of the first token of a streamed stage; zero while not known.
--- a/packages/routing/src/stage-estimates.cpp
+++ b/packages/routing/src/stage-estimates.cpp
@@ -15,6 +15,9 @@
 namespace
 {
 
+/// Of the budget: leaves time for one attempt elsewhere while nothing is known.
+constexpr double unknownTimeoutShare = 0.5;
+
 struct stage_record {
     duration_histogram service;
     duration_histogram firstToken;
@@ -151,7 +154,7 @@
 {
     const auto quantile = m_state->sign(pipeline, stage, m_state->options.timeoutQuantile);
     if (!quantile) {
-        return budget;
+        return scaled(budget, unknownTimeoutShare);
     }
     const common::duration timeout = scaled(*quantile, m_state->options.timeoutFactor);
     return std::min(budget, std::max(timeout, m_state->options.minimumTimeout));
--- a/packages/routing/test/stage-estimates-test.cpp
+++ b/packages/routing/test/stage-estimates-test.cpp
@@ -31,7 +31,7 @@
         CHECK(estimates.budgetFor("advice", spec, 0, 4s) == 4s);
         CHECK(estimates.expectedRemaining("advice", spec, 0) == 0s);
         CHECK(estimates.hedgeDelay("advice", spec.stages[0]) == common::duration::max());
-        CHECK(estimates.attemptTimeout("advice", spec.stages[0], 4s) == 4s);
+        CHECK(estimates.attemptTimeout("advice", spec.stages[0], 4s) == 2s);
     }
 
     SECTION("once every stage has been seen")
--- a/packages/runs/test/learned-planner-test.cpp
+++ b/packages/runs/test/learned-planner-test.cpp
@@ -18,7 +18,7 @@
 
     SECTION("without samples a call may use all the time and is not hedged")
     {
-        CHECK(planner.callTimeout(lookup, 4s) == 4s);
+        CHECK(planner.callTimeout(lookup, 4s) == 2s);
         CHECK_FALSE(planner.hedgeDelay(lookup).has_value());
         CHECK(planner.expectedFrom(lookup) == 0s);
     }
