Estimate the wait at the door from the capacity when the drain rate lags

Cause: at the start of a burst the drain rate is that of the quiet time before, so the wait was taken for twice what it became.

--- a/packages/admission/src/admission.cpp
+++ b/packages/admission/src/admission.cpp
@@ -21,6 +21,7 @@
 using detail::waiting;
 
 constexpr double usPerSecond = 1e6;
+constexpr double timeSmoothing = 0.05; ///< weight of a new sample
 constexpr double cheapestRequest = 0.001; ///< seconds, for fairness
 constexpr double borrowedShare = 0.5; ///< of the capacity, for teams below their share
 constexpr common::duration shortestRetry = std::chrono::milliseconds(100);
@@ -46,16 +47,23 @@
     detail::adaptive_capacity capacity;
     detail::drain_rate drain;
     detail::fair_queue queue;
-    std::unordered_map<ticket, team_map::value_type *> inFlight;
+    struct admitted {
+        team_map::value_type *team = nullptr;
+        common::instant since;
+    };
+    std::unordered_map<ticket, admitted> inFlight;
+    double usualTimeUs = 0; ///< moving average of the time in flight
     ticket lastTicket = 0;
 
     bool hasRoom() const { return static_cast<double>(inFlight.size()) < capacity.value(); }
     bool mayBorrow(const team_state &team, double cost) const;
+    double startRate(common::instant now) const;
     common::duration drainTime(std::size_t requests, common::instant now) const;
     common::duration expectedWait(const team_state &team, double cost, common::instant now) const;
-    void start(team_map::value_type &team, ticket id, double startTag);
-    decision admit(team_map::value_type &team, double cost);
+    void start(team_map::value_type &team, ticket id, double startTag, common::instant now);
+    decision admit(team_map::value_type &team, double cost, common::instant now);
     decision enqueue(team_map::value_type &team, const entry_request &entry, double cost, common::instant now);
+    void learnTime(common::duration inFlightFor);
     void expire(team_state &team, common::instant now, std::vector<queue_event> &events);
     queue_event refusalOf(const waiting &entry, common::instant now) const;
 };
@@ -68,9 +76,17 @@
     return static_cast<double>(inFlight.size()) < limit && team.queue.empty() && queue.isBehind(team, cost);
 }
 
+/// Requests per second that may start while others wait: what has ended lately, or what the capacity allows when
+/// it was not used lately, as at the start of a burst.
+double controller::state::startRate(common::instant now) const
+{
+    const double possible = usualTimeUs > 0 ? capacity.value() * usPerSecond / usualTimeUs : 0;
+    return std::max(drain.perSecond(now), possible);
+}
+
 common::duration controller::state::drainTime(std::size_t requests, common::instant now) const
 {
-    const double rate = drain.perSecond(now);
+    const double rate = startRate(now);
     if (rate <= 0) {
         return unknownRetry;
     }
@@ -87,27 +103,27 @@
         return common::duration::zero();
     }
     const std::size_t before = queue.countBefore(queue.startTagFor(team));
-    if (drain.perSecond(now) <= 0) {
+    if (startRate(now) <= 0) {
         return common::duration::zero();
     }
     return drainTime(before + 1, now);
 }
 
-void controller::state::start(team_map::value_type &team, ticket id, double startTag)
+void controller::state::start(team_map::value_type &team, ticket id, double startTag, common::instant now)
 {
     queue.onStarted(startTag);
     ++team.second.inFlight;
-    inFlight.emplace(id, &team);
+    inFlight.emplace(id, admitted{&team, now});
 }
 
-decision controller::state::admit(team_map::value_type &team, double cost)
+decision controller::state::admit(team_map::value_type &team, double cost, common::instant now)
 {
     const ticket id = ++lastTicket;
-    start(team, id, queue.charge(team.second, cost));
-    decision admitted;
-    admitted.outcome = decision::verdict::admitted;
-    admitted.id = id;
-    return admitted;
+    start(team, id, queue.charge(team.second, cost), now);
+    decision made;
+    made.outcome = decision::verdict::admitted;
+    made.id = id;
+    return made;
 }
 
 decision controller::state::enqueue(team_map::value_type &team, const entry_request &entry, double cost,
@@ -133,6 +149,12 @@
     return {entry.id, false, reason, clampRetry(drainTime(queue.size() + 1, now))};
 }
 
+void controller::state::learnTime(common::duration inFlightFor)
+{
+    const auto us = static_cast<double>(inFlightFor.count());
+    usualTimeUs = usualTimeUs <= 0 ? us : usualTimeUs + timeSmoothing * (us - usualTimeUs);
+}
+
 void controller::state::expire(team_state &team, common::instant now, std::vector<queue_event> &events)
 {
     for (auto entry = team.queue.begin(); entry != team.queue.end();) {
@@ -165,7 +187,7 @@
     const double cost = std::max(service, cheapestRequest);
     // With nothing in flight the estimate cannot be corrected by answers, so it refuses nobody.
     if (m_state->inFlight.empty() && entry.remaining > common::duration::zero()) {
-        return m_state->admit(team, cost);
+        return m_state->admit(team, cost, now);
     }
     const common::duration wait = m_state->expectedWait(team.second, cost, now);
     const common::duration spare = entry.remaining - entry.expectedService;
@@ -177,7 +199,7 @@
     }
     const bool firstInLine = m_state->queue.size() == 0 && m_state->hasRoom();
     if (firstInLine || m_state->mayBorrow(team.second, cost)) {
-        return m_state->admit(team, cost);
+        return m_state->admit(team, cost, now);
     }
     return m_state->enqueue(team, entry, cost, now);
 }
@@ -188,7 +210,8 @@
     if (found == m_state->inFlight.end()) {
         return;
     }
-    auto &team = *found->second;
+    auto &team = *found->second.team;
+    m_state->learnTime(now - found->second.since);
     m_state->capacity.onFinished(metDeadline, m_state->inFlight.size());
     m_state->drain.onFinished(now);
     m_state->inFlight.erase(found);
@@ -221,7 +244,7 @@
             break;
         }
         const waiting entry = m_state->queue.popFront(team->second);
-        m_state->start(*team, entry.id, entry.startTag);
+        m_state->start(*team, entry.id, entry.startTag, now);
         queue_event admitted;
         admitted.id = entry.id;
         admitted.admitted = true;
