--- a/packages/admission/src/admission.cpp
+++ b/packages/admission/src/admission.cpp
@@ -64,7 +64,6 @@
     decision admit(team_map::value_type &team, double cost, common::instant now);
     decision enqueue(team_map::value_type &team, const entry_request &entry, double cost, common::instant now);
     void learnTime(common::duration inFlightFor);
-    void expire(team_state &team, common::instant now, std::vector<queue_event> &events);
     queue_event refusalOf(const waiting &entry, common::instant now) const;
 };
 
@@ -135,7 +134,7 @@
     added.deadline = now + entry.remaining;
     added.expectedService = entry.expectedService;
     added.expiresAt = now + std::min(options.queueLimit, entry.remaining - entry.expectedService);
-    queue.push(team.second, added);
+    queue.push(team, added);
     decision queued;
     queued.outcome = decision::verdict::queued;
     queued.id = added.id;
@@ -155,21 +154,6 @@
     usualTimeUs = usualTimeUs <= 0 ? us : usualTimeUs + timeSmoothing * (us - usualTimeUs);
 }
 
-void controller::state::expire(team_state &team, common::instant now, std::vector<queue_event> &events)
-{
-    for (auto entry = team.queue.begin(); entry != team.queue.end();) {
-        if (entry->expiresAt > now) {
-            ++entry;
-            continue;
-        }
-        const ticket id = entry->id;
-        events.push_back(refusalOf(*entry, now));
-        ++entry;
-        queue.erase(id);
-        entry = team.queue.begin();
-    }
-}
-
 controller::controller(admission_options options) : m_state(std::make_unique<state>(options)) { }
 
 controller::~controller() = default;
@@ -235,15 +219,15 @@
     if (m_state->queue.size() == 0) {
         return events;
     }
-    for (auto &[name, team] : m_state->queue.teams()) {
-        m_state->expire(team, now, events);
+    for (const waiting &entry : m_state->queue.takeExpired(now)) {
+        events.push_back(m_state->refusalOf(entry, now));
     }
     while (m_state->hasRoom()) {
         auto *team = m_state->queue.next();
         if (team == nullptr) {
             break;
         }
-        const waiting entry = m_state->queue.popFront(team->second);
+        const waiting entry = m_state->queue.popFront(*team);
         m_state->start(*team, entry.id, entry.startTag, now);
         queue_event admitted;
         admitted.id = entry.id;
@@ -255,13 +239,7 @@
 
 common::instant controller::nextWakeUp() const
 {
-    common::instant next = common::instant::max();
-    for (const auto &[name, team] : m_state->queue.teams()) {
-        for (const waiting &entry : team.queue) {
-            next = std::min(next, entry.expiresAt);
-        }
-    }
-    return next;
+    return m_state->queue.nextExpiry();
 }
 
 std::size_t controller::inFlight() const
--- a/packages/admission/src/detail/fair-queue.cpp
+++ b/packages/admission/src/detail/fair-queue.cpp
@@ -52,43 +52,74 @@
     m_virtualTime = std::max(m_virtualTime, startTag);
 }
 
-void fair_queue::push(team_state &team, const waiting &entry)
+void fair_queue::push(team_map::value_type &team, const waiting &entry)
 {
-    team.queue.push_back(entry);
+    team.second.queue.push_back(entry);
+    m_waiting.insert(&team);
     ++m_size;
 }
 
-team_map::value_type *fair_queue::next()
+void fair_queue::forgetIfEmpty(team_map::value_type &team)
 {
-    team_map::value_type *best = nullptr;
-    for (auto &candidate : m_teams) {
-        if (candidate.second.queue.empty()) {
-            continue;
-        }
-        const double tag = candidate.second.queue.front().startTag;
-        if (best == nullptr || tag < best->second.queue.front().startTag) {
-            best = &candidate;
-        }
+    if (team.second.queue.empty()) {
+        m_waiting.erase(&team);
     }
-    return best;
 }
 
-waiting fair_queue::popFront(team_state &team)
+team_map::value_type *fair_queue::next()
+{
+    const auto tag = [](const team_map::value_type *team) { return team->second.queue.front().startTag; };
+    const auto first = std::min_element(m_waiting.begin(), m_waiting.end(),
+                                        [&](const auto *left, const auto *right) { return tag(left) < tag(right); });
+    return first == m_waiting.end() ? nullptr : *first;
+}
+
+waiting fair_queue::popFront(team_map::value_type &team)
 {
-    const waiting entry = team.queue.front();
-    team.queue.pop_front();
+    const waiting entry = team.second.queue.front();
+    team.second.queue.pop_front();
     --m_size;
+    forgetIfEmpty(team);
     return entry;
 }
 
+std::vector<waiting> fair_queue::takeExpired(common::instant now)
+{
+    std::vector<waiting> expired;
+    const std::vector<team_map::value_type *> teams(m_waiting.begin(), m_waiting.end());
+    for (team_map::value_type *team : teams) {
+        auto &entries = team->second.queue;
+        const auto isOpen = [now](const waiting &entry) { return entry.expiresAt > now; };
+        const auto firstExpired = std::stable_partition(entries.begin(), entries.end(), isOpen);
+        expired.insert(expired.end(), firstExpired, entries.end());
+        entries.erase(firstExpired, entries.end());
+        forgetIfEmpty(*team);
+    }
+    m_size -= expired.size();
+    return expired;
+}
+
+common::instant fair_queue::nextExpiry() const
+{
+    common::instant next = common::instant::max();
+    for (const team_map::value_type *team : m_waiting) {
+        for (const waiting &entry : team->second.queue) {
+            next = std::min(next, entry.expiresAt);
+        }
+    }
+    return next;
+}
+
 bool fair_queue::erase(ticket id)
 {
-    for (auto &[name, team] : m_teams) {
+    for (team_map::value_type *team : m_waiting) {
+        auto &entries = team->second.queue;
         const auto found
-            = std::find_if(team.queue.begin(), team.queue.end(), [id](const waiting &w) { return w.id == id; });
-        if (found != team.queue.end()) {
-            team.queue.erase(found);
+            = std::find_if(entries.begin(), entries.end(), [id](const waiting &entry) { return entry.id == id; });
+        if (found != entries.end()) {
+            entries.erase(found);
             --m_size;
+            forgetIfEmpty(*team);
             return true;
         }
     }
@@ -98,10 +129,11 @@
 std::size_t fair_queue::countBefore(double startTag) const
 {
     std::size_t count = 0;
-    for (const auto &[name, team] : m_teams) {
-        const auto after = std::upper_bound(team.queue.begin(), team.queue.end(), startTag,
-                                            [](double tag, const waiting &w) { return tag < w.startTag; });
-        count += static_cast<std::size_t>(after - team.queue.begin());
+    for (const team_map::value_type *team : m_waiting) {
+        const auto &entries = team->second.queue;
+        const auto after = std::upper_bound(entries.begin(), entries.end(), startTag,
+                                            [](double tag, const waiting &entry) { return tag < entry.startTag; });
+        count += static_cast<std::size_t>(after - entries.begin());
     }
     return count;
 }
--- a/packages/admission/src/detail/fair-queue.h
+++ b/packages/admission/src/detail/fair-queue.h
@@ -6,8 +6,10 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
+#include <vector>
 
 /// \file
 /// Weighted fair queueing between teams (start-time fair queueing).
@@ -46,11 +48,15 @@
     /// Charges \p cost (seconds of service) to \p team and returns its start tag.
     double charge(team_state &team, double cost) const;
     void onStarted(double startTag);
-    void push(team_state &team, const waiting &entry);
+    void push(team_map::value_type &team, const waiting &entry);
 
     /// The team whose first entry is next, or nullptr.
     team_map::value_type *next();
-    waiting popFront(team_state &team);
+    waiting popFront(team_map::value_type &team);
+    /// Removes and returns the entries whose wait has ended.
+    std::vector<waiting> takeExpired(common::instant now);
+    /// When the next entry's wait ends; instant::max() when nothing waits.
+    common::instant nextExpiry() const;
     /// False when \p id does not wait.
     bool erase(ticket id);
 
@@ -60,11 +66,19 @@
     std::size_t countBefore(double startTag) const;
     double startTagFor(const team_state &team) const;
     std::size_t size() const { return m_size; }
-    team_map &teams() { return m_teams; }
-    const team_map &teams() const { return m_teams; }
 
 private:
+    struct by_name {
+        bool operator()(const team_map::value_type *left, const team_map::value_type *right) const
+        {
+            return left->first < right->first;
+        }
+    };
+
+    void forgetIfEmpty(team_map::value_type &team);
+
     team_map m_teams;
+    std::set<team_map::value_type *, by_name> m_waiting; ///< teams with queued entries
     double m_virtualTime = 0;
     std::size_t m_size = 0;
 };
