Let instances warn each other of silent endpoints before calls that may not be repeated

Cause: each of 14 instances lost one booking of its own to a silent desk before it knew. The warning is a name on the peers' channel, once a second while the evidence lasts; it binds only calls that may not be repeated, lapses after three seconds and respects the floor. Ruled out: a status query before each such call (one more call for every order), regular probes (instances x endpoints). The daemon has to carry router.takeSuspects() and onPeerSuspects() on its peers' channel.

--- a/bench/policy/entry-instance.cpp
+++ b/bench/policy/entry-instance.cpp
@@ -221,6 +221,9 @@
         m_admission.setCapacity(static_cast<std::size_t>(std::ceil(share)));
     }
     probe();
+    for (const std::string &suspect : m_router.takeSuspects(m_clock.now())) {
+        m_tellPeers(suspect);
+    }
     m_clock.schedule(housekeepingInterval, [this] {
         if (!m_stopped) {
             adjustCapacity();
--- a/bench/policy/entry-instance.h
+++ b/bench/policy/entry-instance.h
@@ -13,6 +13,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 /// \file
@@ -66,6 +67,9 @@
     void onBatch(const platform::log_batch &batch);
     /// The instance is lost with its data centre: it hears and does nothing any more.
     void stop() { m_stopped = true; }
+    /// Where the names of endpoints go that this instance suspects.
+    void setPeers(std::function<void(const std::string &)> tellPeers) { m_tellPeers = std::move(tellPeers); }
+    void onPeerSuspects(const std::string &endpoint) { m_router.onPeerSuspects(endpoint, m_clock.now()); }
     /// Membership has noticed how many instances are live.
     void setFleetSize(std::size_t instances) { m_options.fleetSize = instances; }
     bool isStopped() const { return m_stopped; }
@@ -104,6 +108,7 @@
     runs::run_table m_runs;
     std::map<runs::run_id, caller> m_callers;
     std::map<std::string, std::size_t> m_calls;
+    std::function<void(const std::string &)> m_tellPeers;
     std::size_t m_neededCalls = 0;
     common::instant m_timerAt = common::instant::max();
     bool m_stopped = false;
--- a/bench/policy/scenario.cpp
+++ b/bench/policy/scenario.cpp
@@ -124,6 +124,15 @@
         m_instances.push_back(
             std::make_unique<entry_instance>(m_clock, m_log, m_endpoints, m_where.configuration, options));
     }
+    for (const auto &instance : m_instances) {
+        instance->setPeers([this](const std::string &suspect) {
+            m_clock.schedule(m_where.hop, [this, suspect] {
+                for (const auto &peer : m_instances) {
+                    peer->onPeerSuspects(suspect);
+                }
+            });
+        });
+    }
     m_measureFrom = m_clock.now() + what.warmUp;
     m_measureTo = m_measureFrom + what.measured;
     m_faultAt = m_measureFrom + what.measured / 10;
--- a/packages/routing/include/masticlever/routing/router.h
+++ b/packages/routing/include/masticlever/routing/router.h
@@ -69,6 +69,7 @@
     double ejectedShareLimit = 0.5; ///< floor: at most this share of a pool is out
     double silenceFactor = 4; ///< times the usual time to a sign of life after which an endpoint is avoided
     common::duration shortestSilence = std::chrono::milliseconds(200);
+    common::duration suspicionFor = std::chrono::seconds(3); ///< after another instance's word
     common::duration slowStart = std::chrono::seconds(10);
     std::size_t subsetSize = 0; ///< endpoints of a pool that this instance uses; 0: all
     std::string instanceName{}; ///< selects the subset
@@ -104,6 +105,12 @@
     std::vector<candidate> dueProbes(common::instant now);
     void onProbed(std::string_view endpoint, bool answered, common::instant now);
 
+    /// Endpoints that are silent or ejected here and were not named in the last second, for other instances.
+    std::vector<std::string> takeSuspects(common::instant now);
+    /// Another instance suspects \p endpoint: calls that may not be repeated avoid it for a while, or until it
+    /// answers here. Repeatable calls go on, as they can find out without harm.
+    void onPeerSuspects(std::string_view endpoint, common::instant now);
+
     std::size_t poolSize(std::string_view pool) const;
     /// Slots of all endpoints of \p pool that take work.
     std::size_t poolSlots(std::string_view pool) const;
--- a/packages/routing/src/detail/health.cpp
+++ b/packages/routing/src/detail/health.cpp
@@ -64,6 +64,15 @@
     m_startedAt = now - options.slowStart / 2;
 }
 
+bool endpoint_health::takeAnnouncement(common::instant now, common::duration interval)
+{
+    if (now - m_announcedAt < interval) {
+        return false;
+    }
+    m_announcedAt = now;
+    return true;
+}
+
 double endpoint_health::startWeight(common::instant now, const router_options &options) const
 {
     if (m_startedAt == common::instant::min() || options.slowStart <= common::duration::zero()) {
--- a/packages/routing/src/detail/health.h
+++ b/packages/routing/src/detail/health.h
@@ -19,7 +19,11 @@
 
     void onSent(std::size_t inFlightBefore, common::instant now);
     /// Sign of life: a token or an answer.
-    void onAlive(common::instant now) { m_lastAlive = now; }
+    void onAlive(common::instant now)
+    {
+        m_lastAlive = now;
+        m_suspectedUntil = {};
+    }
     void onAnswered(common::duration latency);
     /// Counts a failure or timeout; true when the endpoint should be ejected.
     bool onFailure(call_outcome outcome, const router_options &options);
@@ -35,6 +39,10 @@
         return inFlight > 0 && now - m_lastAlive > limit;
     }
     bool isProbeDue(common::instant now) const { return m_phase == phase::ejected && now >= m_ejectedUntil; }
+    void suspect(common::instant until) { m_suspectedUntil = until; }
+    bool isSuspected(common::instant now) const { return now < m_suspectedUntil; }
+    /// True once per \p interval.
+    bool takeAnnouncement(common::instant now, common::duration interval);
     phase currentPhase() const { return m_phase; }
     double startWeight(common::instant now, const router_options &options) const;
     double latencyUs() const { return m_latencyUs; }
@@ -49,6 +57,8 @@
     double m_latencyUs = 0; ///< moving average
     common::instant m_lastAlive;
     common::instant m_ejectedUntil;
+    common::instant m_suspectedUntil;
+    common::instant m_announcedAt;
     common::instant m_startedAt = common::instant::min();
 };
 
--- a/packages/routing/src/detail/pool.cpp
+++ b/packages/routing/src/detail/pool.cpp
@@ -86,10 +86,11 @@
 {
     return candidate.takesWork() && candidate.health.currentPhase() == endpoint_health::phase::serving
         && !candidate.health.isSilent(candidate.view.inFlight, silence, request.now)
+        && (request.repeatable || !candidate.health.isSuspected(request.now))
         && !contains(request.exclude, candidate.view.name);
 }
 
-/// Silent endpoints count against the floor as well: beyond it, the least loaded of them stay in use.
+/// Silent and suspected endpoints count against the floor as well: beyond it, the least loaded of them stay in use.
 void pool::limitSilent(std::vector<bool> &usable, const router_options &options) const
 {
     std::size_t out = 0;
@@ -119,12 +120,12 @@
 {
     const common::duration silence = silenceLimit(options);
     std::vector<bool> usable(m_members.size());
-    bool anySilent = false;
+    bool anyAvoided = false;
     for (std::size_t i = 0; i < m_members.size(); ++i) {
         usable[i] = isUsable(m_members[i], request, silence);
-        anySilent = anySilent || m_members[i].health.isSilent(m_members[i].view.inFlight, silence, request.now);
+        anyAvoided = anyAvoided || (!usable[i] && m_members[i].takesWork());
     }
-    if (anySilent && request.exclude.empty()) {
+    if (anyAvoided && request.exclude.empty()) {
         limitSilent(usable, options);
     }
     for (std::size_t i = 0; i < m_members.size(); ++i) {
--- a/packages/routing/src/router.cpp
+++ b/packages/routing/src/router.cpp
@@ -254,6 +254,31 @@
     }
 }
 
+std::vector<std::string> router::takeSuspects(common::instant now)
+{
+    constexpr common::duration announceInterval = std::chrono::seconds(1);
+    std::vector<std::string> suspects;
+    for (auto &[name, owner] : m_state->pools) {
+        const common::duration limit = owner.silenceLimit(m_state->options);
+        for (member &endpoint : owner.members()) {
+            endpoint_health &health = endpoint.health;
+            const bool isOut = health.currentPhase() != endpoint_health::phase::serving;
+            const bool isSick = isOut || health.isSilent(endpoint.view.inFlight, limit, now);
+            if (endpoint.takesWork() && isSick && health.takeAnnouncement(now, announceInterval)) {
+                suspects.push_back(endpoint.view.name);
+            }
+        }
+    }
+    return suspects;
+}
+
+void router::onPeerSuspects(std::string_view endpoint, common::instant now)
+{
+    if (const auto at = m_state->find(endpoint)) {
+        at.endpoint->health.suspect(now + m_state->options.suspicionFor);
+    }
+}
+
 std::size_t router::poolSize(std::string_view pool) const
 {
     const auto owner = m_state->pools.find(pool);
--- a/packages/routing/test/router-test.cpp
+++ b/packages/routing/test/router-test.cpp
@@ -302,6 +302,44 @@
     }
 }
 
+TEST_CASE("instances warn each other of an endpoint that takes calls and says nothing")
+{
+    routing::router first({});
+    routing::router second({});
+    for (routing::router *router : {&first, &second}) {
+        router->update(desks(3), start);
+        answer(*router, "desk-0", 20ms, start);
+    }
+    first.onSent("desk-0", start);
+    CHECK(first.takeSuspects(start + 100ms).empty());
+    CHECK(first.takeSuspects(start + 300ms) == std::vector<std::string>{"desk-0"});
+    CHECK(first.takeSuspects(start + 400ms).empty());
+    CHECK(first.takeSuspects(start + 1400ms).size() == 1);
+
+    second.onPeerSuspects("desk-0", start + 300ms);
+    picker calls(second);
+    SECTION("calls that may not be repeated avoid it, others find out")
+    {
+        CHECK(calls.pickMany(start + 300ms, 60, false).count("desk-0") == 0);
+        CHECK(calls.pickMany(start + 300ms, 60).count("desk-0") == 1);
+    }
+    SECTION("an answer clears it here")
+    {
+        answer(second, "desk-0", 20ms, start + 400ms);
+        CHECK(calls.pickMany(start + 400ms, 60, false).count("desk-0") == 1);
+    }
+    SECTION("a warning that is not repeated lapses")
+    {
+        CHECK(calls.pickMany(start + 4s, 60, false).count("desk-0") == 1);
+    }
+    SECTION("warnings about all endpoints leave enough in use")
+    {
+        second.onPeerSuspects("desk-1", start + 300ms);
+        second.onPeerSuspects("desk-2", start + 300ms);
+        CHECK(calls.pickMany(start + 300ms, 60, false).size() == 2);
+    }
+}
+
 TEST_CASE("a newcomer starts slowly")
 {
     routing::router router({.policy = routing::policy_kind::least_in_flight, .slowStart = 10s});
