--- a/packages/routing/include/masticlever/routing/stage-estimates.h
+++ b/packages/routing/include/masticlever/routing/stage-estimates.h
@@ -16,7 +16,7 @@
 
 struct estimate_options {
     std::size_t minimumSamples = 10; ///< below this a stage counts as not known
-    double laterQuantile = 0.5; ///< reserved for each later stage
+    double laterQuantile = 0.75; ///< reserved for each later stage
     double hedgeQuantile = 0.95;
     double timeoutQuantile = 0.99; ///< base of the timeout of one attempt
     double timeoutFactor = 2; ///< times that quantile
