--- a/packages/runs/src/run-once.cpp
+++ b/packages/runs/src/run-once.cpp
@@ -12,13 +12,14 @@
 namespace
 {
 
-constexpr common::duration retryAfterOutage = std::chrono::seconds(5);
-constexpr common::duration retryAfterRefusal = std::chrono::seconds(5); ///< not below the ledger's refusalHold
+constexpr common::duration retryAfterOutage = std::chrono::seconds(7); ///< likewise
+constexpr common::duration retryAfterRefusal = std::chrono::seconds(7); ///< not below the ledger's refusalHold
 constexpr common::duration sendLimit = std::chrono::seconds(60);
 constexpr common::duration refusalLimit = std::chrono::seconds(3);
 constexpr common::duration queryTimeout = std::chrono::milliseconds(500);
 constexpr common::duration queryPause = std::chrono::milliseconds(200);
 constexpr std::uint32_t queryRounds = 3;
+constexpr std::uint32_t refusalLimitOfRun = 3;
 
 } // namespace
 
@@ -31,11 +32,17 @@
 {
     const auto &ledger = m_environment.ledger;
     const ledger::run_view view = ledger.find(m_request.key, at.wall);
-    if (view.standing == ledger::run_standing::absent && ledger.isLogReachable() && ledger.isCaughtUp()) {
+    const bool isUsable = ledger.isLogReachable() && ledger.isReady(at.now);
+    if (view.standing == ledger::run_standing::absent && isUsable) {
         const bool isOtherBody = !view.bodyDigest.empty() && view.bodyDigest != m_request.bodyDigest;
-        if (!isOtherBody) {
+        const bool isHeld = view.claimableFrom > at.wall;
+        if (!isOtherBody && !isHeld) {
             return true;
         }
+        if (isHeld) {
+            replyHeld(view.claimableFrom - at.wall, at);
+            return false;
+        }
     }
     if (view.standing == ledger::run_standing::absent && view.bodyDigest.empty()) {
         const bool certain = ledger.isAbsenceCertain(common::keyTime(m_request.key.key), at.now);
@@ -47,6 +54,16 @@
     return false;
 }
 
+void run::replyHeld(common::duration left, common::moment at)
+{
+    // A refusal of this submission would renew the hold, and an eager caller would never get through.
+    replyWith({.outcome = disposition::unknown,
+               .detail = "the key was refused a moment ago and is held; this instance sent nothing",
+               .retryAfter = left},
+              at);
+    end();
+}
+
 void run::onLedgerView(common::moment at)
 {
     const ledger::run_view view = m_environment.ledger.find(m_request.key, at.wall);
@@ -68,11 +85,8 @@
         return;
     }
     case ledger::run_standing::absent:
-        replyWith({.outcome = disposition::not_run,
-                   .detail = "another submission of this key was refused",
-                   .retryAfter = retryAfterRefusal},
-                  at);
-        end();
+        // Another instance's refusal may be older than a claim that has not been read here yet.
+        refuseClaim("another submission of this key was refused", retryAfterRefusal, at);
         return;
     case ledger::run_standing::expired:
         replyWith({.outcome = disposition::unknown, .detail = "the key is older than the recorded window"}, at);
@@ -112,10 +126,15 @@
 void run::refuseClaim(std::string detail, common::duration retryAfter, common::moment at)
 {
     const auto &ledger = m_environment.ledger;
-    if (!ledger.isLogReachable() || !ledger.isCaughtUp()) {
+    if (!ledger.isLogReachable() || !ledger.isReady(at.now)) {
         onClaimUnavailable(ledger.isAbsenceCertain(common::keyTime(m_request.key.key), at.now), at);
         return;
     }
+    if (m_refusals == refusalLimitOfRun) {
+        onClaimUnavailable(false, at);
+        return;
+    }
+    ++m_refusals;
     m_refusalDetail = std::move(detail);
     m_refusalRetryAfter = retryAfter;
     m_phase = phase::refusing;
