--- a/tests/fakes/fake-platform.cpp
+++ b/tests/fakes/fake-platform.cpp
@@ -42,6 +42,8 @@
         onLog(request, socket, parts[2]);
     } else if (parts.size() >= 2 && parts[1] == u"instances") {
         onInstances(request, socket);
+    } else if (parts == QStringList{QStringLiteral("v1"), QStringLiteral("traces")}) {
+        onTraces(request, socket);
     } else if (parts.size() == 2 && parts[0] == u"admin") {
         onAdmin(request, socket, parts[1]);
     } else {
@@ -205,6 +207,21 @@
     return list;
 }
 
+void fake_platform::onTraces(const QHttpServerRequest &request, QTcpSocket *socket)
+{
+    constexpr int spanLimit = 10'000;
+    for (const auto &resource : jsonBody(request).value(u"resourceSpans").toArray()) {
+        for (const auto &scope : resource.toObject().value(u"scopeSpans").toArray()) {
+            for (const auto &span : scope.toObject().value(u"spans").toArray()) {
+                if (m_spans.size() < spanLimit) {
+                    m_spans.append(span);
+                }
+            }
+        }
+    }
+    write(socket, jsonResponse({}));
+}
+
 void fake_platform::onAdmin(const QHttpServerRequest &request, QTcpSocket *socket, const QString &action)
 {
     const QJsonObject body = jsonBody(request);
@@ -212,6 +229,10 @@
         write(socket, jsonResponse(counters()));
         return;
     }
+    if (action == u"traces") {
+        write(socket, jsonResponse({{QStringLiteral("spans"), m_spans}}));
+        return;
+    }
     if (action == u"knobs") {
         setKnobs(body);
     } else if (action == u"leave" || action == u"forget") {
--- a/tests/fakes/fake-platform.h
+++ b/tests/fakes/fake-platform.h
@@ -73,6 +73,7 @@
     void onRequest(const QHttpServerRequest &request, QTcpSocket *socket) override;
     void onLog(const QHttpServerRequest &request, QTcpSocket *socket, const QString &name);
     void onInstances(const QHttpServerRequest &request, QTcpSocket *socket);
+    void onTraces(const QHttpServerRequest &request, QTcpSocket *socket);
     void onAdmin(const QHttpServerRequest &request, QTcpSocket *socket, const QString &action);
 
     void append(const QString &name, const QByteArray &payload, QTcpSocket *socket);
@@ -92,6 +93,7 @@
     std::map<QString, log> m_logs;
     std::vector<waiting_read> m_waiting;
     std::vector<list_version> m_lists;
+    QJsonArray m_spans; ///< received by the trace collector
     qint64 m_bytesAppended = 0;
     qint64 m_bytesRead = 0;
 };
