--- a/tests/process/platform-test.cpp
+++ b/tests/process/platform-test.cpp
@@ -17,8 +17,11 @@
     builder.pipeline(u"chat"_s, pipelineOf({stage(u"generate"_s, {{u"streamed"_s, true}})}));
     const auto setup = builder.start();
     const QJsonObject body = request(u"a mended quilt"_s);
+    const caller_options early;
     setup->knobs({{u"log_outage"_s, true}});
-
+    const auto doubtful = setup->run(0, u"booking"_s, body, early);
+    CHECK(problemOf(*doubtful) == u"unknown");
+    CHECK(setup->callsOf(early.key) == 0);
     // A key from before the outage may have been claimed elsewhere; one from after it was not.
     caller_options caller;
     QString problem;
