Tell apart two changes under one id

A client that used an id twice was told that its second change was accepted, with the outcome of the first: the remembered outcomes held no trace of what the change had been.

--- a/packages/configuration/include/masticlever/configuration/change-tracker.h
+++ b/packages/configuration/include/masticlever/configuration/change-tracker.h
@@ -66,6 +66,7 @@
 
 private:
     struct entry {
+        change what;
         std::string payload;
         change_view view;
         common::instant deadline;
--- a/packages/configuration/include/masticlever/configuration/replay.h
+++ b/packages/configuration/include/masticlever/configuration/replay.h
@@ -84,6 +84,8 @@
     /// The log has been read up to its end, or a peer's state was taken, since the start.
     bool isReady() const;
     std::optional<change_outcome> outcomeOf(std::string_view changeId) const;
+    /// The same for one change: invalid when its id was first used by another change.
+    std::optional<change_outcome> outcomeOf(const change &what) const;
 
     /// What would happen to \p what on the present state; nothing is changed. An accepted outcome carries the
     /// lowest version that the resource can get.
--- a/packages/configuration/src/change-tracker.cpp
+++ b/packages/configuration/src/change-tracker.cpp
@@ -17,7 +17,7 @@
 /// The outcome that no further record can change.
 std::optional<change_outcome> finalOutcome(const change &what, const replayer &replayed)
 {
-    if (auto outcome = replayed.outcomeOf(what.id)) {
+    if (auto outcome = replayed.outcomeOf(what)) {
         return outcome;
     }
     if (const auto fault = detail::formFault(what)) {
@@ -48,6 +48,7 @@
         return rejoin(known->second, now);
     }
     entry tracked;
+    tracked.what = what;
     tracked.payload = std::move(payload);
     tracked.view.id = what.id;
     tracked.deadline = now + m_options.deadline;
@@ -92,7 +93,7 @@
         if (tracked.view.progress == change_progress::settled) {
             continue;
         }
-        if (const auto outcome = replayed.outcomeOf(id)) {
+        if (const auto outcome = replayed.outcomeOf(tracked.what)) {
             settle(tracked, *outcome, now);
         }
     }
--- a/packages/configuration/src/detail/record.cpp
+++ b/packages/configuration/src/detail/record.cpp
@@ -21,7 +21,7 @@
 {
 
 constexpr int hexadecimal = 16;
-constexpr qsizetype decidedFields = 5; ///< id, status, version, field, detail
+constexpr qsizetype decidedFields = 6; ///< id, content hash, status, version, field, detail
 
 QString kindKey(resource_kind kind)
 {
@@ -49,10 +49,11 @@
 {
     QJsonArray array;
     for (const std::string &id : state.decidedIds()) {
-        const change_outcome outcome = state.outcomeOf(id).value_or(change_outcome{});
-        array.append(QJsonArray{detail::toQString(id), static_cast<int>(outcome.status),
-                                static_cast<qint64>(outcome.version), detail::toQString(outcome.field),
-                                detail::toQString(outcome.detail)});
+        const detail::decided_change &decided = *state.findDecided(id);
+        const change_outcome &outcome = decided.outcome;
+        array.append(QJsonArray{detail::toQString(id), QString::number(decided.contentHash, hexadecimal),
+                                static_cast<int>(outcome.status), static_cast<qint64>(outcome.version),
+                                detail::toQString(outcome.field), detail::toQString(outcome.detail)});
     }
     return array;
 }
@@ -83,14 +84,15 @@
     const QJsonArray array = value.toArray();
     for (const auto &element : array) {
         const QJsonArray fields = element.toArray();
-        const int status = fields.at(1).toInt(-1);
+        const int status = fields.at(2).toInt(-1);
         if (fields.size() != decidedFields || status < 0 || status > static_cast<int>(change_status::invalid)) {
             return false;
         }
-        const auto version = static_cast<std::uint64_t>(fields.at(2).toInteger());
-        state.remember(fields.at(0).toString().toStdString(),
-                       {static_cast<change_status>(status), version, fields.at(3).toString().toStdString(),
-                        fields.at(4).toString().toStdString()});
+        const auto version = static_cast<std::uint64_t>(fields.at(3).toInteger());
+        const change_outcome outcome{static_cast<change_status>(status), version, fields.at(4).toString().toStdString(),
+                                     fields.at(5).toString().toStdString()};
+        const std::uint64_t contentHash = fields.at(1).toString().toULongLong(nullptr, hexadecimal);
+        state.remember(fields.at(0).toString().toStdString(), {contentHash, outcome});
     }
     return value.isArray();
 }
--- a/packages/configuration/src/detail/record.h
+++ b/packages/configuration/src/detail/record.h
@@ -11,7 +11,7 @@
 ///
 /// Change:   {"change":{"id","op":"put"|"remove","kind","name","expected","spec"}}
 /// Snapshot: {"snapshot":{"covers","digest","skipped","pipeline":{NAME:{"version","spec"}},"team","endpoint",
-///           "decided":[[ID,STATUS,VERSION,FIELD,DETAIL],...]}}
+///           "decided":[[ID,HASH,STATUS,VERSION,FIELD,DETAIL],...]}}
 
 namespace masticlever::configuration::detail
 {
--- a/packages/configuration/src/detail/table.cpp
+++ b/packages/configuration/src/detail/table.cpp
@@ -15,12 +15,14 @@
 
 constexpr char separator = '\n';
 
-std::uint64_t hashOf(const std::string &changeId, const change_outcome &outcome)
+std::uint64_t hashOf(const std::string &changeId, const decided_change &decided)
 {
+    const change_outcome &outcome = decided.outcome;
+    const std::string content = std::to_string(decided.contentHash);
     const std::string status = std::to_string(static_cast<int>(outcome.status));
     const std::string version = std::to_string(outcome.version);
-    return common::stableHash("change\n" + changeId + separator + status + separator + version + separator
-                              + outcome.field + separator + outcome.detail);
+    return common::stableHash("change\n" + changeId + separator + content + separator + status + separator + version
+                              + separator + outcome.field + separator + outcome.detail);
 }
 
 template <typename Spec> std::uint64_t hashOf(std::string_view kind, const resource<Spec> &what)
@@ -43,10 +45,10 @@
 
 } // namespace
 
-std::optional<change_outcome> table::outcomeOf(std::string_view changeId) const
+const decided_change *table::findDecided(std::string_view changeId) const
 {
     const auto found = m_decided.find(changeId);
-    return found == m_decided.end() ? std::nullopt : std::optional(found->second);
+    return found == m_decided.end() ? nullptr : &found->second;
 }
 
 std::uint64_t table::versionOf(resource_kind kind, const std::string &name) const
@@ -94,11 +96,11 @@
     }
 }
 
-void table::remember(const std::string &changeId, const change_outcome &outcome)
+void table::remember(const std::string &changeId, const decided_change &decided)
 {
-    m_decided.emplace(changeId, outcome);
+    m_decided.emplace(changeId, decided);
     m_decidedOrder.push_back(changeId);
-    m_contentDigest += hashOf(changeId, outcome);
+    m_contentDigest += hashOf(changeId, decided);
     if (m_decidedOrder.size() <= rememberedChanges) {
         return;
     }
--- a/packages/configuration/src/detail/table.h
+++ b/packages/configuration/src/detail/table.h
@@ -16,6 +16,12 @@
 namespace masticlever::configuration::detail
 {
 
+/// The first record with a change id.
+struct decided_change {
+    std::uint64_t contentHash = 0; ///< tells the same change from another under the same id
+    change_outcome outcome;
+};
+
 /// Pure state: equal for every reader of the same records, whatever snapshot it began with.
 class table
 {
@@ -25,7 +31,7 @@
     /// Records that were neither a change nor a snapshot.
     std::uint64_t skipped() const { return m_skipped; }
     const std::deque<std::string> &decidedIds() const { return m_decidedOrder; }
-    std::optional<change_outcome> outcomeOf(std::string_view changeId) const;
+    const decided_change *findDecided(std::string_view changeId) const;
     std::uint64_t versionOf(resource_kind kind, const std::string &name) const;
     std::size_t stateBytes() const { return m_stateBytes; }
     /// Order-independent digest of the whole state, kept up to date with every change.
@@ -38,7 +44,7 @@
     void put(const std::string &name, resource<endpoint_spec> what);
     void remove(resource_kind kind, const std::string &name);
     /// Forgets the oldest outcome beyond rememberedChanges.
-    void remember(const std::string &changeId, const change_outcome &outcome);
+    void remember(const std::string &changeId, const decided_change &decided);
 
 private:
     template <typename Spec>
@@ -48,7 +54,7 @@
     void removeFrom(std::map<std::string, resource<Spec>> &kind, std::string_view kindName, const std::string &name);
 
     snapshot m_resources;
-    std::map<std::string, change_outcome, std::less<>> m_decided;
+    std::map<std::string, decided_change, std::less<>> m_decided;
     std::deque<std::string> m_decidedOrder;
     std::uint64_t m_skipped = 0;
     std::uint64_t m_contentDigest = 0; ///< sum of the entries' hashes
--- a/packages/configuration/src/replay.cpp
+++ b/packages/configuration/src/replay.cpp
@@ -4,6 +4,8 @@
 #include "detail/history.h"
 #include "detail/record.h"
 
+#include <masticlever/common/digest.h>
+
 #include <algorithm>
 #include <deque>
 #include <utility>
@@ -11,6 +13,16 @@
 namespace masticlever::configuration
 {
 
+namespace
+{
+
+std::uint64_t contentHash(const change &what)
+{
+    return common::stableHash(encodeChange(what));
+}
+
+} // namespace
+
 struct replayer::state {
     detail::table table;
     snapshot_ptr published = std::make_shared<const snapshot>();
@@ -105,8 +117,9 @@
 /// The first record with a change id decides; later ones with the same id have no effect.
 void replayer::state::applyChange(const change &what, platform::log_offset offset)
 {
-    if (!table.outcomeOf(what.id)) {
-        table.remember(what.id, detail::decide(table, what, offset));
+    if (table.findDecided(what.id) == nullptr) {
+        const change_outcome outcome = detail::decide(table, what, offset);
+        table.remember(what.id, {contentHash(what), outcome});
     }
 }
 
@@ -223,12 +236,25 @@
 
 std::optional<change_outcome> replayer::outcomeOf(std::string_view changeId) const
 {
-    return m_state->table.outcomeOf(changeId);
+    const detail::decided_change *decided = m_state->table.findDecided(changeId);
+    return decided == nullptr ? std::nullopt : std::optional(decided->outcome);
+}
+
+std::optional<change_outcome> replayer::outcomeOf(const change &what) const
+{
+    const detail::decided_change *decided = m_state->table.findDecided(what.id);
+    if (decided == nullptr) {
+        return std::nullopt;
+    }
+    if (decided->contentHash != contentHash(what)) {
+        return change_outcome{change_status::invalid, 0, "change_id", "is the id of another change"};
+    }
+    return decided->outcome;
 }
 
 change_outcome replayer::check(const change &what) const
 {
-    if (const auto outcome = outcomeOf(what.id)) {
+    if (const auto outcome = outcomeOf(what)) {
         return *outcome;
     }
     return detail::preview(m_state->table, what, m_state->next);
--- a/packages/configuration/test/change-tracker-test.cpp
+++ b/packages/configuration/test/change-tracker-test.cpp
@@ -131,6 +131,14 @@
         CHECK(tracker.takeEnded().at(0).progress == change_progress::not_applied);
     }
 
+    SECTION("another change under the same id that came first through another instance is no success")
+    {
+        tracker.submit(move, reader, start);
+        log.append(encodeChange(putEndpoint("c1", "desk-9", 0)));
+        replay();
+        CHECK(tracker.takeEnded().at(0).outcome.field == "change_id");
+    }
+
     SECTION("an id that nobody used is not known")
     {
         CHECK_FALSE(tracker.find("c9", reader));
--- a/packages/configuration/test/replay-test.cpp
+++ b/packages/configuration/test/replay-test.cpp
@@ -62,6 +62,13 @@
         CHECK_FALSE(reader.current()->endpoints.contains("desk-2"));
     }
 
+    SECTION("the id of a change is of no use for another one")
+    {
+        CHECK(reader.outcomeOf(putEndpoint("c1", "desk-1", 0))->status == change_status::accepted);
+        CHECK(reader.outcomeOf(putEndpoint("c1", "desk-9", 0))->field == "change_id");
+        CHECK(reader.check(putEndpoint("c1", "desk-9", 0)).status == change_status::invalid);
+    }
+
     SECTION("references hold at every offset")
     {
         CHECK(apply(putPipeline("p0", "order", 0, "nowhere")).field == "spec.stages[0].pool");
