--- a/packages/configuration/src/codec.cpp
+++ b/packages/configuration/src/codec.cpp
@@ -2,6 +2,7 @@
 
 #include "detail/json-reader.h"
 #include "detail/rules.h"
+#include "detail/spec-json.h"
 
 #include <QJsonArray>
 
@@ -141,7 +142,7 @@
     return array;
 }
 
-QJsonObject toObject(const stage_spec &stage)
+QJsonObject stageObject(const stage_spec &stage)
 {
     QJsonObject object{{u"name"_s, detail::toQString(stage.name)},
                        {u"pool"_s, detail::toQString(stage.pool)},
@@ -156,15 +157,25 @@
     return object;
 }
 
+template <typename Spec> parsed<Spec> parseText(std::string_view json, parsed<Spec> (*read)(const QJsonValue &))
+{
+    error_sink errors;
+    const QJsonValue object = detail::parseObject(json, "spec", errors);
+    return errors.first() ? parsed<Spec>{{}, errors.first()} : read(object);
+}
+
 } // namespace
 
-parsed<pipeline_spec> parsePipeline(std::string_view json)
+namespace detail
+{
+
+parsed<pipeline_spec> readPipeline(const QJsonValue &json)
 {
     error_sink errors;
     pipeline_spec spec;
-    object_reader reader(detail::parseObject(json, "spec", errors), "spec", errors);
+    object_reader reader(json, "spec", errors);
     readStages(reader, spec, errors);
-    const auto deadline = reader.readInteger("deadline_ms"_L1, {1, detail::maximumDeadlineMs});
+    const auto deadline = reader.readInteger("deadline_ms"_L1, {1, maximumDeadlineMs});
     if (deadline) {
         spec.deadline = std::chrono::milliseconds(*deadline);
     }
@@ -174,73 +185,105 @@
     return {std::move(spec), errors.first()};
 }
 
-parsed<team_spec> parseTeam(std::string_view json)
+parsed<team_spec> readTeam(const QJsonValue &json)
 {
     error_sink errors;
     team_spec spec;
-    object_reader reader(detail::parseObject(json, "spec", errors), "spec", errors);
-    reader.readTexts("token_digests"_L1, spec.tokenDigests, detail::maximumTokenDigests);
-    checkEach(spec.tokenDigests, detail::isDigest, "must be 64 lower-case hexadecimal digits",
-              reader.pathOf("token_digests"), errors);
-    reader.readTexts("pipelines"_L1, spec.pipelines, detail::maximumTeamPipelines);
-    checkEach(spec.pipelines, detail::isName, nameRule, reader.pathOf("pipelines"), errors);
-    reader.readNumber("weight"_L1, spec.weight, {detail::minimumWeight, detail::maximumWeight});
-    const auto inFlight = reader.readInteger("max_in_flight"_L1, {1, detail::maximumTeamInFlight});
+    object_reader reader(json, "spec", errors);
+    reader.readTexts("token_digests"_L1, spec.tokenDigests, maximumTokenDigests);
+    checkEach(spec.tokenDigests, isDigest, "must be 64 lower-case hexadecimal digits", reader.pathOf("token_digests"),
+              errors);
+    reader.readTexts("pipelines"_L1, spec.pipelines, maximumTeamPipelines);
+    checkEach(spec.pipelines, isName, nameRule, reader.pathOf("pipelines"), errors);
+    reader.readNumber("weight"_L1, spec.weight, {minimumWeight, maximumWeight});
+    const auto inFlight = reader.readInteger("max_in_flight"_L1, {1, maximumTeamInFlight});
     spec.maxInFlight = static_cast<std::size_t>(inFlight.value_or(static_cast<std::int64_t>(spec.maxInFlight)));
-    const auto bodyBytes = reader.readInteger("max_body_bytes"_L1, {1, detail::maximumTeamBodyBytes});
+    const auto bodyBytes = reader.readInteger("max_body_bytes"_L1, {1, maximumTeamBodyBytes});
     spec.maxBodyBytes = static_cast<std::size_t>(bodyBytes.value_or(static_cast<std::int64_t>(spec.maxBodyBytes)));
     reader.finish();
     return {std::move(spec), errors.first()};
 }
 
-parsed<endpoint_spec> parseEndpoint(std::string_view json)
+parsed<endpoint_spec> readEndpoint(const QJsonValue &json)
 {
     error_sink errors;
     endpoint_spec spec;
-    object_reader reader(detail::parseObject(json, "spec", errors), "spec", errors);
+    object_reader reader(json, "spec", errors);
     readName(reader, "pool"_L1, spec.pool, presence::required);
     reader.readText("address"_L1, spec.address, presence::required);
-    if (!detail::isAddress(spec.address)) {
+    if (!isAddress(spec.address)) {
         reader.fail("address", "must be IP:port");
     }
     readName(reader, "data_centre"_L1, spec.dataCentre, presence::optional);
     reader.readBool("checks_fencing"_L1, spec.checksFencing);
-    const auto slots = reader.readInteger("slots"_L1, {1, detail::maximumSlots});
+    const auto slots = reader.readInteger("slots"_L1, {1, maximumSlots});
     spec.slots = static_cast<std::size_t>(slots.value_or(static_cast<std::int64_t>(spec.slots)));
     reader.readBool("draining"_L1, spec.draining);
     reader.finish();
     return {std::move(spec), errors.first()};
 }
 
-std::string toJson(const pipeline_spec &spec)
+QJsonObject toObject(const pipeline_spec &spec)
 {
     QJsonArray stages;
     for (const stage_spec &stage : spec.stages) {
-        stages.append(toObject(stage));
+        stages.append(stageObject(stage));
     }
-    return detail::compact({{u"stages"_s, stages},
-                            {u"deadline_ms"_s, static_cast<qint64>(spec.deadline.count())},
-                            {u"retry_budget"_s, spec.retryBudget},
-                            {u"hedging"_s, spec.hedging}});
+    return {{u"stages"_s, stages},
+            {u"deadline_ms"_s, static_cast<qint64>(spec.deadline.count())},
+            {u"retry_budget"_s, spec.retryBudget},
+            {u"hedging"_s, spec.hedging}};
+}
+
+QJsonObject toObject(const team_spec &spec)
+{
+    return {{u"token_digests"_s, toArray(spec.tokenDigests)},
+            {u"pipelines"_s, toArray(spec.pipelines)},
+            {u"weight"_s, spec.weight},
+            {u"max_in_flight"_s, static_cast<qint64>(spec.maxInFlight)},
+            {u"max_body_bytes"_s, static_cast<qint64>(spec.maxBodyBytes)}};
+}
+
+QJsonObject toObject(const endpoint_spec &spec)
+{
+    return {{u"pool"_s, toQString(spec.pool)},
+            {u"address"_s, toQString(spec.address)},
+            {u"data_centre"_s, toQString(spec.dataCentre)},
+            {u"checks_fencing"_s, spec.checksFencing},
+            {u"slots"_s, static_cast<qint64>(spec.slots)},
+            {u"draining"_s, spec.draining}};
+}
+
+} // namespace detail
+
+parsed<pipeline_spec> parsePipeline(std::string_view json)
+{
+    return parseText(json, detail::readPipeline);
+}
+
+parsed<team_spec> parseTeam(std::string_view json)
+{
+    return parseText(json, detail::readTeam);
+}
+
+parsed<endpoint_spec> parseEndpoint(std::string_view json)
+{
+    return parseText(json, detail::readEndpoint);
+}
+
+std::string toJson(const pipeline_spec &spec)
+{
+    return detail::compact(detail::toObject(spec));
 }
 
 std::string toJson(const team_spec &spec)
 {
-    return detail::compact({{u"token_digests"_s, toArray(spec.tokenDigests)},
-                            {u"pipelines"_s, toArray(spec.pipelines)},
-                            {u"weight"_s, spec.weight},
-                            {u"max_in_flight"_s, static_cast<qint64>(spec.maxInFlight)},
-                            {u"max_body_bytes"_s, static_cast<qint64>(spec.maxBodyBytes)}});
+    return detail::compact(detail::toObject(spec));
 }
 
 std::string toJson(const endpoint_spec &spec)
 {
-    return detail::compact({{u"pool"_s, detail::toQString(spec.pool)},
-                            {u"address"_s, detail::toQString(spec.address)},
-                            {u"data_centre"_s, detail::toQString(spec.dataCentre)},
-                            {u"checks_fencing"_s, spec.checksFencing},
-                            {u"slots"_s, static_cast<qint64>(spec.slots)},
-                            {u"draining"_s, spec.draining}});
+    return detail::compact(detail::toObject(spec));
 }
 
 std::string_view toString(resource_kind kind)
--- a/packages/configuration/src/detail/record.cpp
+++ b/packages/configuration/src/detail/record.cpp
@@ -2,6 +2,7 @@
 
 #include "detail/json-reader.h"
 #include "detail/rules.h"
+#include "detail/spec-json.h"
 
 #include <masticlever/configuration/codec.h>
 
@@ -40,7 +41,7 @@
     for (const auto &[name, entry] : kind) {
         object.insert(
             detail::toQString(name),
-            QJsonObject{{u"version"_s, static_cast<qint64>(entry.version)}, {u"spec"_s, parse(toJson(entry.spec))}});
+            QJsonObject{{u"version"_s, static_cast<qint64>(entry.version)}, {u"spec"_s, detail::toObject(entry.spec)}});
     }
     return object;
 }
@@ -58,14 +59,13 @@
     return array;
 }
 
-template <typename Spec, typename Parse>
-bool decodeKind(const QJsonValue &value, resource_kind kind, Parse parseSpec, detail::table &state)
+template <typename Spec, typename Read>
+bool decodeKind(const QJsonValue &value, resource_kind kind, Read readSpec, detail::table &state)
 {
     const QJsonObject object = value.toObject();
     for (auto entry = object.begin(); entry != object.end(); ++entry) {
         const QJsonObject fields = entry.value().toObject();
-        const QJsonObject spec = fields.value(u"spec"_s).toObject();
-        auto parsedSpec = parseSpec(detail::compact(spec));
+        auto parsedSpec = readSpec(fields.value(u"spec"_s));
         const qint64 version = fields.value(u"version"_s).toInteger();
         if (parsedSpec.error || version <= 0) {
             return false;
@@ -103,10 +103,11 @@
     const qint64 covers = object.value(u"covers"_s).toInteger(-1);
     const qint64 skipped = object.value(u"skipped"_s).toInteger(-1);
     const bool whole = decodeKind<endpoint_spec>(object.value(kindKey(resource_kind::endpoint)),
-                                                 resource_kind::endpoint, parseEndpoint, state)
+                                                 resource_kind::endpoint, detail::readEndpoint, state)
         && decodeKind<pipeline_spec>(object.value(kindKey(resource_kind::pipeline)), resource_kind::pipeline,
-                                     parsePipeline, state)
-        && decodeKind<team_spec>(object.value(kindKey(resource_kind::team)), resource_kind::team, parseTeam, state)
+                                     detail::readPipeline, state)
+        && decodeKind<team_spec>(object.value(kindKey(resource_kind::team)), resource_kind::team, detail::readTeam,
+                                 state)
         && decodeDecided(object.value(u"decided"_s), state);
     if (!whole || covers < 0 || skipped < 0) {
         return detail::garbage{};
--- a/packages/configuration/src/detail/table.cpp
+++ b/packages/configuration/src/detail/table.cpp
@@ -25,15 +25,16 @@
                               + separator + outcome.field + separator + outcome.detail);
 }
 
-template <typename Spec> std::uint64_t hashOf(std::string_view kind, const resource<Spec> &what)
-{
-    return common::stableHash(std::string(kind) + separator + what.name + separator + std::to_string(what.version)
-                              + separator + toJson(what.spec));
-}
+struct entry_measure {
+    std::uint64_t hash = 0;
+    std::size_t bytes = 0;
+};
 
-template <typename Spec> std::size_t bytesOf(const resource<Spec> &what)
+template <typename Spec> entry_measure measure(std::string_view kind, const resource<Spec> &what)
 {
-    return what.name.size() + toJson(what.spec).size();
+    const std::string json = toJson(what.spec);
+    const std::string text = std::string(kind) + separator + what.name + separator + std::to_string(what.version);
+    return {common::stableHash(text + separator + json), what.name.size() + json.size()};
 }
 
 template <typename Spec>
@@ -116,8 +117,9 @@
 {
     removeFrom(kind, kindName, name);
     what.name = name;
-    m_contentDigest += hashOf(kindName, what);
-    m_stateBytes += bytesOf(what);
+    const entry_measure added = measure(kindName, what);
+    m_contentDigest += added.hash;
+    m_stateBytes += added.bytes;
     kind.insert_or_assign(name, std::move(what));
 }
 
@@ -128,8 +130,9 @@
     if (found == kind.end()) {
         return;
     }
-    m_contentDigest -= hashOf(kindName, found->second);
-    m_stateBytes -= bytesOf(found->second);
+    const entry_measure removed = measure(kindName, found->second);
+    m_contentDigest -= removed.hash;
+    m_stateBytes -= removed.bytes;
     kind.erase(found);
 }
 
