Read flags in peer messages as 0 or 1 only

cereal copies any byte into a bool. The undefined behaviour sanitizer reported "load of value 63, which is not a valid value for type 'bool'" in the fuzz test. Flags are now a checked byte; other values are malformed.

With address and undefined behaviour sanitizers: membership, peers (28,586 assertions), orders (5,787) and telemetry (199) pass without a report.

--- a/packages/peers/src/detail/bodies.h
+++ b/packages/peers/src/detail/bodies.h
@@ -24,7 +24,9 @@
     transferText(archive, notice.incarnation, maximumNameBytes);
     transferText(archive, notice.dataCentre, maximumNameBytes);
     transferText(archive, notice.peerAddress, maximumAddressBytes);
-    archive(notice.heartbeat, notice.leaving, notice.logReachable, notice.configurationOffset);
+    archive(notice.heartbeat, notice.configurationOffset);
+    transferFlag(archive, notice.leaving);
+    transferFlag(archive, notice.logReachable);
 }
 
 template <typename Archive> void transferLoss(Archive &archive, membership::lost_notice &notice)
@@ -62,7 +64,8 @@
 
 template <typename Archive> void transferBody(Archive &archive, records_answer &answer)
 {
-    archive(answer.available, answer.batch.head, answer.batch.end);
+    transferFlag(archive, answer.available);
+    archive(answer.batch.head, answer.batch.end);
     transferList<std::uint32_t>(archive, answer.batch.records, maximumRecords, transferRecord<Archive>);
 }
 
--- a/packages/peers/src/detail/bounded-archive.h
+++ b/packages/peers/src/detail/bounded-archive.h
@@ -47,6 +47,12 @@
     return length;
 }
 
+/// A byte that is 0 or 1: other values in a bool are undefined behaviour.
+template <typename Archive> void transferFlag(Archive &archive, bool &flag)
+{
+    flag = transferSize<std::uint8_t>(archive, flag ? 1 : 0, 1) == 1;
+}
+
 template <typename Length = std::uint16_t, typename Archive>
 void transferText(Archive &archive, std::string &text, std::size_t maximum)
 {
--- a/packages/peers/test/codec-test.cpp
+++ b/packages/peers/test/codec-test.cpp
@@ -4,7 +4,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <random>
+#include <ranges>
 
 using namespace masticlever::peers;
 using masticlever::common::error;
@@ -130,6 +132,19 @@
         }
     }
 
+    SECTION("a flag is 0 or 1")
+    {
+        constexpr std::size_t lossListBytes = 1 + (2 + 4) + 8;
+        constexpr std::size_t endpointListBytes = 1 + (2 + 11) + (2 + 3);
+        const auto flag = bytes.size() - codeBytes - endpointListBytes - lossListBytes - 1;
+        std::string body = bytes.substr(0, bytes.size() - codeBytes);
+        const auto accepted = std::ranges::count_if(std::views::iota(0, 256), [&](int value) {
+            body[flag] = static_cast<char>(value);
+            return decodeDatagram(authenticated(body), key).has_value();
+        });
+        CHECK(accepted == 2);
+    }
+
     SECTION("random changes under a valid code never break the decoder")
     {
         std::mt19937_64 random(20260101);
