Follow the pools' capacity and tell peers of silent endpoints

Cause: the daemon admitted its fixed start capacity whatever stood behind it, which floods the engines past saturation; each instance found a silent endpoint by itself, at the price of a booking each. Ruled out: a fixed share by slots (wrong while stages are not learnt). The codec test's offset of a flag follows the longer message.

--- a/packages/masticleverd/src/daemon.cpp
+++ b/packages/masticleverd/src/daemon.cpp
@@ -25,7 +25,7 @@
 using telemetry::event;
 using telemetry::logEvent;
 
-constexpr std::chrono::milliseconds membershipInterval{400}; ///< below half of ledger_options::peerNotice
+constexpr std::chrono::milliseconds membershipInterval{200}; ///< below half of ledger_options::peerNotice
 
 routing::policy_kind policyOf(const std::string &name)
 {
@@ -59,7 +59,7 @@
                                                                          .bodyLimitBytes = m_settings.bodyLimitBytes},
                                                  [this](gateway::exchange &one) { handle(one); });
     connect(&m_second, &QTimer::timeout, this, &daemon::everySecond);
-    connect(&m_membershipTick, &QTimer::timeout, this, &daemon::onMembershipChanged);
+    connect(&m_membershipTick, &QTimer::timeout, this, &daemon::onMembershipTick);
 }
 
 daemon::~daemon() = default;
@@ -93,6 +93,11 @@
     handlers.recordsFrom = [this](platform::log_offset from, std::size_t limit) { return recordsForPeer(from, limit); };
     handlers.onRecords = [this](const platform::log_batch &batch) { return onPeerRecords(batch); };
     handlers.onNews = [this] { onMembershipChanged(); };
+    handlers.onSuspects = [this](const std::vector<std::string> &endpoints) {
+        for (const std::string &name : endpoints) {
+            m_runs->router().onPeerSuspects(name, presentMoment().now);
+        }
+    };
     handlers.onRefused = [](std::error_code reason, std::uint64_t count) {
         logEvent(event::peer_message_refused, {{"reason", std::string_view(reason.message())}, {"count", count}});
     };
@@ -345,6 +350,15 @@
     m_ledger->core().setPeerReachesLog(m_membership->table().isLogReachableByPeer(presentMoment().now));
 }
 
+void daemon::onMembershipTick()
+{
+    onMembershipChanged();
+    auto suspects = m_runs->keepHouse(m_membership->liveIncarnations().size());
+    if (!suspects.empty()) {
+        m_peers->announceSuspects(std::move(suspects));
+    }
+}
+
 void daemon::everySecond()
 {
     m_peers->setState(m_ledger->core().isLogReachable(), configuration()->offset);
--- a/packages/masticleverd/src/daemon.h
+++ b/packages/masticleverd/src/daemon.h
@@ -63,6 +63,7 @@
     void updateGauges();
     void onConfigurationChanged();
     void onMembershipChanged();
+    void onMembershipTick();
     void everySecond();
     void finishDrain();
     common::result<platform::log_batch> recordsForPeer(platform::log_offset from, std::size_t limit) const;
--- a/packages/masticleverd/src/run-host.cpp
+++ b/packages/masticleverd/src/run-host.cpp
@@ -3,6 +3,7 @@
 #include "clock.h"
 
 #include <masticlever/calls/http-call-client.h>
+#include <masticlever/routing/capacity.h>
 #include <masticlever/telemetry/events.h>
 
 #include <QByteArray>
@@ -10,6 +11,7 @@
 #include <QTcpSocket>
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 #include <variant>
 
@@ -182,6 +184,23 @@
     pump();
 }
 
+std::vector<std::string> run_host::keepHouse(std::size_t liveInstances)
+{
+    const common::instant now = presentMoment().now;
+    double share = 0;
+    for (const auto &[name, pipeline] : m_configuration->pipelines) {
+        const auto fleet = routing::capacityOf(name, pipeline.spec, m_planner.estimates(), m_router, now);
+        share = std::max(share, routing::instanceShare(fleet, liveInstances));
+    }
+    if (share > 0) {
+        const auto capacity = static_cast<std::size_t>(std::ceil(share));
+        m_admission.setCapacity(std::min(capacity, m_options.admission.capacity));
+    }
+    m_table.onTimer(presentMoment());
+    pump();
+    return m_router.takeSuspects(now);
+}
+
 void run_host::probeEndpoints()
 {
     for (const routing::candidate &endpoint : m_router.dueProbes(presentMoment().now)) {
--- a/packages/masticleverd/src/run-host.h
+++ b/packages/masticleverd/src/run-host.h
@@ -18,6 +18,7 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 /// \file
 /// Hosts the runs: performs their calls, hands answers and ledger events to them, and writes to their callers.
@@ -49,6 +50,8 @@
     void retryUnknownRuns();
     /// Connects to ejected endpoints whose time is over, to bring them back without risking a request.
     void probeEndpoints();
+    /// Follows the capacity of the pools, shared by \p liveInstances; names endpoints that fell silent.
+    std::vector<std::string> keepHouse(std::size_t liveInstances);
     void stopAccepting() { m_table.stopAccepting(); }
 
     bool hasRun(const common::run_key &key) const { return m_table.hasRun(key); }
--- a/packages/peers/include/masticlever/peers/gossip.h
+++ b/packages/peers/include/masticlever/peers/gossip.h
@@ -26,6 +26,7 @@
     std::size_t noticeLimit = 8; ///< changed notices in one message
     std::size_t lossLimit = 8;
     std::size_t endpointLimit = 8;
+    std::size_t suspectLimit = 8;
 };
 
 /// One message for several peers.
@@ -47,6 +48,9 @@
     /// Has the next round sent early and to more peers: this instance or an endpoint is leaving.
     void sendEarly(common::instant now);
 
+    /// Names endpoints that are silent here in the next round, which is sent early.
+    void suspect(std::vector<std::string> endpoints, common::instant now);
+
     /// Takes the news over; false for a repeated or reflected message, which changes nothing.
     bool onMessage(const gossip_message &message, common::instant now);
 
@@ -58,6 +62,7 @@
     membership::membership_table &m_table;
     common::instant m_nextAt;
     common::instant m_sentAt;
+    std::vector<std::string> m_suspects; ///< for the next round
     bool m_isUrgent = false;
     std::uint64_t m_rounds = 0;
     std::map<std::string, std::uint64_t, std::less<>> m_lastMessages; ///< heartbeat by sender's incarnation
--- a/packages/peers/include/masticlever/peers/messages.h
+++ b/packages/peers/include/masticlever/peers/messages.h
@@ -4,6 +4,7 @@
 #include <masticlever/platform/log-service.h>
 
 #include <cstdint>
+#include <string>
 #include <vector>
 
 /// \file
@@ -18,6 +19,7 @@
     std::vector<membership::instance_notice> notices; ///< changes of other instances
     std::vector<membership::lost_notice> losses;
     std::vector<membership::endpoint_notice> leavingEndpoints;
+    std::vector<std::string> suspects; ///< names of endpoints that the sender finds silent
 
     bool operator==(const gossip_message &) const = default;
 };
--- a/packages/peers/include/masticlever/peers/peer-service.h
+++ b/packages/peers/include/masticlever/peers/peer-service.h
@@ -12,6 +12,7 @@
 #include <memory>
 #include <string>
 #include <system_error>
+#include <vector>
 
 /// \file
 /// The sockets of the peer protocol: heartbeats and news over UDP, configuration records over TCP, both on the same
@@ -36,6 +37,8 @@
     std::function<platform::log_offset(const platform::log_batch &batch)> onRecords;
     /// After news were taken over from a peer; optional.
     std::function<void()> onNews;
+    /// A peer finds these endpoints silent; optional.
+    std::function<void(const std::vector<std::string> &endpoints)> onSuspects;
     /// A message was dropped; \p count of that reason so far. Optional.
     std::function<void(std::error_code reason, std::uint64_t count)> onRefused;
 };
@@ -75,6 +78,9 @@
     /// An endpoint said that it is leaving: told to the peers at once.
     void announceEndpointLeaving(const membership::endpoint_notice &notice);
 
+    /// Endpoints are silent here: told to the peers at once.
+    void announceSuspects(std::vector<std::string> endpoints);
+
     const peer_counters &counters() const;
 
 private:
--- a/packages/peers/src/codec.cpp
+++ b/packages/peers/src/codec.cpp
@@ -66,6 +66,10 @@
 
 void dropLastOfLongest(gossip_message &message)
 {
+    if (!message.suspects.empty()) {
+        message.suspects.pop_back();
+        return;
+    }
     const std::size_t notices = message.notices.size();
     const std::size_t losses = message.losses.size();
     if (notices >= losses && notices >= message.leavingEndpoints.size()) {
@@ -79,7 +83,8 @@
 
 bool hasItems(const gossip_message &message)
 {
-    return !message.notices.empty() || !message.losses.empty() || !message.leavingEndpoints.empty();
+    return !message.notices.empty() || !message.losses.empty() || !message.leavingEndpoints.empty()
+        || !message.suspects.empty();
 }
 
 template <typename Message>
--- a/packages/peers/src/detail/bodies.h
+++ b/packages/peers/src/detail/bodies.h
@@ -41,12 +41,18 @@
     transferText(archive, notice.incarnation, maximumNameBytes);
 }
 
+template <typename Archive> void transferName(Archive &archive, std::string &name)
+{
+    transferText(archive, name, maximumNameBytes);
+}
+
 template <typename Archive> void transferBody(Archive &archive, gossip_message &message)
 {
     transferNotice(archive, message.sender);
     transferList(archive, message.notices, maximumListItems, transferNotice<Archive>);
     transferList(archive, message.losses, maximumListItems, transferLoss<Archive>);
     transferList(archive, message.leavingEndpoints, maximumListItems, transferEndpoint<Archive>);
+    transferList(archive, message.suspects, maximumListItems, transferName<Archive>);
 }
 
 template <typename Archive> void transferBody(Archive &archive, records_request &request)
--- a/packages/peers/src/gossip.cpp
+++ b/packages/peers/src/gossip.cpp
@@ -64,9 +64,20 @@
     message.losses = turn(m_table.recentLosses(candidateLimit, now), m_options.lossLimit, m_rounds);
     message.leavingEndpoints
         = turn(m_table.recentLeavingEndpoints(candidateLimit, now), m_options.endpointLimit, m_rounds);
+    message.suspects = std::exchange(m_suspects, {});
     return message;
 }
 
+void gossip::suspect(std::vector<std::string> endpoints, common::instant now)
+{
+    for (std::string &name : endpoints) {
+        if (m_suspects.size() < m_options.suspectLimit) {
+            m_suspects.push_back(std::move(name));
+        }
+    }
+    sendEarly(now);
+}
+
 void gossip::sendEarly(common::instant now)
 {
     m_isUrgent = true;
--- a/packages/peers/src/peer-service.cpp
+++ b/packages/peers/src/peer-service.cpp
@@ -40,6 +40,7 @@
     common::result<std::uint16_t> listen();
     void setState(bool isLogReachable, platform::log_offset configurationOffset);
     void sendEarly();
+    void suspect(std::vector<std::string> endpoints);
 
     membership::membership_table &table() { return m_table; }
     const peer_counters &counters();
@@ -122,6 +123,12 @@
     m_catchUp.onApplied(configurationOffset);
 }
 
+void peer_service::implementation::suspect(std::vector<std::string> endpoints)
+{
+    m_gossip.suspect(std::move(endpoints), present());
+    sendEarly();
+}
+
 void peer_service::implementation::sendEarly()
 {
     m_gossip.sendEarly(present());
@@ -201,6 +208,9 @@
         return;
     }
     m_catchUp.onPeer(sender.peerAddress, sender.configurationOffset, now);
+    if (m_handlers.onSuspects && !message.value().suspects.empty()) {
+        m_handlers.onSuspects(message.value().suspects);
+    }
     if (m_handlers.onNews) {
         m_handlers.onNews();
     }
@@ -281,6 +291,11 @@
     m_implementation->sendEarly();
 }
 
+void peer_service::announceSuspects(std::vector<std::string> endpoints)
+{
+    m_implementation->suspect(std::move(endpoints));
+}
+
 const peer_counters &peer_service::counters() const
 {
     return m_implementation->counters();
--- a/packages/peers/test/codec-test.cpp
+++ b/packages/peers/test/codec-test.cpp
@@ -31,6 +31,7 @@
     message.notices = {makeNotice(2), makeNotice(3)};
     message.losses = {{"gone", 4}};
     message.leavingEndpoints = {{"10.9.9.9:80", "e-1"}};
+    message.suspects = {"desk-2"};
     return message;
 }
 
@@ -136,7 +137,8 @@
     {
         constexpr std::size_t lossListBytes = 1 + (2 + 4) + 8;
         constexpr std::size_t endpointListBytes = 1 + (2 + 11) + (2 + 3);
-        const auto flag = bytes.size() - codeBytes - endpointListBytes - lossListBytes - 1;
+        constexpr std::size_t suspectListBytes = 1 + (2 + 6);
+        const auto flag = bytes.size() - codeBytes - suspectListBytes - endpointListBytes - lossListBytes - 1;
         std::string body = bytes.substr(0, bytes.size() - codeBytes);
         const auto accepted = std::ranges::count_if(std::views::iota(0, 256), [&](int value) {
             body[flag] = static_cast<char>(value);
