--- a/packages/telemetry/test/metrics-test.cpp
+++ b/packages/telemetry/test/metrics-test.cpp
@@ -2,6 +2,13 @@
 
 #include <catch2/catch.hpp>
 
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <regex>
+#include <set>
+#include <string>
+
 using namespace masticlever::telemetry;
 
 namespace
@@ -12,8 +19,44 @@
 constexpr double bounds[] = {0.1, 1.0};
 constexpr metric_family delay{"test_delay_seconds", "Delay.", 10, bounds};
 
+std::string readFile(const std::filesystem::path &path)
+{
+    std::ifstream file(path);
+    return {std::istreambuf_iterator<char>(file), {}};
+}
+
+std::set<std::string> namesIn(const std::string &text, const std::regex &pattern)
+{
+    std::set<std::string> names;
+    for (std::sregex_iterator match(text.begin(), text.end(), pattern), end; match != end; ++match) {
+        names.insert((*match)[1]);
+    }
+    return names;
+}
+
+/// String literals with the prefix of this project's metrics, outside the tests.
+std::set<std::string> namesInSources()
+{
+    const std::regex literal(R"re("(masticlever_[a-z_]+)")re");
+    std::set<std::string> names;
+    for (const auto &entry : std::filesystem::recursive_directory_iterator(MASTICLEVER_PACKAGES)) {
+        const std::string extension = entry.path().extension();
+        const bool isSource = extension == ".cpp" || extension == ".h";
+        if (isSource && entry.path().parent_path().filename() != "test") {
+            names.merge(namesIn(readFile(entry.path()), literal));
+        }
+    }
+    return names;
+}
+
 } // namespace
 
+TEST_CASE("the page and the code hold the same metrics")
+{
+    const std::regex row(R"(\n\| `(masticlever_[a-z_]+)` \| (?:counter|gauge|histogram) \|)");
+    CHECK(namesIn(readFile(MASTICLEVER_DOCS "/METRICS.md"), row) == namesInSources());
+}
+
 TEST_CASE("metrics appear with their first use")
 {
     metric_registry registry;
