--- a/packages/masticleverctl/src/commands.cpp
+++ b/packages/masticleverctl/src/commands.cpp
@@ -93,7 +93,7 @@
 {
     const response answer = m_server.send({"GET", resourcePath(kind, name), {}, {}, {}});
     if (!answer.isSuccess()) {
-        return fail(answer);
+        return fail(answer, request_effect::reads);
     }
     m_out(m_format == output_format::json
               ? compactText(answer.body)
@@ -103,23 +103,45 @@
 
 int commands::watch(std::uint64_t from, int rounds)
 {
+    QStringList known;
     for (int round = 0; rounds == 0 || round < rounds; ++round) {
         const QString path = u"/v1/watch?from=%1&wait_ms=%2"_s.arg(from).arg(watchWaitMs);
         const response answer = m_server.send({"GET", path, {}, {}, {}});
         if (!answer.isSuccess()) {
-            return fail(answer);
+            return fail(answer, request_effect::reads);
         }
         const auto offset = static_cast<std::uint64_t>(answer.body.value(u"offset"_s).toInteger());
         if (offset > from) {
-            m_out(m_format == output_format::json ? compactText(answer.body)
-                                                  : tableText(answer.body.value(u"changed"_s).toArray(),
-                                                              {u"kind"_s, u"name"_s, u"version"_s, u"in_force"_s}));
+            showWatched(answer.body, known);
             from = offset;
         }
     }
     return exit_code::unchanged;
 }
 
+/// \p known holds the resources of the round before, so that those that have gone since are told.
+void commands::showWatched(const QJsonObject &body, QStringList &known)
+{
+    if (m_format == output_format::json) {
+        m_out(compactText(body));
+        return;
+    }
+    const QJsonArray changed = body.value(u"changed"_s).toArray();
+    if (!changed.empty()) {
+        m_out(tableText(changed, {u"kind"_s, u"name"_s, u"version"_s, u"in_force"_s}));
+    }
+    QStringList present;
+    for (const auto &item : body.value(u"present"_s).toArray()) {
+        present.append(item.toString());
+    }
+    for (const QString &resource : known) {
+        if (!present.contains(resource)) {
+            m_out(resource + u" removed\n"_s);
+        }
+    }
+    known = present;
+}
+
 int commands::remove(const QString &kind, const QString &name, std::optional<std::uint64_t> version)
 {
     const auto parsedKind = configuration::parseKind(kind.toStdString());
@@ -130,7 +152,7 @@
     if (!version) {
         const response present = m_server.send({"GET", resourcePath(kind, name), {}, {}, {}});
         if (!present.isSuccess()) {
-            return fail(present);
+            return fail(present, request_effect::reads);
         }
         version = static_cast<std::uint64_t>(present.body.value(u"version"_s).toInteger());
     }
@@ -144,7 +166,7 @@
 {
     const response answer = m_server.send({"POST", u"/v1/instances/%1/drain"_s.arg(instance), "{}", {}, {}});
     if (!answer.isSuccess()) {
-        return fail(answer);
+        return fail(answer, request_effect::changes);
     }
     m_out(m_format == output_format::json ? compactText(answer.body) : instance + u" is leaving\n"_s);
     return exit_code::changed;
@@ -161,7 +183,7 @@
     const response answer
         = m_server.send({"POST", u"/v1/operator/runs/%1/%2/settle"_s.arg(team, key), resultJson, {}, {}});
     if (!answer.isSuccess()) {
-        return fail(answer);
+        return fail(answer, request_effect::changes);
     }
     m_out(m_format == output_format::json ? compactText(answer.body) : u"%1/%2 is settled\n"_s.arg(team, key));
     return exit_code::changed;
@@ -174,7 +196,7 @@
     for (const auto kind : {resource_kind::endpoint, resource_kind::pipeline, resource_kind::team}) {
         const response answer = m_server.send({"GET", resourcePath(kindText(kind), {}), {}, {}, {}});
         if (!answer.isSuccess()) {
-            fail(answer);
+            fail(answer, request_effect::reads);
             return std::nullopt;
         }
         for (const auto &item : answer.body.value(u"items"_s).toArray()) {
@@ -190,7 +212,7 @@
 int commands::showAnswer(const response &answer, const QStringList &columns)
 {
     if (!answer.isSuccess()) {
-        return fail(answer);
+        return fail(answer, request_effect::reads);
     }
     if (m_format == output_format::json) {
         m_out(compactText(answer.body));
@@ -202,13 +224,13 @@
     return exit_code::unchanged;
 }
 
-/// An answer that is lost leaves only a request other than GET in doubt; those settle it before they come here.
-int commands::fail(const response &answer)
+/// A lost answer leaves the effect of a request in doubt, unless it only reads.
+int commands::fail(const response &answer, request_effect effect)
 {
     const QString detail = answer.status == 0 ? answer.fault : answer.body.value(u"detail"_s).toString();
     m_err(u"error: "_s + (detail.isEmpty() ? u"status %1"_s.arg(answer.status) : detail) + u'\n');
-    const bool isDoubtful = answer.status == 0 || answer.problem() == u"unknown"_s;
-    if (isDoubtful) {
+    const bool isLost = answer.status == 0 || answer.problem() == u"unknown"_s;
+    if (isLost && effect == request_effect::changes) {
         return exit_code::unknown;
     }
     return answer.status == badRequestStatus ? exit_code::usage : exit_code::refused;
--- a/packages/masticleverctl/src/commands.h
+++ b/packages/masticleverctl/src/commands.h
@@ -4,6 +4,7 @@
 #include "change-runner.h"
 
 #include <QString>
+#include <QStringList>
 
 #include <cstdint>
 #include <functional>
@@ -43,9 +44,12 @@
     int settleRun(const QString &team, const QString &key, const QByteArray &resultJson);
 
 private:
+    enum class request_effect { reads, changes };
+
     std::optional<std::vector<present_resource>> readPresent();
     int showAnswer(const response &answer, const QStringList &columns);
-    int fail(const response &answer);
+    int fail(const response &answer, request_effect effect);
+    void showWatched(const QJsonObject &body, QStringList &known);
     void showPlan(const std::vector<step> &steps);
     void showOutcome(const step &what, const step_outcome &outcome);
 
