--- a/packages/routing/src/router.cpp
+++ b/packages/routing/src/router.cpp
@@ -43,6 +43,7 @@
         return detail::rendezvousRank(own, left.view.nameHash) > detail::rendezvousRank(own, right.view.nameHash);
     });
     members.erase(members.begin() + static_cast<std::ptrdiff_t>(options.subsetSize), members.end());
+    members.shrink_to_fit();
     std::sort(members.begin(), members.end(),
               [](const member &left, const member &right) { return left.view.name < right.view.name; });
 }
