--- a/packages/calls/src/http-call-client.cpp
+++ b/packages/calls/src/http-call-client.cpp
@@ -16,7 +16,6 @@
 #include <memory>
 #include <optional>
 #include <string>
-#include <unordered_map>
 #include <utility>
 
 namespace masticlever::calls
@@ -115,7 +114,7 @@
             request.setRawHeader("Accept", "text/event-stream");
             one.stream = std::make_unique<detail::stream_answer>(call.id.toString());
         }
-        one.reply = poolOf(call.address).postOnce(request, bytes(call.body));
+        one.reply = m_pool.postOnce(request, bytes(call.body));
         begin(std::move(one));
     }
 
@@ -126,7 +125,7 @@
         request.setRawHeader("Masticlever-Call-Id", bytes(query.id.toString()));
         request.setRawHeader("Masticlever-Fencing", QByteArray::number(qulonglong(query.fencing)));
         exchange one{.id = query.id, .address = query.address, .isQuery = true};
-        one.reply = poolOf(query.address).get(request);
+        one.reply = m_pool.get(request);
         begin(std::move(one));
     }
 
@@ -144,15 +143,6 @@
     }
 
 private:
-    http::manager_pool &poolOf(const std::string &address)
-    {
-        auto &pool = m_pools[address];
-        if (!pool) {
-            pool = std::make_unique<http::manager_pool>();
-        }
-        return *pool;
-    }
-
     void begin(exchange one)
     {
         QNetworkReply *reply = one.reply;
@@ -312,7 +302,7 @@
     }
 
     call_observer &m_observer;
-    std::unordered_map<std::string, std::unique_ptr<http::manager_pool>> m_pools; ///< by address
+    http::manager_pool m_pool;
     std::map<common::call_id, exchange> m_exchanges;
 };
 
--- a/packages/http/include/masticlever/http/manager-pool.h
+++ b/packages/http/include/masticlever/http/manager-pool.h
@@ -7,20 +7,21 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <string>
 #include <vector>
 
 class QNetworkAccessManager;
 class QNetworkReply;
 
 /// \file
-/// Requests to one server without the access manager's limit of connections.
+/// Requests to servers without the access manager's limit of connections.
 
 namespace masticlever::http
 {
 
 /// QNetworkAccessManager opens six connections to a server and holds further requests back unseen. The pool gives
-/// each manager at most that many requests, so that every request begins at once. Use one pool for each server.
-/// Replies belong to the caller, but end with the pool.
+/// each manager at most that many requests to a server, so that every request begins at once. Managers, each of which
+/// has a thread, serve all servers. Replies belong to the caller, but end with the pool.
 class manager_pool : public QObject
 {
 public:
@@ -39,8 +40,9 @@
 private:
     struct slot;
 
-    slot &freeSlot();
-    QNetworkReply *start(const std::function<QNetworkReply *(QNetworkAccessManager &)> &begin);
+    slot &freeSlot(const std::string &server);
+    QNetworkReply *start(const QNetworkRequest &request,
+                         const std::function<QNetworkReply *(QNetworkAccessManager &)> &begin);
 
     std::vector<std::shared_ptr<slot>> m_slots;
 };
--- a/packages/http/src/manager-pool.cpp
+++ b/packages/http/src/manager-pool.cpp
@@ -5,7 +5,11 @@
 #include <QNetworkProxy>
 #include <QNetworkReply>
 
+#include <QUrl>
+
 #include <algorithm>
+#include <string>
+#include <unordered_map>
 #include <utility>
 
 namespace masticlever::http
@@ -19,7 +23,7 @@
 } // namespace
 
 struct manager_pool::slot {
-    std::size_t inFlight = 0;
+    std::unordered_map<std::string, std::size_t> inFlight; ///< by server
     std::unique_ptr<QNetworkAccessManager> manager = std::make_unique<QNetworkAccessManager>();
 };
 
@@ -29,36 +33,43 @@
 
 QNetworkReply *manager_pool::get(const QNetworkRequest &request)
 {
-    return start([&](QNetworkAccessManager &manager) { return manager.get(request); });
+    return start(request, [&](QNetworkAccessManager &manager) { return manager.get(request); });
 }
 
 QNetworkReply *manager_pool::put(const QNetworkRequest &request, const QByteArray &body)
 {
-    return start([&](QNetworkAccessManager &manager) { return manager.put(request, body); });
+    return start(request, [&](QNetworkAccessManager &manager) { return manager.put(request, body); });
 }
 
 QNetworkReply *manager_pool::send(const QByteArray &method, const QNetworkRequest &request, const QByteArray &body)
 {
-    return start([&](QNetworkAccessManager &manager) { return manager.sendCustomRequest(request, method, body); });
+    return start(request,
+                 [&](QNetworkAccessManager &manager) { return manager.sendCustomRequest(request, method, body); });
 }
 
 QNetworkReply *manager_pool::postOnce(const QNetworkRequest &request, QByteArray body)
 {
-    return start([&](QNetworkAccessManager &manager) { return http::postOnce(manager, request, std::move(body)); });
+    return start(request,
+                 [&](QNetworkAccessManager &manager) { return http::postOnce(manager, request, std::move(body)); });
 }
 
 std::size_t manager_pool::inFlight() const
 {
     std::size_t total = 0;
     for (const auto &each : m_slots) {
-        total += each->inFlight;
+        for (const auto &[server, requests] : each->inFlight) {
+            total += requests;
+        }
     }
     return total;
 }
 
-manager_pool::slot &manager_pool::freeSlot()
+manager_pool::slot &manager_pool::freeSlot(const std::string &server)
 {
-    const auto isFree = [](const std::shared_ptr<slot> &each) { return each->inFlight < connectionsPerManager; };
+    const auto isFree = [&](const std::shared_ptr<slot> &each) {
+        const auto count = each->inFlight.find(server);
+        return count == each->inFlight.end() || count->second < connectionsPerManager;
+    };
     const auto found = std::find_if(m_slots.begin(), m_slots.end(), isFree);
     if (found != m_slots.end()) {
         return **found;
@@ -68,16 +79,21 @@
     return *m_slots.back();
 }
 
-QNetworkReply *manager_pool::start(const std::function<QNetworkReply *(QNetworkAccessManager &)> &begin)
+QNetworkReply *manager_pool::start(const QNetworkRequest &request,
+                                   const std::function<QNetworkReply *(QNetworkAccessManager &)> &begin)
 {
-    slot &chosen = freeSlot();
+    const std::string server = request.url().authority().toStdString();
+    slot &chosen = freeSlot(server);
     QNetworkReply *reply = begin(*chosen.manager);
-    ++chosen.inFlight;
+    ++chosen.inFlight[server];
     // A reply counts until its destruction or its end, whichever is first.
     const auto isCounted = std::make_shared<bool>(true);
-    const auto release = [&chosen, isCounted] {
+    const auto release = [&chosen, isCounted, server] {
         if (std::exchange(*isCounted, false)) {
-            --chosen.inFlight;
+            const auto count = chosen.inFlight.find(server);
+            if (--count->second == 0) {
+                chosen.inFlight.erase(count);
+            }
         }
     };
     connect(reply, &QNetworkReply::finished, this, release);
--- a/packages/masticleverd/src/main.cpp
+++ b/packages/masticleverd/src/main.cpp
@@ -5,6 +5,7 @@
 #include <masticlever/telemetry/events.h>
 
 #include <QCoreApplication>
+#include <QtGlobal>
 
 #include <cstdio>
 #include <variant>
@@ -36,6 +37,10 @@
         return 0;
     }
     telemetry::setLogLevel(telemetry::parseLogLevel(accepted.logLevel).value());
+    // Qt's own event dispatcher costs less than GLib's with many streams; the variable can switch it back.
+    if (!qEnvironmentVariableIsSet("QT_NO_GLIB")) {
+        qputenv("QT_NO_GLIB", "1");
+    }
     const QCoreApplication application(argc, argv);
     masticleverd::daemon daemon(accepted);
     const std::string fault = daemon.start();
