--- a/packages/ledger/include/masticlever/ledger/ledger.h
+++ b/packages/ledger/include/masticlever/ledger/ledger.h
@@ -112,8 +112,10 @@
     common::duration claimTimeout = std::chrono::milliseconds(1500); ///< append and read-back of one claim
     std::chrono::milliseconds window = std::chrono::hours(24); ///< age at which keys expire
     std::chrono::milliseconds clockSkew = std::chrono::seconds(1); ///< largest skew between callers and instances
-    std::size_t entriesPerRecord = 64;
+    std::size_t entriesPerRecord = 256;
     std::size_t recordBytes = 1048576;
+    /// Least time between two appends of this instance: its share of the log's budget.
+    common::duration appendInterval{0};
     /// For so long after a refusal requests that arrive cannot claim the key: covers copies that are under way.
     /// Raised to claimTimeout, readTimeout and two seconds of transit together if it is less.
     std::chrono::milliseconds refusalHold = std::chrono::seconds(7);
@@ -156,6 +158,8 @@
     void onTimer(common::instant now);
     /// Whether any live peer says that it reaches the log.
     void setPeerReachesLog(bool reachable);
+    /// Replaces ledger_options::appendInterval, as the number of instances that share the log changes.
+    void setAppendInterval(common::duration interval);
     /// \}
 
     /// \name Commands of the runs slice
--- a/packages/ledger/src/detail/ledger-state.cpp
+++ b/packages/ledger/src/detail/ledger-state.cpp
@@ -91,6 +91,7 @@
 
 void run_ledger::state::applyRecord(const platform::log_record &record, instant now)
 {
+    table.advance(record.appendedAt);
     auto entries = detail::decodeRecord(record.payload);
     if (!entries) {
         ++counters.malformedRecords;
--- a/packages/ledger/src/detail/outbox.cpp
+++ b/packages/ledger/src/detail/outbox.cpp
@@ -58,7 +58,7 @@
 
 std::optional<append_action> outbox::takeAppend(instant now)
 {
-    if (m_inFlight != 0) {
+    if (m_inFlight != 0 || now < earliestAppend()) {
         return std::nullopt;
     }
     record_draft draft;
@@ -128,7 +128,7 @@
     }
     instant next = instant::max();
     for (const item &i : m_items) {
-        next = std::min(next, i.notBefore);
+        next = std::min(next, std::max(i.notBefore, earliestAppend()));
     }
     return next;
 }
--- a/packages/ledger/src/detail/outbox.h
+++ b/packages/ledger/src/detail/outbox.h
@@ -56,6 +56,7 @@
     };
 
     bool fits(const record_draft &draft, const item &candidate) const;
+    instant earliestAppend() const { return m_appends == 0 ? instant() : m_inFlightSince + m_options->appendInterval; }
     void endRecord(instant now, common::duration retryAfter);
 
     const ledger_options *m_options;
--- a/packages/ledger/src/ledger.cpp
+++ b/packages/ledger/src/ledger.cpp
@@ -47,6 +47,11 @@
     m_state->reach.setPeerReaches(reachable);
 }
 
+void run_ledger::setAppendInterval(common::duration interval)
+{
+    m_state->options.appendInterval = interval;
+}
+
 run_view run_ledger::find(const run_key &run, wall_time wallNow) const
 {
     return m_state->viewOf(run, wallNow);
