--- a/packages/configuration/src/detail/table.cpp
+++ b/packages/configuration/src/detail/table.cpp
@@ -15,23 +15,26 @@
 
 constexpr char separator = '\n';
 
-std::uint64_t hashOf(const std::string &changeId, const change_outcome &outcome)
+std::uint64_t hashOf(const std::string &changeId, const decided_change &decided)
 {
+    const change_outcome &outcome = decided.outcome;
+    const std::string content = std::to_string(decided.contentHash);
     const std::string status = std::to_string(static_cast<int>(outcome.status));
     const std::string version = std::to_string(outcome.version);
-    return common::stableHash("change\n" + changeId + separator + status + separator + version + separator
-                              + outcome.field + separator + outcome.detail);
+    return common::stableHash("change\n" + changeId + separator + content + separator + status + separator + version
+                              + separator + outcome.field + separator + outcome.detail);
 }
 
-template <typename Spec> std::uint64_t hashOf(std::string_view kind, const resource<Spec> &what)
-{
-    return common::stableHash(std::string(kind) + separator + what.name + separator + std::to_string(what.version)
-                              + separator + toJson(what.spec));
-}
+struct entry_measure {
+    std::uint64_t hash = 0;
+    std::size_t bytes = 0;
+};
 
-template <typename Spec> std::size_t bytesOf(const resource<Spec> &what)
+template <typename Spec> entry_measure measure(std::string_view kind, const resource<Spec> &what)
 {
-    return what.name.size() + toJson(what.spec).size();
+    const std::string json = toJson(what.spec);
+    const std::string text = std::string(kind) + separator + what.name + separator + std::to_string(what.version);
+    return {common::stableHash(text + separator + json), what.name.size() + json.size()};
 }
 
 template <typename Spec>
@@ -43,10 +46,10 @@
 
 } // namespace
 
-std::optional<change_outcome> table::outcomeOf(std::string_view changeId) const
+const decided_change *table::findDecided(std::string_view changeId) const
 {
     const auto found = m_decided.find(changeId);
-    return found == m_decided.end() ? std::nullopt : std::optional(found->second);
+    return found == m_decided.end() ? nullptr : &found->second;
 }
 
 std::uint64_t table::versionOf(resource_kind kind, const std::string &name) const
@@ -94,11 +97,11 @@
     }
 }
 
-void table::remember(const std::string &changeId, const change_outcome &outcome)
+void table::remember(const std::string &changeId, const decided_change &decided)
 {
-    m_decided.emplace(changeId, outcome);
+    m_decided.emplace(changeId, decided);
     m_decidedOrder.push_back(changeId);
-    m_contentDigest += hashOf(changeId, outcome);
+    m_contentDigest += hashOf(changeId, decided);
     if (m_decidedOrder.size() <= rememberedChanges) {
         return;
     }
@@ -114,8 +117,9 @@
 {
     removeFrom(kind, kindName, name);
     what.name = name;
-    m_contentDigest += hashOf(kindName, what);
-    m_stateBytes += bytesOf(what);
+    const entry_measure added = measure(kindName, what);
+    m_contentDigest += added.hash;
+    m_stateBytes += added.bytes;
     kind.insert_or_assign(name, std::move(what));
 }
 
@@ -126,8 +130,9 @@
     if (found == kind.end()) {
         return;
     }
-    m_contentDigest -= hashOf(kindName, found->second);
-    m_stateBytes -= bytesOf(found->second);
+    const entry_measure removed = measure(kindName, found->second);
+    m_contentDigest -= removed.hash;
+    m_stateBytes -= removed.bytes;
     kind.erase(found);
 }
 
