Look for silent instances on every tick; report refusals once a second

The table was advanced once a round only: with a time of suspicion below two rounds each round looked like a pause, and no instance was ever lost. A flood of foreign messages gave a log line each; now each reason is reported once a second with its count. A record may be as large as a frame, since the whole state goes out as one. Rounds are 500 ms apart as in the settings.

--- a/packages/peers/include/masticlever/peers/gossip.h
+++ b/packages/peers/include/masticlever/peers/gossip.h
@@ -19,7 +19,7 @@
 {
 
 struct gossip_options {
-    common::duration interval = std::chrono::milliseconds(750); ///< between rounds; four go into suspectAfter
+    common::duration interval = std::chrono::milliseconds(500); ///< between rounds; several go into suspectAfter
     common::duration minimumGap = std::chrono::milliseconds(200); ///< between rounds that are sent early
     std::size_t rotatingPeers = 1; ///< besides the watchers
     std::size_t urgentPeers = 16; ///< besides the watchers, in a round that is sent early
@@ -40,7 +40,8 @@
     /// \p table must outlive this object.
     gossip(gossip_options options, membership::membership_table &table);
 
-    /// The round that is due, if any. Also lets the table find silent instances.
+    /// The round that is due, if any. Also lets the table find silent instances, so it is to be called several times
+    /// within suspectAfter even when no round is due.
     std::optional<gossip_round> onTime(common::instant now);
     common::instant nextDueAt() const { return m_nextAt; }
 
--- a/packages/peers/include/masticlever/peers/peer-service.h
+++ b/packages/peers/include/masticlever/peers/peer-service.h
@@ -36,7 +36,7 @@
     std::function<platform::log_offset(const platform::log_batch &batch)> onRecords;
     /// After news were taken over from a peer; optional.
     std::function<void()> onNews;
-    /// A message was dropped; \p count of that reason so far. Optional.
+    /// Messages were dropped; \p count of that reason so far. At most once a second for a reason. Optional.
     std::function<void(std::error_code reason, std::uint64_t count)> onRefused;
 };
 
--- a/packages/peers/src/detail/bodies.h
+++ b/packages/peers/src/detail/bodies.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <masticlever/peers/codec.h>
 #include <masticlever/peers/messages.h>
 
 #include "detail/bounded-archive.h"
@@ -16,7 +17,7 @@
 constexpr std::size_t maximumAddressBytes = 64;
 constexpr std::size_t maximumListItems = 64;
 constexpr std::size_t maximumRecords = 4096;
-constexpr std::size_t maximumRecordBytes = std::size_t{1024} * 1024;
+constexpr std::size_t maximumRecordBytes = maximumAnswerBytes;
 
 template <typename Archive> void transferNotice(Archive &archive, membership::instance_notice &notice)
 {
--- a/packages/peers/src/gossip.cpp
+++ b/packages/peers/src/gossip.cpp
@@ -30,10 +30,10 @@
 
 std::optional<gossip_round> gossip::onTime(common::instant now)
 {
+    m_table.advance(now);
     if (now < m_nextAt) {
         return std::nullopt;
     }
-    m_table.advance(now);
     std::erase_if(m_lastMessages, [&](const auto &item) { return !m_table.isLive(item.first, now); });
     m_table.beat();
     gossip_round round{roundPeers(now), roundMessage(now)};
--- a/packages/peers/src/peer-service.cpp
+++ b/packages/peers/src/peer-service.cpp
@@ -12,6 +12,7 @@
 #include <algorithm>
 #include <array>
 #include <chrono>
+#include <map>
 #include <utility>
 
 namespace masticlever::peers
@@ -23,6 +24,7 @@
 using common::error;
 
 constexpr std::chrono::milliseconds tick{100};
+constexpr std::chrono::seconds reportGap{1}; // a flood of foreign messages must not become one of log lines
 constexpr int portAttempts = 20; // a free TCP port may be taken for UDP
 
 common::instant present()
@@ -51,7 +53,7 @@
     void onDatagrams();
     void onDatagram(std::string_view bytes);
     void refuse(std::error_code reason);
-    void countRefused(std::uint64_t &counter, std::error_code reason);
+    void report(std::error_code reason, std::uint64_t count);
     records_answer provide(const records_request &request);
     void onAnswer(std::uint64_t id, common::result<platform::log_batch> outcome);
 
@@ -61,6 +63,7 @@
     gossip m_gossip;
     catch_up m_catchUp;
     peer_counters m_counters;
+    std::map<std::error_code, common::instant> m_reportedAt;
     std::uint64_t m_udpBytesSent = 0;
     std::uint64_t m_udpBytesReceived = 0;
     detail::records_server m_server;
@@ -209,20 +212,23 @@
 void peer_service::implementation::refuse(std::error_code reason)
 {
     if (reason == error::too_large) {
-        countRefused(m_counters.refusedTooLarge, reason);
+        report(reason, ++m_counters.refusedTooLarge);
     } else if (reason == error::unauthenticated) {
-        countRefused(m_counters.refusedUnauthenticated, reason);
+        report(reason, ++m_counters.refusedUnauthenticated);
     } else {
-        countRefused(m_counters.refusedMalformed, reason);
+        report(reason, ++m_counters.refusedMalformed);
     }
 }
 
-void peer_service::implementation::countRefused(std::uint64_t &counter, std::error_code reason)
+void peer_service::implementation::report(std::error_code reason, std::uint64_t count)
 {
-    ++counter;
-    if (m_handlers.onRefused) {
-        m_handlers.onRefused(reason, counter);
+    const common::instant now = present();
+    const auto [known, isFirst] = m_reportedAt.try_emplace(reason, now);
+    if (!m_handlers.onRefused || (!isFirst && now - known->second < reportGap)) {
+        return;
     }
+    known->second = now;
+    m_handlers.onRefused(reason, count);
 }
 
 records_answer peer_service::implementation::provide(const records_request &request)
--- a/packages/peers/test/peer-service-test.cpp
+++ b/packages/peers/test/peer-service-test.cpp
@@ -65,7 +65,8 @@
         : lastApplied(applied), table({}, makeNotice(name, 0)),
           service(makeSettings(), table,
                   {[this](log_offset from, std::size_t limit) { return recordsFrom(from, limit); },
-                   [this](const log_batch &batch) { return apply(batch); }, nullptr, nullptr})
+                   [this](const log_batch &batch) { return apply(batch); }, nullptr,
+                   [this](std::error_code, std::uint64_t) { ++reports; }})
     {
         port = service.listen().value();
         table.setSelf(makeNotice(name, port));
@@ -94,6 +95,7 @@
 
     log_offset lastApplied;
     std::uint16_t port = 0;
+    int reports = 0;
     membership_table table;
     peer_service service;
 };
@@ -163,6 +165,16 @@
         CHECK(target.table.size() == 0);
     }
 
+    SECTION("a flood, which is not reported one by one")
+    {
+        for (int i = 0; i < 200; ++i) {
+            send("garbage");
+        }
+        CHECK(waitFor([&] { return target.service.counters().refusedMalformed == 200; }));
+        CHECK(target.reports >= 1);
+        CHECK(target.reports < 50);
+    }
+
     SECTION("a repeated datagram")
     {
         const std::string datagram = encodeDatagram(message, key).value();
