--- a/bench/policy/test/policy-goals-test.cpp
+++ b/bench/policy/test/policy-goals-test.cpp
@@ -71,3 +71,11 @@
         holdsGoalsUnderFaults(where);
     }
 }
+
+TEST_CASE("hedged requests end when a data centre is lost")
+{
+    // A hedge that is due in a phase that cannot send it must not keep the run's timer in the past.
+    const deployment where = slipperDeployment(true);
+    const measurement result = at(where, 0.7, fault_kind::data_centre);
+    CHECK(result.answered + result.refused + result.failed + result.unknown + result.silent >= result.asked);
+}
--- a/packages/runs/src/run.cpp
+++ b/packages/runs/src/run.cpp
@@ -301,7 +301,10 @@
     if (m_phase == phase::done) {
         return common::instant::max();
     }
-    common::instant earliest = std::min(m_wakeUp, m_hedgeAt);
+    common::instant earliest = m_wakeUp;
+    if (m_phase == phase::calling) {
+        earliest = std::min(earliest, m_hedgeAt);
+    }
     if (!m_replied && !m_background && m_phase != phase::refusing) {
         earliest = std::min(earliest, m_request.deadline);
     }
