--- a/packages/configuration/src/detail/record.cpp
+++ b/packages/configuration/src/detail/record.cpp
@@ -2,6 +2,7 @@
 
 #include "detail/json-reader.h"
 #include "detail/rules.h"
+#include "detail/spec-json.h"
 
 #include <masticlever/configuration/codec.h>
 
@@ -21,7 +22,7 @@
 {
 
 constexpr int hexadecimal = 16;
-constexpr qsizetype decidedFields = 5; ///< id, status, version, field, detail
+constexpr qsizetype decidedFields = 6; ///< id, content hash, status, version, field, detail
 
 QString kindKey(resource_kind kind)
 {
@@ -40,7 +41,7 @@
     for (const auto &[name, entry] : kind) {
         object.insert(
             detail::toQString(name),
-            QJsonObject{{u"version"_s, static_cast<qint64>(entry.version)}, {u"spec"_s, parse(toJson(entry.spec))}});
+            QJsonObject{{u"version"_s, static_cast<qint64>(entry.version)}, {u"spec"_s, detail::toObject(entry.spec)}});
     }
     return object;
 }
@@ -49,22 +50,22 @@
 {
     QJsonArray array;
     for (const std::string &id : state.decidedIds()) {
-        const change_outcome outcome = state.outcomeOf(id).value_or(change_outcome{});
-        array.append(QJsonArray{detail::toQString(id), static_cast<int>(outcome.status),
-                                static_cast<qint64>(outcome.version), detail::toQString(outcome.field),
-                                detail::toQString(outcome.detail)});
+        const detail::decided_change &decided = *state.findDecided(id);
+        const change_outcome &outcome = decided.outcome;
+        array.append(QJsonArray{detail::toQString(id), QString::number(decided.contentHash, hexadecimal),
+                                static_cast<int>(outcome.status), static_cast<qint64>(outcome.version),
+                                detail::toQString(outcome.field), detail::toQString(outcome.detail)});
     }
     return array;
 }
 
-template <typename Spec, typename Parse>
-bool decodeKind(const QJsonValue &value, resource_kind kind, Parse parseSpec, detail::table &state)
+template <typename Spec, typename Read>
+bool decodeKind(const QJsonValue &value, resource_kind kind, Read readSpec, detail::table &state)
 {
     const QJsonObject object = value.toObject();
     for (auto entry = object.begin(); entry != object.end(); ++entry) {
         const QJsonObject fields = entry.value().toObject();
-        const QJsonObject spec = fields.value(u"spec"_s).toObject();
-        auto parsedSpec = parseSpec(detail::compact(spec));
+        auto parsedSpec = readSpec(fields.value(u"spec"_s));
         const qint64 version = fields.value(u"version"_s).toInteger();
         if (parsedSpec.error || version <= 0) {
             return false;
@@ -83,14 +84,15 @@
     const QJsonArray array = value.toArray();
     for (const auto &element : array) {
         const QJsonArray fields = element.toArray();
-        const int status = fields.at(1).toInt(-1);
+        const int status = fields.at(2).toInt(-1);
         if (fields.size() != decidedFields || status < 0 || status > static_cast<int>(change_status::invalid)) {
             return false;
         }
-        const auto version = static_cast<std::uint64_t>(fields.at(2).toInteger());
-        state.remember(fields.at(0).toString().toStdString(),
-                       {static_cast<change_status>(status), version, fields.at(3).toString().toStdString(),
-                        fields.at(4).toString().toStdString()});
+        const auto version = static_cast<std::uint64_t>(fields.at(3).toInteger());
+        const change_outcome outcome{static_cast<change_status>(status), version, fields.at(4).toString().toStdString(),
+                                     fields.at(5).toString().toStdString()};
+        const std::uint64_t contentHash = fields.at(1).toString().toULongLong(nullptr, hexadecimal);
+        state.remember(fields.at(0).toString().toStdString(), {contentHash, outcome});
     }
     return value.isArray();
 }
@@ -101,10 +103,11 @@
     const qint64 covers = object.value(u"covers"_s).toInteger(-1);
     const qint64 skipped = object.value(u"skipped"_s).toInteger(-1);
     const bool whole = decodeKind<endpoint_spec>(object.value(kindKey(resource_kind::endpoint)),
-                                                 resource_kind::endpoint, parseEndpoint, state)
+                                                 resource_kind::endpoint, detail::readEndpoint, state)
         && decodeKind<pipeline_spec>(object.value(kindKey(resource_kind::pipeline)), resource_kind::pipeline,
-                                     parsePipeline, state)
-        && decodeKind<team_spec>(object.value(kindKey(resource_kind::team)), resource_kind::team, parseTeam, state)
+                                     detail::readPipeline, state)
+        && decodeKind<team_spec>(object.value(kindKey(resource_kind::team)), resource_kind::team, detail::readTeam,
+                                 state)
         && decodeDecided(object.value(u"decided"_s), state);
     if (!whole || covers < 0 || skipped < 0) {
         return detail::garbage{};
--- a/packages/peers/src/detail/bodies.h
+++ b/packages/peers/src/detail/bodies.h
@@ -24,7 +24,9 @@
     transferText(archive, notice.incarnation, maximumNameBytes);
     transferText(archive, notice.dataCentre, maximumNameBytes);
     transferText(archive, notice.peerAddress, maximumAddressBytes);
-    archive(notice.heartbeat, notice.leaving, notice.logReachable, notice.configurationOffset);
+    archive(notice.heartbeat, notice.configurationOffset);
+    transferFlag(archive, notice.leaving);
+    transferFlag(archive, notice.logReachable);
 }
 
 template <typename Archive> void transferLoss(Archive &archive, membership::lost_notice &notice)
@@ -39,12 +41,18 @@
     transferText(archive, notice.incarnation, maximumNameBytes);
 }
 
+template <typename Archive> void transferName(Archive &archive, std::string &name)
+{
+    transferText(archive, name, maximumNameBytes);
+}
+
 template <typename Archive> void transferBody(Archive &archive, gossip_message &message)
 {
     transferNotice(archive, message.sender);
     transferList(archive, message.notices, maximumListItems, transferNotice<Archive>);
     transferList(archive, message.losses, maximumListItems, transferLoss<Archive>);
     transferList(archive, message.leavingEndpoints, maximumListItems, transferEndpoint<Archive>);
+    transferList(archive, message.suspects, maximumListItems, transferName<Archive>);
 }
 
 template <typename Archive> void transferBody(Archive &archive, records_request &request)
@@ -62,7 +70,8 @@
 
 template <typename Archive> void transferBody(Archive &archive, records_answer &answer)
 {
-    archive(answer.available, answer.batch.head, answer.batch.end);
+    transferFlag(archive, answer.available);
+    archive(answer.batch.head, answer.batch.end);
     transferList<std::uint32_t>(archive, answer.batch.records, maximumRecords, transferRecord<Archive>);
 }
 
