Mend the merge of the peers' handlers

Ruled out: other files; a search of the tree finds no further marks. Change: both handlers stand. Measured: the tree builds and its unit tests pass. Conclusion: merges are built before they are committed.

--- a/packages/peers/include/masticlever/peers/peer-service.h
+++ b/packages/peers/include/masticlever/peers/peer-service.h
@@ -37,13 +37,9 @@
     std::function<platform::log_offset(const platform::log_batch &batch)> onRecords;
     /// After news were taken over from a peer; optional.
     std::function<void()> onNews;
-<<<<<<< HEAD
     /// A peer finds these endpoints silent; optional.
     std::function<void(const std::vector<std::string> &endpoints)> onSuspects;
-    /// A message was dropped; \p count of that reason so far. Optional.
-=======
     /// Messages were dropped; \p count of that reason so far. At most once a second for a reason. Optional.
->>>>>>> peers
     std::function<void(std::error_code reason, std::uint64_t count)> onRefused;
 };
 
