--- a/packages/peers/src/detail/bodies.h
+++ b/packages/peers/src/detail/bodies.h
@@ -14,7 +14,7 @@
 {
 
 constexpr std::size_t maximumNameBytes = 64;
-constexpr std::size_t maximumAddressBytes = 64;
+constexpr std::size_t maximumAddressBytes = maximumNameBytes;
 constexpr std::size_t maximumListItems = 64;
 constexpr std::size_t maximumRecords = 4096;
 constexpr std::size_t maximumRecordBytes = maximumAnswerBytes;
@@ -42,12 +42,18 @@
     transferText(archive, notice.incarnation, maximumNameBytes);
 }
 
+template <typename Archive> void transferName(Archive &archive, std::string &name)
+{
+    transferText(archive, name, maximumNameBytes);
+}
+
 template <typename Archive> void transferBody(Archive &archive, gossip_message &message)
 {
     transferNotice(archive, message.sender);
     transferList(archive, message.notices, maximumListItems, transferNotice<Archive>);
     transferList(archive, message.losses, maximumListItems, transferLoss<Archive>);
     transferList(archive, message.leavingEndpoints, maximumListItems, transferEndpoint<Archive>);
+    transferList(archive, message.suspects, maximumListItems, transferName<Archive>);
 }
 
 template <typename Archive> void transferBody(Archive &archive, records_request &request)
