--- a/packages/peers/src/codec.cpp
+++ b/packages/peers/src/codec.cpp
@@ -81,6 +81,20 @@
     }
 }
 
+/// One text of foreign origin over its limit must not keep the heartbeat back.
+void eraseOversized(gossip_message &message)
+{
+    const auto isOver = [](const std::string &text) { return text.size() > detail::maximumNameBytes; };
+    std::erase_if(message.notices, [&](const membership::instance_notice &notice) {
+        const bool isIdentityOver = isOver(notice.name) || isOver(notice.incarnation);
+        return isIdentityOver || isOver(notice.dataCentre) || isOver(notice.peerAddress);
+    });
+    std::erase_if(message.losses, [&](const auto &notice) { return isOver(notice.incarnation); });
+    std::erase_if(message.leavingEndpoints,
+                  [&](const auto &notice) { return isOver(notice.address) || isOver(notice.incarnation); });
+    std::erase_if(message.suspects, isOver);
+}
+
 bool hasItems(const gossip_message &message)
 {
     return !message.notices.empty() || !message.losses.empty() || !message.leavingEndpoints.empty()
@@ -126,6 +140,7 @@
 common::result<std::string> encodeDatagram(gossip_message &message, std::string_view key)
 {
     constexpr std::size_t maximumBody = maximumDatagramBytes - 1 - codeBytes;
+    eraseOversized(message);
     BOOST_OUTCOME_TRY(body, encodeBody(message));
     while (body.size() > maximumBody && hasItems(message)) {
         dropLastOfLongest(message);
--- a/packages/peers/src/detail/bodies.h
+++ b/packages/peers/src/detail/bodies.h
@@ -14,7 +14,7 @@
 {
 
 constexpr std::size_t maximumNameBytes = 64;
-constexpr std::size_t maximumAddressBytes = 64;
+constexpr std::size_t maximumAddressBytes = maximumNameBytes;
 constexpr std::size_t maximumListItems = 64;
 constexpr std::size_t maximumRecords = 4096;
 constexpr std::size_t maximumRecordBytes = maximumAnswerBytes;
--- a/packages/peers/test/codec-test.cpp
+++ b/packages/peers/test/codec-test.cpp
@@ -93,7 +93,15 @@
         CHECK(message.leavingEndpoints.size() == 1);
     }
 
-    SECTION("a name over its limit is not sent")
+    SECTION("an item with a text over its limit is left out, the rest is sent")
+    {
+        const gossip_message rest = message;
+        message.leavingEndpoints.push_back({"10.9.9.9:81", std::string(65, 'i')});
+        message.suspects.emplace_back(65, 's');
+        CHECK(decodeDatagram(encodeDatagram(message, key).value(), key).value() == rest);
+    }
+
+    SECTION("a sender's name over its limit is not sent")
     {
         message.sender.name = std::string(65, 'x');
         CHECK(encodeDatagram(message, key).error() == error::too_large);
--- a/packages/peers/test/peer-service-test.cpp
+++ b/packages/peers/test/peer-service-test.cpp
@@ -65,7 +65,7 @@
         : lastApplied(applied), table({}, makeNotice(name, 0)),
           service(makeSettings(), table,
                   {[this](log_offset from, std::size_t limit) { return recordsFrom(from, limit); },
-                   [this](const log_batch &batch) { return apply(batch); }, nullptr,
+                   [this](const log_batch &batch) { return apply(batch); }, nullptr, nullptr,
                    [this](std::error_code, std::uint64_t) { ++reports; }})
     {
         port = service.listen().value();
