Keep the ledger's appends within the fleet's budget

Cause: one busy instance could append about 500 times a second; the log takes several hundred from all together. Change: once a second an instance that reaches its share of 300 appends/s collects entries for the share's interval, and stops doing so below half of it. Conclusion: a few orders a second still go out at once.

--- a/packages/masticleverd/src/ledger-host.cpp
+++ b/packages/masticleverd/src/ledger-host.cpp
@@ -17,6 +17,7 @@
 {
 
 constexpr const char *logName = "ledger";
+constexpr std::uint64_t appendBudget = 300; ///< appends a second, of the whole fleet
 constexpr std::chrono::milliseconds shortestWait{1};
 constexpr std::chrono::milliseconds longestWait{500};
 
@@ -82,6 +83,21 @@
     armTimer();
 }
 
+void ledger_host::pace(std::size_t liveInstances)
+{
+    const std::uint64_t share = std::max<std::uint64_t>(1, appendBudget / std::max<std::size_t>(1, liveInstances));
+    const std::uint64_t total = m_ledger.counters().appends;
+    const std::uint64_t lastSecond = total - std::exchange(m_appendsBefore, total);
+    // A few orders a second go out at once; only a busy instance collects them.
+    if (lastSecond >= share) {
+        m_paced = true;
+    } else if (lastSecond < share / 2) {
+        m_paced = false;
+    }
+    const auto interval = std::chrono::milliseconds(1000 / share);
+    m_ledger.setAppendInterval(m_paced ? interval : std::chrono::milliseconds(0));
+}
+
 void ledger_host::takeOrphans(const std::vector<std::string> &live, std::string_view self)
 {
     if (live.empty() || !m_ledger.isCaughtUp() || !m_ledger.isLogReachable()) {
--- a/packages/masticleverd/src/ledger-host.h
+++ b/packages/masticleverd/src/ledger-host.h
@@ -9,6 +9,8 @@
 #include <QObject>
 #include <QTimer>
 
+#include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <string>
 #include <string_view>
@@ -32,6 +34,8 @@
 
     /// Sends the appends that the ledger has asked for.
     void pumpAppends();
+    /// Keeps this instance's appends within its share of the log's budget; called once a second.
+    void pace(std::size_t liveInstances);
     /// Takes the unfinished runs whose owner is not among \p live, where this instance is their home.
     void takeOrphans(const std::vector<std::string> &live, std::string_view self);
 
@@ -43,6 +47,8 @@
     std::function<void()> m_onActivity;
     log_follower m_follower;
     QTimer m_timer;
+    std::uint64_t m_appendsBefore = 0; ///< at the last pace()
+    bool m_paced = false;
     bool m_caughtUp = false;
 };
 
