--- a/packages/peers/test/codec-test.cpp
+++ b/packages/peers/test/codec-test.cpp
@@ -4,7 +4,6 @@
 
 #include <catch2/catch.hpp>
 
-#include <algorithm>
 #include <random>
 
 using namespace masticlever::peers;
