--- a/packages/masticleverd/src/daemon.cpp
+++ b/packages/masticleverd/src/daemon.cpp
@@ -137,7 +137,8 @@
     runOptions.incarnation = m_incarnation;
     runOptions.router.policy = policyOf(m_settings.routingPolicy);
     runOptions.router.instanceName = m_settings.name;
-    runOptions.admission.capacity = m_settings.capacity;
+    runOptions.router.subsetSize = m_settings.subsetSize;
+    runOptions.capacityLimit = m_settings.capacity;
     runOptions.admission.queueLimit = m_settings.queueLimit;
     auto exporter = telemetry::makeSpanExporter({.url = m_settings.traceCollectorUrl},
                                                 {m_settings.name, m_incarnation, m_settings.dataCentre});
--- a/packages/masticleverd/src/run-host.cpp
+++ b/packages/masticleverd/src/run-host.cpp
@@ -194,7 +194,7 @@
     }
     if (share > 0) {
         const auto capacity = static_cast<std::size_t>(std::ceil(share));
-        m_admission.setCapacity(std::min(capacity, m_options.admission.capacity));
+        m_admission.setCapacity(std::min(capacity, m_options.capacityLimit));
     }
     m_table.onTimer(presentMoment());
     pump();
--- a/packages/masticleverd/src/run-host.h
+++ b/packages/masticleverd/src/run-host.h
@@ -30,6 +30,7 @@
     std::string incarnation;
     routing::router_options router;
     admission::admission_options admission;
+    std::size_t capacityLimit = 256; ///< requests in flight at most, whatever the pools could take
 };
 
 class run_host : public QObject, public calls::call_observer
--- a/packages/settings/include/masticlever/settings/settings.h
+++ b/packages/settings/include/masticlever/settings/settings.h
@@ -44,8 +44,9 @@
     std::chrono::milliseconds ledgerWindow{86400000};
 
     std::size_t capacity = 256; ///< requests in flight at most
-    std::chrono::milliseconds queueLimit{500};
+    std::chrono::milliseconds queueLimit{1500};
     std::string routingPolicy = "prefix_affinity";
+    std::size_t subsetSize = 24; ///< endpoints of a pool that one instance uses; 0: all
 
     std::uint64_t snapshotRecords = 200; ///< configuration records between snapshots
 
--- a/packages/settings/src/detail/key-rules.cpp
+++ b/packages/settings/src/detail/key-rules.cpp
@@ -145,6 +145,7 @@
          "random, round_robin, least_in_flight, two_choices, two_choices_aged or prefix_affinity",
          choice(&s::routingPolicy,
                 {"random", "round_robin", "least_in_flight", "two_choices", "two_choices_aged", "prefix_affinity"})},
+        {"routing", "subset_size", false, "0 to 100000", number(&s::subsetSize, 0, 100000)},
         {"configuration", "snapshot_records", false, "10 to 1000000", number(&s::snapshotRecords, 10, 1000000)},
         {"drain", "notice_ms", false, "0 to 60000", number(&s::drainNotice, 0, 60000)},
         {"drain", "limit_ms", false, "1000 to 86400000", number(&s::drainLimit, 1000, 86400000)},
