Hand the homes of a leaving instance over; log each change of an instance once

Ruled out: leaving instances counted as lost (their own runs are still theirs to finish). Change: homes and ranks are taken among instances that stay; instance_observer tells live, leaving and lost; the settings refuse a suspect_after_ms below four heartbeats. Conclusion: a planned stop leaves nothing behind that only it would do.

--- a/packages/masticleverd/src/daemon.cpp
+++ b/packages/masticleverd/src/daemon.cpp
@@ -338,7 +338,7 @@
 {
     m_peers->setState(m_ledger->core().isLogReachable(), configuration()->offset);
     if (m_membership->isSettled()) {
-        m_ledger->takeOrphans(m_membership->liveIncarnations(), m_incarnation);
+        m_ledger->takeOrphans(m_membership->liveIncarnations(), m_membership->stayingIncarnations(), m_incarnation);
     }
     m_runs->retryUnknownRuns();
     m_runs->probeEndpoints();
--- a/packages/masticleverd/src/ledger-host.cpp
+++ b/packages/masticleverd/src/ledger-host.cpp
@@ -98,14 +98,15 @@
     m_ledger.setAppendInterval(m_paced ? interval : std::chrono::milliseconds(0));
 }
 
-void ledger_host::takeOrphans(const std::vector<std::string> &live, std::string_view self)
+void ledger_host::takeOrphans(const std::vector<std::string> &live, const std::vector<std::string> &staying,
+                              std::string_view self)
 {
-    if (live.empty() || !m_ledger.isCaughtUp() || !m_ledger.isLogReachable()) {
+    if (staying.empty() || !m_ledger.isCaughtUp() || !m_ledger.isLogReachable()) {
         return;
     }
     const common::moment at = presentMoment();
     for (const common::run_key &run : m_ledger.unfinishedRunsOf(live)) {
-        if (homeOf(run, live) == self) {
+        if (homeOf(run, staying) == self) {
             m_ledger.take(run, at.now);
         }
     }
--- a/packages/masticleverd/src/ledger-host.h
+++ b/packages/masticleverd/src/ledger-host.h
@@ -36,8 +36,9 @@
     void pumpAppends();
     /// Keeps this instance's appends within its share of the log's budget; called once a second.
     void pace(std::size_t liveInstances);
-    /// Takes the unfinished runs whose owner is not among \p live, where this instance is their home.
-    void takeOrphans(const std::vector<std::string> &live, std::string_view self);
+    /// Takes the unfinished runs whose owner is not among \p live, where this instance is their home among \p staying.
+    void takeOrphans(const std::vector<std::string> &live, const std::vector<std::string> &staying,
+                     std::string_view self);
 
 private:
     void armTimer();
--- a/packages/masticleverd/src/membership-host.cpp
+++ b/packages/masticleverd/src/membership-host.cpp
@@ -101,19 +101,26 @@
 
 void membership_host::logChanges()
 {
-    std::vector<std::string> live = liveIncarnations();
-    std::sort(live.begin(), live.end());
-    std::vector<std::string> difference;
-    std::set_difference(m_lastLive.begin(), m_lastLive.end(), live.begin(), live.end(), std::back_inserter(difference));
-    for (const std::string &lost : difference) {
-        logEvent(event::instance_lost, {{"incarnation", std::string_view(lost)}});
+    using membership::instance_change;
+    for (const membership::observed_change &seen : m_observer.update(m_table.liveInstances(presentMoment().now))) {
+        auto number = event::instance_live;
+        if (seen.change != instance_change::live) {
+            number = seen.change == instance_change::lost ? event::instance_lost : event::instance_leaving;
+        }
+        logEvent(number,
+                 {{"instance", std::string_view(seen.name)}, {"incarnation", std::string_view(seen.incarnation)}});
     }
-    difference.clear();
-    std::set_difference(live.begin(), live.end(), m_lastLive.begin(), m_lastLive.end(), std::back_inserter(difference));
-    for (const std::string &joined : difference) {
-        logEvent(event::instance_live, {{"incarnation", std::string_view(joined)}});
+}
+
+std::vector<std::string> membership_host::stayingIncarnations() const
+{
+    std::vector<std::string> staying;
+    for (const membership::instance_notice &one : m_table.liveInstances(presentMoment().now)) {
+        if (!one.leaving) {
+            staying.push_back(one.incarnation);
+        }
     }
-    m_lastLive = std::move(live);
+    return staying;
 }
 
 std::vector<std::string> membership_host::liveIncarnations() const
@@ -127,7 +134,7 @@
 
 std::size_t membership_host::rank() const
 {
-    const std::vector<std::string> live = liveIncarnations();
+    const std::vector<std::string> live = stayingIncarnations();
     const auto own = std::find(live.begin(), live.end(), m_self.incarnation);
     return static_cast<std::size_t>(own - live.begin());
 }
--- a/packages/masticleverd/src/membership-host.h
+++ b/packages/masticleverd/src/membership-host.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <masticlever/membership/instance-observer.h>
 #include <masticlever/membership/membership.h>
 #include <masticlever/platform/instance-list.h>
 #include <masticlever/settings/settings.h>
@@ -36,6 +37,8 @@
     const membership::membership_table &table() const { return m_table; }
     /// Incarnations of the live instances, this one included.
     std::vector<std::string> liveIncarnations() const;
+    /// Those of them that do not leave: homes of runs and writers of snapshots.
+    std::vector<std::string> stayingIncarnations() const;
     /// Place of this instance among the live ones, from 0.
     std::size_t rank() const;
     /// Enough has been heard since the start to tell lost instances from unknown ones.
@@ -54,7 +57,7 @@
     platform::listed_instance m_self;
     std::function<void()> m_onChanged;
     std::unordered_map<std::string, std::string> m_addresses; ///< by incarnation
-    std::vector<std::string> m_lastLive;
+    membership::instance_observer m_observer;
     common::instant m_startedAt;
     QTimer m_timer;
     bool m_listReachable = true;
--- a/packages/settings/src/settings.cpp
+++ b/packages/settings/src/settings.cpp
@@ -16,6 +16,8 @@
 namespace
 {
 
+constexpr int shortestSuspicion = 4; ///< heartbeats
+
 using detail::key_rule;
 
 std::string fullName(const key_rule &rule)
@@ -60,6 +62,11 @@
                               + ": [gateway] private_key_file: set without its pair; allowed: certificate_file and "
                                 "private_key_file together, or neither"};
     }
+    if (read.suspectAfter < shortestSuspicion * read.heartbeatInterval) {
+        return settings_error{file
+                              + ": [peers] suspect_after_ms: too short; allowed: at least four times "
+                                "heartbeat_interval_ms"};
+    }
     return std::nullopt;
 }
 
--- a/packages/settings/test/settings-test.cpp
+++ b/packages/settings/test/settings-test.cpp
@@ -57,6 +57,7 @@
         CHECK_THAT(messageOf(minimal + "[gateway]\ncolour=red\n"),
                    Catch::Contains("[gateway] colour: unknown key; allowed: address"));
         CHECK_THAT(messageOf("[instance]\nname=a\n"), Catch::Contains("[instance] data_centre: missing"));
+        CHECK_THAT(messageOf(minimal + "[peers]\nsuspect_after_ms=1000\n"), Catch::Contains("four times"));
         CHECK_THAT(messageOf(minimal + "[gateway]\ncertificate_file=a.pem\n"), Catch::Contains("together"));
     }
 }
