Ask for the platform's list as a fleet, not each for itself

Cause: every daemon fetched the whole list once a second: about 180 bytes for each listed instance, 61 KB/s at 340 against a budget of 4 KB/s, and over it with today's 18 daemons and their endpoints. Ruled out: a longer interval for all (a leaving endpoint would be known late); differences (the list's interface is the platform's). Change: the fleet polls about three times in an interval, whatever its size; what a poll shows as leaving goes to the peers at once.

--- a/packages/masticleverd/src/daemon.cpp
+++ b/packages/masticleverd/src/daemon.cpp
@@ -144,6 +144,10 @@
                                                 {m_settings.name, m_incarnation, m_settings.dataCentre});
     m_runs = std::make_unique<run_host>(std::move(runOptions), m_ledger->core(), m_random, std::move(exporter),
                                         m_registry, [this] { m_ledger->pumpAppends(); });
+    m_membership->setLeavingHandler([this](const membership::endpoint_notice &notice) {
+        m_membership->onEndpointLeaving(notice.address, notice.incarnation);
+        m_peers->announceEndpointLeaving(notice);
+    });
     m_runs->setReportHandler([this](const calls::endpoint_report &report) {
         if (report.leaving) {
             m_membership->onEndpointLeaving(report.address, report.incarnation);
--- a/packages/masticleverd/src/membership-host.cpp
+++ b/packages/masticleverd/src/membership-host.cpp
@@ -18,6 +18,8 @@
 using telemetry::event;
 using telemetry::logEvent;
 
+constexpr std::size_t pollersPerInterval = 3;
+
 } // namespace
 
 membership_host::membership_host(platform::instance_list &list, const settings::daemon_settings &settings,
@@ -93,12 +95,36 @@
             self->announce();
         }
         self->m_listed = true;
+        self->spreadLeaving(list);
         self->m_table.onList(list, presentMoment().now);
+        self->spaceOutPolls();
         self->logChanges();
         self->m_onChanged();
     });
 }
 
+void membership_host::setLeavingHandler(std::function<void(const membership::endpoint_notice &)> handler)
+{
+    m_onEndpointLeaving = std::move(handler);
+}
+
+void membership_host::spreadLeaving(const std::vector<platform::listed_instance> &list)
+{
+    for (const platform::listed_instance &listed : list) {
+        const bool isLeaving
+            = listed.kind == platform::instance_kind::endpoint && listed.state == platform::instance_state::leaving;
+        if (isLeaving && !m_table.isEndpointLeaving(listed.address) && m_onEndpointLeaving) {
+            m_onEndpointLeaving({listed.address, listed.incarnation});
+        }
+    }
+}
+
+void membership_host::spaceOutPolls()
+{
+    const std::size_t rounds = (m_table.size() + pollersPerInterval) / pollersPerInterval;
+    m_timer.setInterval(m_settings.listInterval * static_cast<int>(std::max<std::size_t>(1, rounds)));
+}
+
 void membership_host::logChanges()
 {
     using membership::instance_change;
--- a/packages/masticleverd/src/membership-host.h
+++ b/packages/masticleverd/src/membership-host.h
@@ -31,6 +31,8 @@
     /// \p address of the HTTP service and \p peerAddress, "IP:port", once both listen.
     void start(const std::string &address, const std::string &peerAddress);
     void beginLeaving();
+    /// Called for each endpoint that the list shows as leaving before anything else did.
+    void setLeavingHandler(std::function<void(const membership::endpoint_notice &)> handler);
     void onEndpointLeaving(const std::string &address, const std::string &incarnation);
 
     membership::membership_table &table() { return m_table; }
@@ -49,6 +51,10 @@
 private:
     void poll();
     void announce();
+    /// Tells the peers of endpoints that the list shows as leaving for the first time.
+    void spreadLeaving(const std::vector<platform::listed_instance> &list);
+    /// The fleet as a whole asks for the list a few times in an interval, whatever its size.
+    void spaceOutPolls();
     void logChanges();
 
     platform::instance_list &m_list;
@@ -56,6 +62,7 @@
     membership::membership_table m_table;
     platform::listed_instance m_self;
     std::function<void()> m_onChanged;
+    std::function<void(const membership::endpoint_notice &)> m_onEndpointLeaving;
     std::unordered_map<std::string, std::string> m_addresses; ///< by incarnation
     membership::instance_observer m_observer;
     common::instant m_startedAt;
