Never join texts of two engines that differ

Cause: a stream that broke was asked for again with the text so far in a field that no engine is bound to honour; an engine that begins anew made the caller's text begin twice, with a fitting closing digest. Ruled out: giving up at the first cut (attainment); trusting a field (no published protocol has it). Change: the call is repeated as it was; text that the caller has is compared, not sent again; what differs ends the stream with an error event. Where nothing was sent yet, the repeat starts from nothing. Conclusion: a continued answer is the repeat's own whole answer.

--- a/packages/runs/include/masticlever/runs/run.h
+++ b/packages/runs/include/masticlever/runs/run.h
@@ -106,6 +106,7 @@
         common::instant sentAt;
         common::instant timeoutAt;
         common::instant firstByteAt = common::instant::max();
+        std::size_t matched = 0; ///< bytes of its text that equal text which an earlier call has yielded
     };
 
     // Lifecycle, in run.cpp.
@@ -124,6 +125,10 @@
 
     // Repeatable stages, in run-repeatable.cpp.
     void sendAttempt(common::moment at);
+    /// The part of \p text that is new; nothing when it contradicts what the caller already has.
+    std::optional<std::string_view> newText(attempt &from, std::string_view text) const;
+    void onContradiction(common::moment at);
+    bool isTextSent() const;
     void retryOrFinish(std::string detail, common::duration retryAfter, common::moment at);
     void waitForRetry(common::moment at);
     void tryStageAgain(common::moment at);
--- a/packages/runs/src/detail/position.cpp
+++ b/packages/runs/src/detail/position.cpp
@@ -83,7 +83,7 @@
 }
 
 std::string makeCallBody(const configuration::pipeline_spec &pipeline, std::size_t stage, std::string_view body,
-                         std::span<const std::string> results, std::string_view generated)
+                         std::span<const std::string> results)
 {
     std::string json = "{\"request\":";
     json += body;
@@ -98,9 +98,6 @@
         isFirst = false;
     }
     json += '}';
-    if (!generated.empty()) {
-        json += ",\"generated\":" + quoteJson(generated);
-    }
     json += '}';
     return json;
 }
--- a/packages/runs/src/detail/position.h
+++ b/packages/runs/src/detail/position.h
@@ -25,9 +25,9 @@
 std::string encodePosition(const position &what);
 std::optional<position> decodePosition(std::string_view json);
 
-/// Body of a stage call; \p generated is the text that an earlier call of the same stage has yielded.
+/// Body of a stage call.
 std::string makeCallBody(const configuration::pipeline_spec &pipeline, std::size_t stage, std::string_view body,
-                         std::span<const std::string> results, std::string_view generated);
+                         std::span<const std::string> results);
 
 /// A final answer as the ledger keeps it.
 struct recorded_answer {
--- a/packages/runs/src/run-once.cpp
+++ b/packages/runs/src/run-once.cpp
@@ -232,7 +232,7 @@
                                      .endpoint = target->name,
                                      .address = target->address,
                                      .path = stage().path,
-                                     .body = detail::makeCallBody(m_pipeline, m_stage, m_request.body, m_results, {}),
+                                     .body = detail::makeCallBody(m_pipeline, m_stage, m_request.body, m_results),
                                      .idempotencyKey = idempotencyKey(),
                                      .fencing = m_fencing,
                                      .priority = m_request.priority,
--- a/packages/runs/src/run-repeatable.cpp
+++ b/packages/runs/src/run-repeatable.cpp
@@ -72,6 +72,9 @@
     const common::duration left = remaining(at);
     const common::duration timeout = m_background ? left : m_environment.planner.callTimeout(stageRef(), left);
     const common::call_id id = m_environment.callIds.next();
+    if (!isTextSent()) {
+        m_text.clear();
+    }
     m_environment.router.onSent(target->name, at.now);
     m_attempts.push_back({.id = id, .endpoint = target->name, .sentAt = at.now, .timeoutAt = at.now + timeout});
     m_tried.push_back(target->name);
@@ -81,17 +84,16 @@
         const auto delay = m_environment.planner.hedgeDelay(stageRef());
         m_hedgeAt = delay ? at.now + *delay : common::instant::max();
     }
-    m_actions.emplace_back(
-        send_call{.id = id,
-                  .stage = m_stage,
-                  .stageName = stage().name,
-                  .endpoint = target->name,
-                  .address = target->address,
-                  .path = stage().path,
-                  .body = detail::makeCallBody(m_pipeline, m_stage, m_request.body, m_results, m_text),
-                  .streamed = stage().streamed,
-                  .priority = m_request.priority,
-                  .remaining = left});
+    m_actions.emplace_back(send_call{.id = id,
+                                     .stage = m_stage,
+                                     .stageName = stage().name,
+                                     .endpoint = target->name,
+                                     .address = target->address,
+                                     .path = stage().path,
+                                     .body = detail::makeCallBody(m_pipeline, m_stage, m_request.body, m_results),
+                                     .streamed = stage().streamed,
+                                     .priority = m_request.priority,
+                                     .remaining = left});
 }
 
 void run::onText(const common::call_id &id, std::string_view text, common::moment at)
@@ -113,10 +115,37 @@
         dropAttempt(other, routing::call_outcome::cancelled, at);
     }
     m_hedgeAt = common::instant::max();
-    m_text += text;
-    if (m_request.wantsStream && isLastStage() && !m_replied) {
-        m_actions.emplace_back(stream_text{std::string(text)});
+    const auto fresh = newText(m_attempts.front(), text);
+    if (!fresh) {
+        onContradiction(at);
+        return;
+    }
+    m_text += *fresh;
+    if (isTextSent() && !fresh->empty()) {
+        m_actions.emplace_back(stream_text{std::string(*fresh)});
+    }
+}
+
+std::optional<std::string_view> run::newText(attempt &from, std::string_view text) const
+{
+    const std::size_t repeated = std::min(text.size(), m_text.size() - from.matched);
+    if (text.substr(0, repeated) != std::string_view(m_text).substr(from.matched, repeated)) {
+        return std::nullopt;
     }
+    from.matched += text.size();
+    return text.substr(repeated);
+}
+
+void run::onContradiction(common::moment at)
+{
+    cancelAttempts(at);
+    finishWithout("the stream broke, and another endpoint's text differs from what was already sent", retryAfterFailure,
+                  at);
+}
+
+bool run::isTextSent() const
+{
+    return m_request.wantsStream && isLastStage() && !m_replied;
 }
 
 void run::dropAttempt(std::size_t index, routing::call_outcome outcome, common::moment at)
@@ -144,6 +173,10 @@
                       std::max(ended.retryAfter, retryAfterFailure), at);
         return;
     }
+    if (one.matched < m_text.size()) {
+        onContradiction(at);
+        return;
+    }
     const common::instant firstByte = std::min(one.firstByteAt, at.now);
     m_environment.planner.onAnswered(stageRef(), firstByte - one.sentAt, at.now - one.sentAt);
     cancelAttempts(at);
--- a/tests/process/endpoints-test.cpp
+++ b/tests/process/endpoints-test.cpp
@@ -21,6 +21,14 @@
         CHECK(problemOf(*plain) == u"failed");
     }
 
+    SECTION("a stream that was cut once goes on without contradicting what the caller has")
+    {
+        const auto setup = adviceFleet().start();
+        setup->fault(u"generate-1"_s, u"cut"_s, 1);
+        const auto call = setup->run(0, u"advice"_s, request(u"lot"_s), {.stream = true, .deadlineMs = 3'000});
+        CHECK(wholeText(*call) == fakes::generatedText(request(u"lot"_s)));
+    }
+
     SECTION("an answer under another call id is dropped")
     {
         const auto setup = adviceFleet().start();
