Send the fakes' small writes at once

Cause: first tokens came 40 ms late at p95, also in direct calls without the daemon (43 to 47 ms): the fake endpoint's small writes waited for a delayed acknowledgement. Ruled out: the daemon's own sockets, which have the option set; its processor time (it happened at 20/s as well). Change: the fakes' server sets TCP_NODELAY.

--- a/tests/fakes/http-server.cpp
+++ b/tests/fakes/http-server.cpp
@@ -101,6 +101,8 @@
 
 bool http_server::handleRequest(const QHttpServerRequest &request, QTcpSocket *socket)
 {
+    // Small writes must not wait for the other side's delayed acknowledgement.
+    socket->setSocketOption(QAbstractSocket::LowDelayOption, 1);
     onRequest(request, socket);
     return true;
 }
