--- a/packages/calls/include/masticlever/calls/call-client.h
+++ b/packages/calls/include/masticlever/calls/call-client.h
@@ -26,6 +26,9 @@
 /// Why an answer was not passed on.
 enum class drop_reason { wrong_call_id, wrong_digest, cut, too_large };
 
+/// "wrong_call_id", "wrong_digest", "cut" or "too_large".
+std::string_view toString(drop_reason reason);
+
 /// Receives what comes back. Calls arrive from the event loop, never from inside a method of the client.
 class call_observer
 {
--- a/packages/masticleverd/src/run-host.cpp
+++ b/packages/masticleverd/src/run-host.cpp
@@ -26,21 +26,6 @@
 
 constexpr std::chrono::milliseconds probeTimeout{500};
 
-const char *nameOf(calls::drop_reason reason)
-{
-    switch (reason) {
-    case calls::drop_reason::wrong_call_id:
-        return "wrong_call_id";
-    case calls::drop_reason::wrong_digest:
-        return "wrong_digest";
-    case calls::drop_reason::cut:
-        return "cut";
-    case calls::drop_reason::too_large:
-        return "too_large";
-    }
-    return "cut";
-}
-
 void logLedgerEvent(const ledger::event &one)
 {
     if (const auto *taken = std::get_if<ledger::run_taken>(&one)) {
@@ -268,7 +253,7 @@
 void run_host::onAnswerDropped(calls::drop_reason reason)
 {
     m_metrics.onDropped(reason);
-    logEvent(event::answer_dropped, {{"reason", std::string_view(nameOf(reason))}});
+    logEvent(event::answer_dropped, {{"reason", calls::toString(reason)}});
 }
 
 } // namespace masticlever::masticleverd
--- a/packages/masticleverd/src/run-metrics.cpp
+++ b/packages/masticleverd/src/run-metrics.cpp
@@ -28,38 +28,6 @@
 constexpr metric_family stageCost{"masticlever_stage_cost_total", "Cost of the calls, by team and stage."};
 constexpr metric_family dropped{"masticlever_answers_dropped_total", "Answers of endpoints that were not passed on."};
 
-const char *nameOf(runs::disposition outcome)
-{
-    switch (outcome) {
-    case runs::disposition::answered:
-        return "answered";
-    case runs::disposition::not_run:
-        return "not_run";
-    case runs::disposition::failed:
-        return "failed";
-    case runs::disposition::unknown:
-        return "unknown";
-    case runs::disposition::conflict:
-        return "conflict";
-    }
-    return "failed";
-}
-
-const char *nameOf(calls::drop_reason reason)
-{
-    switch (reason) {
-    case calls::drop_reason::wrong_call_id:
-        return "wrong_call_id";
-    case calls::drop_reason::wrong_digest:
-        return "wrong_digest";
-    case calls::drop_reason::cut:
-        return "cut";
-    case calls::drop_reason::too_large:
-        return "too_large";
-    }
-    return "cut";
-}
-
 double inSeconds(common::duration time)
 {
     return std::chrono::duration<double>(time).count();
@@ -70,7 +38,8 @@
 void run_metrics::onReply(std::string_view pipeline, std::string_view team, runs::disposition outcome,
                           common::duration sinceArrival)
 {
-    m_registry.counterOf(requests, {{"pipeline", pipeline}, {"team", team}, {"outcome", nameOf(outcome)}}).add();
+    m_registry.counterOf(requests, {{"pipeline", pipeline}, {"team", team}, {"outcome", runs::toString(outcome)}})
+        .add();
     m_registry.histogramOf(seconds, {{"pipeline", pipeline}}).observe(inSeconds(sinceArrival));
 }
 
@@ -98,7 +67,7 @@
 
 void run_metrics::onDropped(calls::drop_reason reason)
 {
-    m_registry.counterOf(dropped, {{"reason", nameOf(reason)}}).add();
+    m_registry.counterOf(dropped, {{"reason", calls::toString(reason)}}).add();
 }
 
 void run_metrics::onUnmatchedAnswer()
--- a/packages/masticleverd/src/trace-recorder.cpp
+++ b/packages/masticleverd/src/trace-recorder.cpp
@@ -13,23 +13,6 @@
     return std::chrono::time_point_cast<std::chrono::microseconds>(std::chrono::system_clock::now());
 }
 
-std::string nameOf(runs::disposition outcome)
-{
-    switch (outcome) {
-    case runs::disposition::answered:
-        return "answered";
-    case runs::disposition::not_run:
-        return "not_run";
-    case runs::disposition::failed:
-        return "failed";
-    case runs::disposition::unknown:
-        return "unknown";
-    case runs::disposition::conflict:
-        return "conflict";
-    }
-    return "failed";
-}
-
 } // namespace
 
 trace_recorder::trace_recorder(std::unique_ptr<telemetry::span_exporter> exporter, common::random_source &random)
@@ -70,7 +53,7 @@
     telemetry::span_record span = std::move(found->second);
     m_requests.erase(found);
     span.end = presentSpanTime();
-    span.attributes.push_back({"masticlever.outcome", nameOf(outcome)});
+    span.attributes.push_back({"masticlever.outcome", std::string(runs::toString(outcome))});
     span.status = outcome == runs::disposition::answered ? telemetry::span_status::ok : telemetry::span_status::error;
     m_exporter->record(std::move(span));
 }
--- a/packages/runs/include/masticlever/runs/actions.h
+++ b/packages/runs/include/masticlever/runs/actions.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -58,6 +59,9 @@
     conflict, ///< the key was used with another body
 };
 
+/// "answered", "not_run", "failed", "unknown" or "conflict".
+std::string_view toString(disposition outcome);
+
 /// The outcome for the caller, sent the moment it is known.
 struct reply {
     disposition outcome = disposition::failed;
