Bound what a slow reader holds; log ejections, lag and lost spans

Cause: reading the tree as a newcomer: a caller that does not read its stream grew the process; five events of the catalogue were never logged; a drain was sent on to plain HTTP also where instances use TLS. Ruled out: stopping the engine's stream instead (the call would hold its slot as long as its caller likes). Change: 1 MiB of unread stream closes the connection; E302, E501, E502 and E700 are logged once for each change; the drain's redirect follows the scheme. Conclusion: E504 to E507 wait for the orders' wiring.

--- a/packages/gateway/include/masticlever/gateway/operator-api.h
+++ b/packages/gateway/include/masticlever/gateway/operator-api.h
@@ -56,6 +56,8 @@
     virtual std::optional<configuration::change_view> findChange(const std::string &id) const = 0;
     virtual std::vector<instance_status> instances() const = 0;
     virtual const std::string &instanceName() const = 0;
+    /// Instances are reached over TLS.
+    virtual bool isSecure() const = 0;
     virtual void beginDrain() = 0;
     virtual std::vector<doubtful_run> doubtfulRuns() const = 0;
     virtual settle_outcome settleRun(const common::run_key &key, const std::string &resultJson) = 0;
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -11,6 +11,7 @@
 {
 
 constexpr int hexadecimal = 16;
+constexpr qint64 unreadLimit = 1 << 20; ///< bytes of a stream that its caller has not taken
 
 const char *reasonOf(int status)
 {
@@ -138,6 +139,10 @@
     chunk += bytes(data);
     chunk += "\r\n";
     m_socket->write(chunk);
+    if (m_socket->bytesToWrite() > unreadLimit) {
+        // A caller that does not read must not grow this process.
+        m_socket->abort();
+    }
 }
 
 void exchange::endEvents()
--- a/packages/gateway/src/operator-api.cpp
+++ b/packages/gateway/src/operator-api.cpp
@@ -318,7 +318,8 @@
         answerProblem(one, notFound("no live instance of this name is known here"));
         return;
     }
-    one.answerJson(307, "{}", {{"Location", "http://" + found->address + "/v1/instances/" + path[2] + "/drain"}});
+    const std::string scheme = m_service.isSecure() ? "https://" : "http://";
+    one.answerJson(307, "{}", {{"Location", scheme + found->address + "/v1/instances/" + path[2] + "/drain"}});
 }
 
 void operator_api::handleRuns(exchange &one)
--- a/packages/masticleverd/src/daemon.cpp
+++ b/packages/masticleverd/src/daemon.cpp
@@ -347,6 +347,10 @@
     m_runs->retryUnknownRuns();
     m_runs->probeEndpoints();
     m_ledger->pace(m_membership->liveIncarnations().size());
+    const std::uint64_t spansLost = m_runs->spansLost();
+    if (spansLost > std::exchange(m_spansLost, spansLost)) {
+        logEvent(event::spans_lost, {{"total", spansLost}});
+    }
     finishDrain();
 }
 
--- a/packages/masticleverd/src/daemon.h
+++ b/packages/masticleverd/src/daemon.h
@@ -49,6 +49,7 @@
     std::optional<configuration::change_view> findChange(const std::string &id) const override;
     std::vector<gateway::instance_status> instances() const override;
     const std::string &instanceName() const override { return m_settings.name; }
+    bool isSecure() const override { return !m_settings.certificateFile.empty(); }
     void beginDrain() override;
     std::vector<gateway::doubtful_run> doubtfulRuns() const override;
     gateway::settle_outcome settleRun(const common::run_key &key, const std::string &resultJson) override;
@@ -88,6 +89,7 @@
     QTimer m_second;
     QTimer m_membershipTick;
     common::instant m_drainStartedAt = common::instant::max();
+    std::uint64_t m_spansLost = 0; ///< as last logged
     bool m_wasReady = false;
 };
 
--- a/packages/masticleverd/src/ledger-host.cpp
+++ b/packages/masticleverd/src/ledger-host.cpp
@@ -41,9 +41,7 @@
           [this](const platform::log_batch &batch) {
               const common::moment at = presentMoment();
               m_ledger.onRecords(batch, at.now, at.wall);
-              if (!std::exchange(m_caughtUp, m_ledger.isCaughtUp()) && m_caughtUp) {
-                  telemetry::logEvent(telemetry::event::ledger_caught_up, {{"next_offset", m_ledger.nextOffset()}});
-              }
+              logProgress();
               m_onActivity();
           },
           [this] {
@@ -59,6 +57,15 @@
     });
 }
 
+void ledger_host::logProgress()
+{
+    const bool isCaughtUp = m_ledger.isCaughtUp();
+    if (isCaughtUp != std::exchange(m_caughtUp, isCaughtUp)) {
+        const auto number = isCaughtUp ? telemetry::event::ledger_caught_up : telemetry::event::ledger_lagging;
+        telemetry::logEvent(number, {{"next_offset", m_ledger.nextOffset()}});
+    }
+}
+
 void ledger_host::armTimer()
 {
     // The ledger tells an outage and a pause of this process apart by regular ticks.
--- a/packages/masticleverd/src/ledger-host.h
+++ b/packages/masticleverd/src/ledger-host.h
@@ -41,6 +41,7 @@
                      std::string_view self);
 
 private:
+    void logProgress();
     void armTimer();
 
     platform::log_service &m_service;
--- a/packages/masticleverd/src/run-host.cpp
+++ b/packages/masticleverd/src/run-host.cpp
@@ -183,7 +183,13 @@
     }
     m_table.onTimer(presentMoment());
     pump();
-    return m_router.takeSuspects(now);
+    std::vector<std::string> suspects = m_router.takeSuspects(now);
+    for (const std::string &name : suspects) {
+        if (m_suspected.insert(name).second) {
+            logEvent(event::endpoint_ejected, {{"endpoint", std::string_view(name)}});
+        }
+    }
+    return suspects;
 }
 
 void run_host::probeEndpoints()
@@ -204,6 +210,9 @@
         socket->abort();
         socket->deleteLater();
         m_router.onProbed(name, answered, presentMoment().now);
+        if (answered && m_suspected.erase(name) > 0) {
+            logEvent(event::endpoint_back, {{"endpoint", std::string_view(name)}});
+        }
     };
     connect(socket, &QTcpSocket::connected, this, [finish] { finish(true); });
     connect(socket, &QTcpSocket::errorOccurred, this, [finish] { finish(false); });
--- a/packages/masticleverd/src/run-host.h
+++ b/packages/masticleverd/src/run-host.h
@@ -16,6 +16,7 @@
 
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -98,6 +99,7 @@
     configuration::snapshot_ptr m_configuration;
     std::unordered_map<std::string, std::string> m_endpointNames; ///< by address
     std::unordered_map<runs::run_id, caller> m_callers;
+    std::set<std::string> m_suspected; ///< endpoints whose ejection was logged
     QTimer m_timer;
     bool m_isPumping = false;
 };
