Say once what stood twice; drop what nothing uses

Both kinds of stage counted and described a call in the same lines; JSON quoting stood in runs and in gateway; two handlers of a leaving endpoint were the same; fixed_planner and a time stamp had no reader; every answer of a leaving endpoint sent an early round to the peers and went through all endpoints again. Ruled out: merging the pairs that are alike in shape only (test set-up, small byte views beside their use). Change: run::beginCall, common/json.h, daemon::onEndpointLeaving; the peers are told of a leaving endpoint once; the dead code is gone.

--- a/packages/gateway/src/detail/caller-sink.cpp
+++ b/packages/gateway/src/detail/caller-sink.cpp
@@ -1,12 +1,10 @@
 #include "caller-sink.h"
 
+#include <masticlever/common/json.h>
 #include <masticlever/gateway/problem.h>
 
 #include <QByteArray>
 #include <QByteArrayView>
-#include <QJsonArray>
-#include <QJsonDocument>
-#include <QString>
 
 #include <utility>
 
@@ -34,13 +32,6 @@
 
 } // namespace
 
-std::string quoteJson(std::string_view text)
-{
-    const QJsonArray wrapped{QString::fromUtf8(text.data(), static_cast<qsizetype>(text.size()))};
-    const std::string json = QJsonDocument(wrapped).toJson(QJsonDocument::Compact).toStdString();
-    return json.substr(1, json.size() - 2);
-}
-
 caller_sink::caller_sink(exchange &one, std::string key, bool wantsStream)
     : m_exchange(&one), m_key(std::move(key)), m_wantsStream(wantsStream), m_digest(QCryptographicHash::Sha256)
 { }
@@ -55,7 +46,7 @@
     }
     m_length += text.size();
     m_digest.addData(QByteArrayView(text.data(), static_cast<qsizetype>(text.size())));
-    m_exchange->sendEvent("token", "{\"text\":" + quoteJson(text) + '}');
+    m_exchange->sendEvent("token", "{\"text\":" + common::quoteJson(text) + '}');
 }
 
 void caller_sink::onReply(const runs::reply &reply)
@@ -74,8 +65,8 @@
 
 void caller_sink::answerWhole(const runs::reply &reply)
 {
-    std::string json = "{\"key\":" + quoteJson(m_key) + ",\"result\":";
-    json += reply.isText ? quoteJson(reply.result) : reply.result;
+    std::string json = "{\"key\":" + common::quoteJson(m_key) + ",\"result\":";
+    json += reply.isText ? common::quoteJson(reply.result) : reply.result;
     json += reply.replayed ? ",\"replayed\":true}" : "}";
     m_exchange->answerJson(200, json);
 }
@@ -88,7 +79,7 @@
     if (!m_exchange->hasStarted()) {
         m_exchange->beginEvents();
     }
-    std::string json = "{\"key\":" + quoteJson(m_key) + ",\"length\":" + std::to_string(m_length);
+    std::string json = "{\"key\":" + common::quoteJson(m_key) + ",\"length\":" + std::to_string(m_length);
     json += ",\"digest\":\"" + m_digest.result().toHex().toStdString() + "\"}";
     m_exchange->sendEvent("end", json);
     m_exchange->endEvents();
--- a/packages/gateway/src/detail/caller-sink.h
+++ b/packages/gateway/src/detail/caller-sink.h
@@ -36,7 +36,4 @@
     std::size_t m_length = 0; ///< bytes of text sent
 };
 
-/// \p text as a JSON string, quotes included.
-std::string quoteJson(std::string_view text);
-
 } // namespace masticlever::gateway::detail
--- a/packages/masticleverd/src/daemon.cpp
+++ b/packages/masticleverd/src/daemon.cpp
@@ -144,18 +144,21 @@
                                                 {m_settings.name, m_incarnation, m_settings.dataCentre});
     m_runs = std::make_unique<run_host>(std::move(runOptions), m_ledger->core(), m_random, std::move(exporter),
                                         m_registry, [this] { m_ledger->pumpAppends(); });
-    m_membership->setLeavingHandler([this](const membership::endpoint_notice &notice) {
-        m_membership->onEndpointLeaving(notice.address, notice.incarnation);
-        m_peers->announceEndpointLeaving(notice);
-    });
+    m_membership->setLeavingHandler([this](const membership::endpoint_notice &notice) { onEndpointLeaving(notice); });
     m_runs->setReportHandler([this](const calls::endpoint_report &report) {
-        if (report.leaving) {
-            m_membership->onEndpointLeaving(report.address, report.incarnation);
-            m_peers->announceEndpointLeaving({report.address, report.incarnation});
+        // Every answer of a leaving endpoint says so; the peers are told once.
+        if (report.leaving && !m_membership->table().isEndpointLeaving(report.address)) {
+            onEndpointLeaving({report.address, report.incarnation});
         }
     });
 }
 
+void daemon::onEndpointLeaving(const membership::endpoint_notice &notice)
+{
+    m_membership->onEndpointLeaving(notice);
+    m_peers->announceEndpointLeaving(notice);
+}
+
 std::string daemon::start()
 {
     std::string fault = m_server->start();
--- a/packages/masticleverd/src/daemon.h
+++ b/packages/masticleverd/src/daemon.h
@@ -64,6 +64,7 @@
     void updateGauges();
     void onConfigurationChanged();
     void onMembershipChanged();
+    void onEndpointLeaving(const membership::endpoint_notice &notice);
     void onMembershipTick();
     void everySecond();
     void finishDrain();
--- a/packages/masticleverd/src/membership-host.cpp
+++ b/packages/masticleverd/src/membership-host.cpp
@@ -61,12 +61,12 @@
     announce();
 }
 
-void membership_host::onEndpointLeaving(const std::string &address, const std::string &incarnation)
+void membership_host::onEndpointLeaving(const membership::endpoint_notice &notice)
 {
-    if (!m_table.isEndpointLeaving(address)) {
-        logEvent(event::endpoint_leaving, {{"address", std::string_view(address)}});
+    if (!m_table.isEndpointLeaving(notice.address)) {
+        logEvent(event::endpoint_leaving, {{"address", std::string_view(notice.address)}});
     }
-    m_table.onEndpointLeaving({address, incarnation}, presentMoment().now);
+    m_table.onEndpointLeaving(notice, presentMoment().now);
     m_onChanged();
 }
 
--- a/packages/masticleverd/src/membership-host.h
+++ b/packages/masticleverd/src/membership-host.h
@@ -33,7 +33,7 @@
     void beginLeaving();
     /// Called for each endpoint that the list shows as leaving before anything else did.
     void setLeavingHandler(std::function<void(const membership::endpoint_notice &)> handler);
-    void onEndpointLeaving(const std::string &address, const std::string &incarnation);
+    void onEndpointLeaving(const membership::endpoint_notice &notice);
 
     membership::membership_table &table() { return m_table; }
     const membership::membership_table &table() const { return m_table; }
--- a/packages/runs/include/masticlever/runs/run.h
+++ b/packages/runs/include/masticlever/runs/run.h
@@ -137,6 +137,8 @@
     void cancelAttempts(common::moment at);
     void dropAttempt(std::size_t index, routing::call_outcome outcome, common::moment at);
     std::optional<routing::candidate> choose(common::moment at);
+    /// Counts a call of the present stage to \p target and gives its action without what only one kind of stage has.
+    send_call beginCall(const routing::candidate &target, common::instant timeoutAt, common::moment at);
     common::duration remaining(common::moment at) const;
 
     // Non-repeatable stages, in run-once.cpp.
@@ -169,7 +171,6 @@
     common::duration m_refusalRetryAfter{};
     common::instant m_wakeUp = common::instant::max();
     common::instant m_hedgeAt = common::instant::max();
-    common::instant m_stageStartedAt;
     common::instant m_arrivedAt = common::instant::max();
     ledger::epoch m_epoch = 0;
     ledger::epoch m_fencing = 0;
--- a/packages/runs/include/masticlever/runs/stage-planner.h
+++ b/packages/runs/include/masticlever/runs/stage-planner.h
@@ -39,16 +39,4 @@
     virtual void onGivenUp(const stage_ref &stage, common::duration waited) = 0;
 };
 
-/// A planner that learns nothing: half of the remaining time for a call, no hedges, every retry allowed.
-class fixed_planner : public stage_planner
-{
-public:
-    common::duration callTimeout(const stage_ref &stage, common::duration remaining) override;
-    std::optional<common::duration> hedgeDelay(const stage_ref &stage) override;
-    common::duration expectedFrom(const stage_ref &stage) override;
-    void onAnswered(const stage_ref &stage, common::duration toFirstByte, common::duration whole) override;
-    bool takeRetry(const stage_ref &stage) override;
-    void onGivenUp(const stage_ref &stage, common::duration waited) override;
-};
-
 } // namespace masticlever::runs
--- a/packages/runs/src/detail/position.cpp
+++ b/packages/runs/src/detail/position.cpp
@@ -1,5 +1,6 @@
 #include "position.h"
 
+#include <masticlever/common/json.h>
 #include <masticlever/configuration/codec.h>
 
 #include <QByteArray>
@@ -32,13 +33,6 @@
     return QJsonDocument(object).toJson(QJsonDocument::Compact).toStdString();
 }
 
-std::string compactValue(const QJsonValue &value)
-{
-    // QJsonDocument holds objects and arrays only; other values travel inside an array.
-    const std::string wrapped = QJsonDocument(QJsonArray{value}).toJson(QJsonDocument::Compact).toStdString();
-    return wrapped.substr(1, wrapped.size() - 2);
-}
-
 bool isInput(const configuration::stage_spec &stage, const configuration::stage_spec &earlier, bool isPrevious)
 {
     if (stage.inputs.empty()) {
@@ -94,7 +88,7 @@
             continue;
         }
         json += isFirst ? "" : ",";
-        json += quoteJson(pipeline.stages[i].name) + ':' + results[i];
+        json += common::quoteJson(pipeline.stages[i].name) + ':' + results[i];
         isFirst = false;
     }
     json += '}';
@@ -114,11 +108,6 @@
             object.value(QLatin1StringView("text")).toBool()};
 }
 
-std::string quoteJson(std::string_view text)
-{
-    return compactValue(toQString(text));
-}
-
 status_answer parseStatus(std::string_view json)
 {
     const QJsonObject object = parseObject(json);
@@ -127,7 +116,7 @@
         return {status_state::running, {}};
     }
     if (state == QLatin1StringView("done") && object.contains(QLatin1StringView("result"))) {
-        return {status_state::done, compactValue(object.value(QLatin1StringView("result")))};
+        return {status_state::done, common::compactJson(object.value(QLatin1StringView("result")))};
     }
     return {};
 }
--- a/packages/runs/src/detail/position.h
+++ b/packages/runs/src/detail/position.h
@@ -38,9 +38,6 @@
 std::string encodeAnswer(const recorded_answer &answer);
 recorded_answer decodeAnswer(std::string_view json);
 
-/// \p text as a JSON string, quotes included.
-std::string quoteJson(std::string_view text);
-
 enum class status_state { done, running, not_known };
 
 struct status_answer {
--- a/packages/runs/src/run-once.cpp
+++ b/packages/runs/src/run-once.cpp
@@ -219,24 +219,12 @@
         refuseClaim("no endpoint of pool '" + stage().pool + "' takes work", retryAfterRefusal, at);
         return;
     }
-    const common::call_id id = m_environment.callIds.next();
-    m_environment.router.onSent(target->name, at.now);
-    m_attempts.push_back({.id = id, .endpoint = target->name, .sentAt = at.now, .timeoutAt = common::instant::max()});
-    m_tried.push_back(target->name);
-    ++m_calls[m_stage];
+    send_call call = beginCall(*target, common::instant::max(), at);
+    call.idempotencyKey = idempotencyKey();
+    call.fencing = m_fencing;
     m_phase = phase::sending;
     m_wakeUp = at.now + sendLimit;
-    m_actions.emplace_back(send_call{.id = id,
-                                     .stage = m_stage,
-                                     .stageName = stage().name,
-                                     .endpoint = target->name,
-                                     .address = target->address,
-                                     .path = stage().path,
-                                     .body = detail::makeCallBody(m_pipeline, m_stage, m_request.body, m_results),
-                                     .idempotencyKey = idempotencyKey(),
-                                     .fencing = m_fencing,
-                                     .priority = m_request.priority,
-                                     .remaining = remaining(at)});
+    m_actions.emplace_back(std::move(call));
 }
 
 void run::onOnceEnded(const call_end &ended, common::moment at)
--- a/packages/runs/src/run-repeatable.cpp
+++ b/packages/runs/src/run-repeatable.cpp
@@ -1,5 +1,6 @@
 #include "detail/position.h"
 
+#include <masticlever/common/json.h>
 #include <masticlever/runs/run.h>
 
 #include <algorithm>
@@ -71,29 +72,35 @@
     }
     const common::duration left = remaining(at);
     const common::duration timeout = m_background ? left : m_environment.planner.callTimeout(stageRef(), left);
-    const common::call_id id = m_environment.callIds.next();
     if (!isTextSent()) {
         m_text.clear();
     }
-    m_environment.router.onSent(target->name, at.now);
-    m_attempts.push_back({.id = id, .endpoint = target->name, .sentAt = at.now, .timeoutAt = at.now + timeout});
-    m_tried.push_back(target->name);
-    ++m_calls[m_stage];
+    send_call call = beginCall(*target, at.now + timeout, at);
+    call.streamed = stage().streamed;
     m_phase = phase::calling;
     if (m_pipeline.hedging && m_attempts.size() == 1 && m_text.empty()) {
         const auto delay = m_environment.planner.hedgeDelay(stageRef());
         m_hedgeAt = delay ? at.now + *delay : common::instant::max();
     }
-    m_actions.emplace_back(send_call{.id = id,
-                                     .stage = m_stage,
-                                     .stageName = stage().name,
-                                     .endpoint = target->name,
-                                     .address = target->address,
-                                     .path = stage().path,
-                                     .body = detail::makeCallBody(m_pipeline, m_stage, m_request.body, m_results),
-                                     .streamed = stage().streamed,
-                                     .priority = m_request.priority,
-                                     .remaining = left});
+    m_actions.emplace_back(std::move(call));
+}
+
+send_call run::beginCall(const routing::candidate &target, common::instant timeoutAt, common::moment at)
+{
+    const common::call_id id = m_environment.callIds.next();
+    m_environment.router.onSent(target.name, at.now);
+    m_attempts.push_back({.id = id, .endpoint = target.name, .sentAt = at.now, .timeoutAt = timeoutAt});
+    m_tried.push_back(target.name);
+    ++m_calls[m_stage];
+    return {.id = id,
+            .stage = m_stage,
+            .stageName = stage().name,
+            .endpoint = target.name,
+            .address = target.address,
+            .path = stage().path,
+            .body = detail::makeCallBody(m_pipeline, m_stage, m_request.body, m_results),
+            .priority = m_request.priority,
+            .remaining = remaining(at)};
 }
 
 void run::onText(const common::call_id &id, std::string_view text, common::moment at)
@@ -186,7 +193,7 @@
         return;
     }
     std::string text = std::exchange(m_text, {});
-    completeStage(isLastStage() ? std::move(text) : detail::quoteJson(text), at);
+    completeStage(isLastStage() ? std::move(text) : common::quoteJson(text), at);
 }
 
 void run::retryOrFinish(std::string detail, common::duration retryAfter, common::moment at)
--- a/packages/runs/src/run.cpp
+++ b/packages/runs/src/run.cpp
@@ -1,5 +1,6 @@
 #include "detail/position.h"
 
+#include <masticlever/common/json.h>
 #include <masticlever/runs/run.h>
 
 #include <algorithm>
@@ -49,7 +50,6 @@
     resumed.m_ranOnce = true;
     resumed.m_background = true;
     resumed.m_replied = true;
-    resumed.m_stageStartedAt = at.now;
     if (view.standing == ledger::run_standing::started) {
         resumed.beginQueries(at);
         return resumed;
@@ -117,7 +117,6 @@
         completeRun(at);
         return;
     }
-    m_stageStartedAt = at.now;
     m_tried.clear();
     m_text.clear();
     m_waits = 0;
@@ -322,7 +321,7 @@
 std::string answerJson(std::string_view recordedAnswer)
 {
     detail::recorded_answer answer = detail::decodeAnswer(recordedAnswer);
-    return answer.isText ? detail::quoteJson(answer.result) : std::move(answer.result);
+    return answer.isText ? common::quoteJson(answer.result) : std::move(answer.result);
 }
 
 stage_label claimedStage(const ledger::run_view &view)
