--- /dev/null
+++ b/packages/catalog/include/masticlever/catalog/endpoint-directory.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include <masticlever/common/time.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+/// \file
+/// Which endpoints may be given work, from their registrations in the platform's store and from what they say
+/// themselves. Leaving is sticky for an incarnation.
+
+namespace masticlever::catalog
+{
+
+enum class endpoint_state { ready, draining };
+
+/// What an endpoint says of itself.
+struct endpoint_record {
+    std::string id; ///< mostly new at each start of an endpoint
+    std::uint64_t bornMs = 0; ///< Unix time of its start; tells incarnations of one id apart
+    std::uint64_t sequence = 0; ///< rises within an incarnation
+    std::string service;
+    std::string address; ///< "IP:port"
+    std::string dataCentre;
+    std::size_t slots = 1;
+    endpoint_state state = endpoint_state::ready;
+    common::duration warmUpLeft{}; ///< how much longer it is slow after its start
+
+    bool operator==(const endpoint_record &) const = default;
+};
+
+/// A change that is worth a log line.
+struct directory_change {
+    enum class what { added, draining, removed, returned };
+    what kind = what::added;
+    std::string id;
+    std::string service;
+    std::string address;
+};
+
+struct directory_options {
+    /// An entry that lapsed during an outage of the store may come back for so long after its return.
+    common::duration lapseGrace = std::chrono::milliseconds(2000);
+};
+
+class endpoint_directory
+{
+public:
+    explicit endpoint_directory(directory_options options) : m_options(options) { }
+
+    /// A registration was read; older ones of the same endpoint are ignored.
+    std::vector<directory_change> onRecord(const endpoint_record &record, common::instant now);
+    /// The registration of \p id is gone.
+    std::vector<directory_change> onRemoved(std::string_view id, common::instant now);
+    /// A whole listing: endpoints that are not among \p ids are removed.
+    std::vector<directory_change> onListing(std::span<const std::string> ids, common::instant now);
+    /// The endpoint itself said that it is leaving, or another one answered at its address.
+    std::vector<directory_change> onSeenLeaving(std::string_view id, common::instant now);
+
+    void onStoreReachable(bool isReachable, common::instant now);
+    /// Ends the grace of lapsed entries; called several times a second.
+    std::vector<directory_change> advance(common::instant now);
+
+    /// Endpoints of \p service that may be given work, by id.
+    std::vector<const endpoint_record *> usable(std::string_view service) const;
+    /// The endpoint if it may be given work.
+    const endpoint_record *findUsable(std::string_view id) const;
+    std::size_t size() const { return m_entries.size(); }
+
+private:
+    struct entry {
+        endpoint_record record;
+        bool isLeaving = false;
+        std::optional<common::instant> lapsedAt; ///< removed while the store was away
+    };
+
+    bool isStoreSuspect(common::instant now) const;
+    std::vector<directory_change> erase(std::map<std::string, entry, std::less<>>::iterator found);
+    void indexService(const endpoint_record &record);
+    void unindexService(const endpoint_record &record);
+
+    directory_options m_options;
+    std::map<std::string, entry, std::less<>> m_entries; ///< by id
+    std::map<std::string, std::vector<std::string>, std::less<>> m_byService; ///< ids, sorted
+    bool m_isStoreReachable = false;
+    std::optional<common::instant> m_storeBackAt;
+};
+
+} // namespace masticlever::catalog
--- /dev/null
+++ b/packages/catalog/src/service-configuration.cpp
@@ -0,0 +1,102 @@
+#include <masticlever/catalog/service-configuration.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace masticlever::catalog
+{
+
+std::vector<std::size_t> route::finalStages() const
+{
+    std::vector<std::size_t> last;
+    for (std::size_t i = 0; i < stages.size(); ++i) {
+        const bool isFollowed = std::ranges::any_of(
+            stages, [&](const stage_spec &stage) { return std::ranges::find(stage.after, i) != stage.after.end(); });
+        if (!isFollowed) {
+            last.push_back(i);
+        }
+    }
+    return last;
+}
+
+std::string normalizedHost(std::string_view host)
+{
+    std::string name(host.substr(0, host.rfind(':')));
+    for (char &c : name) {
+        c = c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
+    }
+    return name;
+}
+
+const route *service_configuration::findRoute(std::string_view host, std::string_view path) const
+{
+    const auto found = m_byHost.find(normalizedHost(host));
+    if (found == m_byHost.end()) {
+        return nullptr;
+    }
+    for (const std::size_t index : found->second) {
+        if (path.starts_with(m_routes[index].pathPrefix)) {
+            return &m_routes[index];
+        }
+    }
+    return nullptr;
+}
+
+const service *service_configuration::findService(std::string_view name) const
+{
+    const auto found = m_services.find(name);
+    return found == m_services.end() ? nullptr : &found->second;
+}
+
+const team *service_configuration::findTeam(std::string_view key) const
+{
+    const auto found = m_byKey.find(key);
+    return found == m_byKey.end() ? nullptr : &m_teams[found->second];
+}
+
+service_configuration::builder &service_configuration::builder::version(std::uint64_t number)
+{
+    m_built.m_version = number;
+    return *this;
+}
+
+service_configuration::builder &service_configuration::builder::limits(const caller_limits &limits)
+{
+    m_built.m_limits = limits;
+    return *this;
+}
+
+service_configuration::builder &service_configuration::builder::add(route added)
+{
+    m_built.m_byHost[normalizedHost(added.host)].push_back(m_built.m_routes.size());
+    m_built.m_routes.push_back(std::move(added));
+    return *this;
+}
+
+service_configuration::builder &service_configuration::builder::add(service added)
+{
+    const std::string name = added.name;
+    m_built.m_services.insert_or_assign(name, std::move(added));
+    return *this;
+}
+
+service_configuration::builder &service_configuration::builder::add(team added)
+{
+    for (const std::string &key : added.keys) {
+        m_built.m_byKey[key] = m_built.m_teams.size();
+    }
+    m_built.m_teams.push_back(std::move(added));
+    return *this;
+}
+
+service_configuration service_configuration::builder::build()
+{
+    for (auto &[host, indices] : m_built.m_byHost) {
+        std::ranges::stable_sort(indices, [&](std::size_t left, std::size_t right) {
+            return m_built.m_routes[left].pathPrefix.size() > m_built.m_routes[right].pathPrefix.size();
+        });
+    }
+    return std::move(m_built);
+}
+
+} // namespace masticlever::catalog
--- a/packages/routing/src/detail/rendezvous.h
+++ b/packages/common/include/masticlever/common/rendezvous.h
@@ -5,7 +5,7 @@
 /// \file
 /// Rank of a node for a key in rendezvous hashing.
 
-namespace masticlever::routing::detail
+namespace masticlever::common
 {
 
 /// Mixes two hashes; equal on every instance.
@@ -20,4 +20,4 @@
     return x ^ (x >> half);
 }
 
-} // namespace masticlever::routing::detail
+} // namespace masticlever::common
--- /dev/null
+++ b/packages/forwarding/src/endpoint-choice.cpp
@@ -0,0 +1,106 @@
+#include <masticlever/forwarding/endpoint-choice.h>
+
+#include <masticlever/common/digest.h>
+#include <masticlever/common/rendezvous.h>
+
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+
+namespace masticlever::forwarding
+{
+
+std::string_view affinityPart(const protocol::request_attributes &request)
+{
+    if (request.prompt.empty()) {
+        return {};
+    }
+    return request.prompt[request.prompt.size() > 1 ? request.prompt.size() - 2 : 0].id;
+}
+
+const endpoint_choice::endpoint_state *endpoint_choice::find(std::string_view id) const
+{
+    const auto found = m_endpoints.find(id);
+    return found == m_endpoints.end() ? nullptr : &found->second;
+}
+
+std::size_t endpoint_choice::inFlight(std::string_view id) const
+{
+    const endpoint_state *state = find(id);
+    return state == nullptr ? 0 : state->inFlight;
+}
+
+bool endpoint_choice::isResting(std::string_view id, common::instant now) const
+{
+    const endpoint_state *state = find(id);
+    return state != nullptr && now < state->restsUntil;
+}
+
+std::string endpoint_choice::choose(std::span<const catalog::endpoint_record *const> endpoints,
+                                    std::span<const std::string> excluded,
+                                    const protocol::request_attributes &request, std::string_view dataCentre,
+                                    common::instant now, common::random_source &random)
+{
+    const std::string_view part = affinityPart(request);
+    const std::uint64_t key = part.empty() ? 0 : common::stableHash(part);
+    std::vector<candidate> candidates;
+    std::size_t total = 0;
+    for (const catalog::endpoint_record *record : endpoints) {
+        if (std::ranges::find(excluded, record->id) != excluded.end()) {
+            continue;
+        }
+        const endpoint_state *state = find(record->id);
+        candidate added{record, state == nullptr ? 0 : state->inFlight, false, 0, random.next()};
+        added.isAvoided = state != nullptr
+            && (now < state->restsUntil || state->failureShare > m_options.failureShareToAvoid);
+        added.rank = part.empty() ? 0 : common::rendezvousRank(key, common::stableHash(record->id));
+        total += added.inFlight;
+        candidates.push_back(added);
+    }
+    if (candidates.empty()) {
+        return {};
+    }
+    const double mean = static_cast<double>(total) / static_cast<double>(candidates.size());
+    const double bound = mean * m_options.boundFactor + static_cast<double>(m_options.freeRequests);
+    const auto order = [&](const candidate &c) {
+        const bool isOver = part.empty() || static_cast<double>(c.inFlight) > bound;
+        const bool isRemote = c.record->dataCentre != dataCentre;
+        // Above the bound the least busy one wins, a near one among equals.
+        return std::tuple(c.isAvoided, isOver, isOver ? c.inFlight : 0, isOver && isRemote, ~c.rank, c.tieBreak);
+    };
+    const auto best = std::ranges::min_element(
+        candidates, [&](const candidate &left, const candidate &right) { return order(left) < order(right); });
+    return best->record->id;
+}
+
+void endpoint_choice::onCallEnds(const std::string &id, call_outcome outcome, common::instant now)
+{
+    endpoint_state &state = m_endpoints[id];
+    state.inFlight -= state.inFlight > 0 ? 1 : 0;
+    const bool isBad = outcome != call_outcome::answered;
+    const double sample = isBad && outcome != call_outcome::rejected ? 1.0 : 0.0;
+    state.failureShare += m_options.learningRate * (sample - state.failureShare);
+    if (!isBad) {
+        state.failuresInRow = 0;
+        return;
+    }
+    ++state.failuresInRow;
+    const bool isOut = outcome == call_outcome::unreachable || state.failuresInRow >= m_options.failuresToRest;
+    if (isOut) {
+        const auto exponent = static_cast<double>(std::min<std::size_t>(state.failuresInRow, 6)) - 1;
+        const auto rest = std::min(m_options.longestRest,
+                                   common::duration(std::llround(static_cast<double>(m_options.firstRest.count())
+                                                                 * std::pow(2.0, exponent))));
+        state.restsUntil = now + rest;
+    }
+}
+
+void endpoint_choice::forget(std::string_view id)
+{
+    const auto found = m_endpoints.find(id);
+    if (found != m_endpoints.end() && found->second.inFlight == 0) {
+        m_endpoints.erase(found);
+    }
+}
+
+} // namespace masticlever::forwarding
--- /dev/null
+++ b/packages/forwarding/src/request-flow.cpp
@@ -0,0 +1,202 @@
+#include <masticlever/forwarding/request-flow.h>
+
+#include <utility>
+
+namespace masticlever::forwarding
+{
+
+using common::instant;
+using protocol::piece_failure;
+
+namespace
+{
+
+constexpr int badGateway = 502;
+constexpr int unavailable = 503;
+constexpr int gatewayTimeout = 504;
+
+} // namespace
+
+request_flow::request_flow(const catalog::route &route, protocol::request_attributes attributes, instant receivedAt,
+                           instant deadline, flow_options options)
+    : m_route(route), m_attributes(std::move(attributes)), m_receivedAt(receivedAt), m_deadline(deadline),
+      m_options(options), m_graph(route.stages, m_attributes.pieces),
+      m_isMakerGone([](std::string_view) { return false; }), m_firstPieces(m_graph.missingPieces())
+{ }
+
+flow_step request_flow::finish(flow_step step)
+{
+    m_isEnded = true;
+    for (std::string &handle : m_graph.heldHandles()) {
+        step.release.push_back(std::move(handle));
+    }
+    return step;
+}
+
+flow_step request_flow::refuse(std::string_view reason)
+{
+    flow_step step;
+    step.answer = own_answer{unavailable, m_options.retryAfter};
+    step.reason = reason;
+    return finish(std::move(step));
+}
+
+/// Ends the request with what is true: a refusal only if it has not run.
+flow_step request_flow::end(int status, std::string_view reason)
+{
+    if (m_hasHead) {
+        flow_step step;
+        step.breakOff = true;
+        step.reason = reason;
+        return finish(std::move(step));
+    }
+    if (m_state == run_state::not_run) {
+        return refuse(reason);
+    }
+    flow_step step;
+    step.answer = own_answer{status, std::nullopt};
+    step.reason = reason;
+    return finish(std::move(step));
+}
+
+flow_step request_flow::proceed(instant now)
+{
+    flow_step step;
+    if (m_isEnded) {
+        return step;
+    }
+    step.order = m_graph.takeReady();
+    m_pieceOrders += step.order.size();
+    if (m_pieceOrders > m_firstPieces * m_options.pieceAttempts) {
+        return refuse("pieces_failed");
+    }
+    if (m_hasBody && !m_isCalling && m_graph.isComplete()) {
+        if (m_deadline - now < m_options.leastCallTime) {
+            return end(gatewayTimeout, "deadline");
+        }
+        step.call = true;
+    }
+    return step;
+}
+
+flow_step request_flow::onBegin(instant now)
+{
+    return proceed(now);
+}
+
+flow_step request_flow::onBody(instant now)
+{
+    m_hasBody = true;
+    return proceed(now);
+}
+
+flow_step request_flow::onPieceMade(stages::piece_ref piece, std::string handle, instant now)
+{
+    if (m_isEnded) {
+        flow_step step;
+        step.release.push_back(std::move(handle));
+        return step;
+    }
+    std::vector<std::string> released = m_graph.onResult(piece, std::move(handle));
+    flow_step step = proceed(now);
+    step.release.insert(step.release.end(), released.begin(), released.end());
+    return step;
+}
+
+flow_step request_flow::onPieceFailed(stages::piece_ref piece, piece_failure failure, instant now)
+{
+    if (m_isEnded) {
+        return {};
+    }
+    if (failure == piece_failure::late) {
+        return end(gatewayTimeout, "stages_late");
+    }
+    if (failure == piece_failure::input_gone) {
+        m_graph.onInputGone(piece, m_isMakerGone);
+    } else {
+        m_graph.onFailed(piece);
+    }
+    return proceed(now);
+}
+
+flow_step request_flow::onNoEndpoint(instant /*now*/)
+{
+    return end(badGateway, "no_endpoint");
+}
+
+void request_flow::onCallBegins(const std::string &endpointId)
+{
+    m_isCalling = true;
+    m_excluded.push_back(endpointId);
+    ++m_attempts;
+}
+
+bool request_flow::mayCallAgain(call_end ended, instant now, const std::function<bool()> &takeRetry)
+{
+    const bool isProvenNotRun = ended != call_end::failure_answer && ended != call_end::broken;
+    const bool isAllowed = (isProvenNotRun || m_route.mayRepeat()) && (!m_hasHead || m_route.isResumable);
+    if (!isAllowed || m_attempts >= m_route.maximumAttempts || m_deadline - now < m_options.leastCallTime) {
+        return false;
+    }
+    if (ended == call_end::not_sent) {
+        return m_failedConnects <= m_options.connectAttempts; // nothing has arrived anywhere
+    }
+    return takeRetry();
+}
+
+flow_step request_flow::onCallEnds(call_end ended, instant now, const std::function<bool()> &takeRetry)
+{
+    m_isCalling = false;
+    if (m_isEnded) {
+        return {};
+    }
+    const bool isProvenNotRun = ended != call_end::failure_answer && ended != call_end::broken;
+    if (ended == call_end::not_sent) {
+        --m_attempts;
+        ++m_failedConnects;
+    }
+    if (!isProvenNotRun) {
+        m_state = ended == call_end::failure_answer ? run_state::has_run : run_state::may_have_run;
+    }
+    if (ended == call_end::input_gone) {
+        m_graph.onFinalInputGone(m_isMakerGone);
+    }
+    if (mayCallAgain(ended, now, takeRetry)) {
+        return proceed(now);
+    }
+    if (ended == call_end::failure_answer && !m_hasHead) {
+        flow_step step;
+        step.passFailureOn = true;
+        step.reason = "endpoint_failure";
+        return finish(std::move(step));
+    }
+    return end(badGateway, ended == call_end::broken ? "answer_broken" : "rejected");
+}
+
+flow_step request_flow::onAnswerEnds()
+{
+    m_isCalling = false;
+    m_state = run_state::has_run;
+    return finish({});
+}
+
+flow_step request_flow::onCallerGone()
+{
+    flow_step step;
+    // What may not be repeated is left to finish: a second attempt of the caller cannot tell what became of it.
+    step.abortCall = m_isCalling && (m_route.kind != catalog::request_kind::non_idempotent);
+    return finish(std::move(step));
+}
+
+flow_step request_flow::onDeadline()
+{
+    const bool wasCalling = m_isCalling;
+    if (wasCalling && m_state == run_state::not_run) {
+        m_state = run_state::may_have_run;
+    }
+    flow_step step = end(gatewayTimeout, "deadline");
+    step.abortCall = wasCalling;
+    return step;
+}
+
+} // namespace masticlever::forwarding
--- /dev/null
+++ b/packages/frontend/include/masticlever/frontend/topic-follower.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include <masticlever/common/time.h>
+#include <masticlever/protocol/site-protocol.h>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+/// \file
+/// Follows one topic of the store: lists the newest record of each key, then reads what is written after the list.
+
+namespace masticlever::frontend
+{
+
+struct topic_follower_options {
+    common::duration pollInterval = std::chrono::milliseconds(500); ///< between reads that do not wait
+    common::duration wait{}; ///< for how long a read waits at the store for a record
+    common::duration firstRetry = std::chrono::milliseconds(100); ///< after a failed call; doubles
+    common::duration longestRetry = std::chrono::milliseconds(800);
+    common::duration timeout = std::chrono::milliseconds(1500); ///< of a call, besides its wait
+};
+
+struct follow_call {
+    bool isListing = false;
+    std::string afterKey; ///< of a listing: the last key of the page before
+    std::uint64_t from = 0; ///< of a read
+    common::duration wait{};
+    common::duration timeout{}; ///< the wait included
+};
+
+struct follow_news {
+    std::vector<protocol::store_record> records;
+    bool isWholeListing = false; ///< keys that \c listedKeys lacks are gone
+    std::vector<std::string> listedKeys;
+};
+
+class topic_follower
+{
+public:
+    explicit topic_follower(topic_follower_options options) : m_options(options) { }
+
+    /// The call that is due, if any. It is under way until one of the following is called.
+    std::optional<follow_call> next(common::instant now);
+    follow_news onListing(protocol::listing_page page, common::instant now);
+    follow_news onRecords(protocol::record_page page, common::instant now);
+    /// The records that follow are no longer kept.
+    void onTruncated(common::instant now);
+    void onFailure(common::instant now);
+    /// Reads at once, as something new is known to be there.
+    void hurry(common::instant now);
+    /// Forgets the position: what was read may be out of date.
+    void restart(common::instant now);
+
+    bool isReachable() const { return m_isReachable; }
+    bool hasListed() const { return m_hasListed; }
+    common::instant heardAt() const { return m_heardAt; }
+
+private:
+    topic_follower_options m_options;
+    bool m_isUnderWay = false;
+    bool m_isListing = true;
+    bool m_hasListed = false;
+    bool m_isReachable = false;
+    std::string m_afterKey;
+    std::vector<std::string> m_listedKeys;
+    std::uint64_t m_from = 0;
+    std::optional<std::uint64_t> m_listedEnd; ///< of the first page, as pages are not a snapshot
+    common::instant m_dueAt;
+    common::instant m_heardAt;
+    common::duration m_retry{};
+};
+
+} // namespace masticlever::frontend
--- /dev/null
+++ b/packages/frontend/src/caller-connection.cpp
@@ -0,0 +1,210 @@
+#include "caller-connection.h"
+
+#include <masticlever/common/errors.h>
+
+#include <utility>
+
+namespace masticlever::frontend
+{
+
+namespace
+{
+
+constexpr int badRequest = 400;
+constexpr int requestTimeout = 408;
+constexpr int contentTooLarge = 413;
+constexpr int headTooLarge = 431;
+constexpr std::size_t pipelineLimit = 262144; ///< bytes that a caller may send ahead of an answer
+constexpr net::socket_options callerSocket{std::chrono::milliseconds(20000), std::chrono::seconds(5)};
+
+http1::reader_limits readerLimits(const catalog::caller_limits &limits)
+{
+    return {limits.headBytes, limits.bodyBytes};
+}
+
+} // namespace
+
+caller_connection::caller_connection(int descriptor, const catalog::caller_limits &limits, request_handler &handler,
+                                     common::instant now)
+    : m_socket(net::stream_socket::adopt(descriptor, callerSocket, *this)),
+      m_reader(http1::message_kind::request, readerLimits(limits), *this), m_limits(limits), m_handler(handler),
+      m_now(now), m_since(now)
+{ }
+
+caller_connection::~caller_connection() = default;
+
+void caller_connection::onBytes(std::string_view bytes)
+{
+    if (m_isFinished) {
+        return;
+    }
+    m_since = m_now;
+    take(m_reader.feed(bytes));
+    if (m_reader.pendingBytes() > pipelineLimit) {
+        m_socket->setReading(false);
+    }
+}
+
+void caller_connection::take(std::error_code failure)
+{
+    if (!failure || m_isFinished) {
+        return;
+    }
+    if (failure == common::error::too_large) {
+        refuse(m_reader.hasHead() ? contentTooLarge : headTooLarge);
+    } else {
+        refuse(badRequest);
+    }
+}
+
+/// Ends the connection over a request that cannot be read; what follows it cannot be trusted.
+void caller_connection::refuse(int status)
+{
+    m_handler.onBadRequest(status);
+    m_isFinished = true;
+    if (m_hasAnswered || m_isGone) {
+        m_socket->closeWhenSent();
+        return;
+    }
+    if (session != 0) {
+        m_handler.onCallerGone(*this);
+    }
+    http1::message_head head;
+    head.status = status;
+    m_isBusy = true;
+    m_keepsAlive = false;
+    beginAnswer(std::move(head), 0);
+    endAnswer();
+}
+
+void caller_connection::onHead(http1::message_head head)
+{
+    m_isBusy = true;
+    m_hasAnswered = false;
+    m_keepsAlive = head.keepAlive;
+    m_isVersion11 = head.isVersion11;
+    m_isHead = head.method == "HEAD";
+    const std::string *expectation = head.find("Expect");
+    if (expectation != nullptr && http1::equalNames(*expectation, "100-continue")) {
+        m_socket->write("HTTP/1.1 100 Continue\r\n\r\n");
+    }
+    m_handler.onRequestHead(*this, std::move(head));
+}
+
+void caller_connection::onBody(std::string_view bytes)
+{
+    m_handler.onRequestBody(*this, bytes);
+}
+
+void caller_connection::onEnd()
+{
+    m_handler.onRequestEnd(*this);
+    finishExchange();
+}
+
+void caller_connection::beginAnswer(http1::message_head head, std::optional<std::uint64_t> length)
+{
+    m_isChunked = !length && m_isVersion11;
+    if (!m_reader.isEnded() || m_isClosing || (!length && !m_isVersion11)) {
+        m_keepsAlive = false; // a body that is not read to its end would be taken for the next request
+    }
+    if (length) {
+        head.fields.push_back({"Content-Length", std::to_string(*length)});
+    } else if (m_isChunked) {
+        head.fields.push_back({"Transfer-Encoding", "chunked"});
+    }
+    if (!m_keepsAlive) {
+        head.fields.push_back({"Connection", "close"});
+    }
+    m_socket->write(http1::answerText(head));
+}
+
+void caller_connection::sendBody(std::string_view bytes)
+{
+    if (m_isHead) {
+        return;
+    }
+    if (m_isChunked) {
+        m_socket->write(http1::chunkText(bytes));
+    } else {
+        m_socket->write(bytes);
+    }
+}
+
+void caller_connection::endAnswer()
+{
+    if (m_isChunked && !m_isHead) {
+        m_socket->write(http1::lastChunk);
+    }
+    m_hasAnswered = true;
+    session = 0;
+    finishExchange();
+}
+
+void caller_connection::finishExchange()
+{
+    if (!m_hasAnswered || m_isGone) {
+        return;
+    }
+    if (!m_keepsAlive) {
+        m_isFinished = true;
+        m_socket->setReading(true);
+        m_socket->closeWhenSent();
+        return;
+    }
+    if (!m_reader.isEnded()) {
+        return;
+    }
+    m_isBusy = false;
+    m_hasAnswered = false;
+    m_since = m_now;
+    m_socket->setReading(true);
+    take(m_reader.next());
+}
+
+void caller_connection::breakOff()
+{
+    session = 0;
+    m_isFinished = true;
+    m_isGone = true;
+    m_socket->abort();
+}
+
+void caller_connection::closeIfIdle()
+{
+    if (isIdle() && !m_isFinished) {
+        m_isFinished = true;
+        m_socket->closeWhenSent();
+    }
+}
+
+void caller_connection::onTick(common::instant now)
+{
+    m_now = now;
+    if (m_isFinished || m_isGone) {
+        return;
+    }
+    if (isIdle()) {
+        if (now - m_since > m_limits.idleTimeout) {
+            closeIfIdle();
+        }
+        return;
+    }
+    const bool isReadingHead = !m_reader.hasHead();
+    const bool isReadingBody = m_reader.hasHead() && !m_reader.isEnded() && !m_hasAnswered;
+    const common::duration limit = isReadingHead ? m_limits.headTimeout : m_limits.idleTimeout;
+    if ((isReadingHead || isReadingBody) && now - m_since > limit) {
+        refuse(requestTimeout);
+    }
+}
+
+void caller_connection::onClosed(net::close_reason /*reason*/)
+{
+    m_isGone = true;
+    m_isFinished = true;
+    if (session != 0) {
+        m_handler.onCallerGone(*this);
+    }
+}
+
+} // namespace masticlever::frontend
--- /dev/null
+++ b/packages/frontend/src/caller-connection.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include <masticlever/catalog/service-configuration.h>
+#include <masticlever/common/time.h>
+#include <masticlever/http1/message-reader.h>
+#include <masticlever/net/stream-socket.h>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+/// \file
+/// One connection of a caller: reads requests one after the other and writes their answers.
+
+namespace masticlever::frontend
+{
+
+class caller_connection;
+
+/// Answers the requests of a connection.
+class request_handler
+{
+public:
+    virtual ~request_handler() = default;
+    virtual void onRequestHead(caller_connection &caller, http1::message_head head) = 0;
+    virtual void onRequestBody(caller_connection &caller, std::string_view bytes) = 0;
+    virtual void onRequestEnd(caller_connection &caller) = 0;
+    /// The caller has gone; the connection must not be used any more.
+    virtual void onCallerGone(caller_connection &caller) = 0;
+    virtual void onCallerDrained(caller_connection &caller) = 0;
+    /// A request that cannot be read was refused.
+    virtual void onBadRequest(int status) = 0;
+};
+
+class caller_connection final : private net::socket_handler, private http1::message_sink
+{
+public:
+    caller_connection(int descriptor, const catalog::caller_limits &limits, request_handler &handler,
+                      common::instant now);
+    ~caller_connection() override;
+    caller_connection(const caller_connection &) = delete;
+    caller_connection &operator=(const caller_connection &) = delete;
+
+    /// Without \p length the body goes out in chunks.
+    void beginAnswer(http1::message_head head, std::optional<std::uint64_t> length);
+    void sendBody(std::string_view bytes);
+    void endAnswer();
+    /// Closes in the middle of the answer, so that it cannot be taken for a whole one.
+    void breakOff();
+
+    /// The next answer is the last one on this connection.
+    void closeAfterAnswer() { m_isClosing = true; }
+    /// Closes the connection if no request is under way.
+    void closeIfIdle();
+    void onTick(common::instant now);
+
+    bool isGone() const { return m_isGone; }
+    bool isIdle() const { return !m_isBusy && m_reader.isUntouched(); }
+    std::size_t unsentBytes() const { return m_socket->unsentBytes(); }
+    std::uint64_t session = 0; ///< number of the request under way; 0: none
+
+private:
+    void onBytes(std::string_view bytes) override;
+    void onClosed(net::close_reason reason) override;
+    void onDrained() override { m_handler.onCallerDrained(*this); }
+    void onHead(http1::message_head head) override;
+    void onBody(std::string_view bytes) override;
+    void onEnd() override;
+
+    void take(std::error_code failure);
+    void refuse(int status);
+    void finishExchange();
+
+    net::stream_socket::pointer m_socket;
+    http1::message_reader m_reader;
+    catalog::caller_limits m_limits;
+    request_handler &m_handler;
+    common::instant m_now; ///< of the last tick
+    common::instant m_since; ///< of the last progress
+    bool m_isBusy = false; ///< a request is being read or answered
+    bool m_hasAnswered = false;
+    bool m_isChunked = false;
+    bool m_isClosing = false;
+    bool m_isFinished = false; ///< nothing more is read
+    bool m_isGone = false;
+    bool m_keepsAlive = true;
+    bool m_isVersion11 = true;
+    bool m_isHead = false;
+};
+
+} // namespace masticlever::frontend
--- /dev/null
+++ b/packages/frontend/src/daemon-core.cpp
@@ -0,0 +1,516 @@
+#include "daemon-core.h"
+
+#include <masticlever/telemetry/events.h>
+
+#include <QCoreApplication>
+
+#include <ctime>
+#include <utility>
+
+namespace masticlever::frontend
+{
+
+using common::duration;
+using common::instant;
+using telemetry::event;
+using telemetry::logEvent;
+
+namespace
+{
+
+constexpr std::chrono::milliseconds tick{25}; ///< deadlines are met to within one tick
+constexpr int backlog = 512;
+constexpr duration pauseLimit = std::chrono::milliseconds(700); ///< a gap between ticks above it is a pause
+constexpr duration storeLossLimit = std::chrono::milliseconds(400); ///< failures for less are not an outage
+constexpr duration badRequestInterval = std::chrono::seconds(1); ///< between log lines
+constexpr duration instanceInterval = std::chrono::seconds(2); ///< between listings while no peer is known
+constexpr duration instanceTimeout = std::chrono::seconds(2);
+constexpr duration startRetryAfter = std::chrono::milliseconds(500); ///< for callers of an instance that has no configuration
+/// After SIGTERM: the balancer's two misses, one second each, and the connections opened meanwhile.
+constexpr duration lameDuck = std::chrono::milliseconds(2600);
+constexpr duration stopMargin = std::chrono::milliseconds(400); ///< before the process would be killed
+constexpr double bodyMemoryShare = 0.35; ///< of the process's memory, for bodies of requests and answers
+constexpr std::size_t defaultMemory = 256u << 20;
+
+constexpr int notFound = 404;
+constexpr int unauthorized = 401;
+constexpr int badRequest = 400;
+constexpr int unavailable = 503;
+constexpr int success = 200;
+
+topic_follower_options configurationFollowing()
+{
+    topic_follower_options options;
+    options.wait = std::chrono::seconds(8);
+    return options;
+}
+
+std::int64_t bootMicroseconds()
+{
+    timespec time{};
+    ::clock_gettime(CLOCK_BOOTTIME, &time);
+    return std::int64_t{time.tv_sec} * 1000000 + time.tv_nsec / 1000;
+}
+
+std::string_view nameOf(catalog::directory_change::what kind)
+{
+    using what = catalog::directory_change::what;
+    switch (kind) {
+    case what::added:
+        return "added";
+    case what::draining:
+        return "draining";
+    case what::removed:
+        return "removed";
+    case what::returned:
+        break;
+    }
+    return "returned";
+}
+
+std::string pathOf(const std::string &target)
+{
+    return target.substr(0, target.find('?'));
+}
+
+} // namespace
+
+instant presentInstant()
+{
+    return std::chrono::time_point_cast<duration>(std::chrono::steady_clock::now());
+}
+
+daemon_core::daemon_core(frontend_settings settings, const protocol::site_protocol &protocol,
+                         common::random_source &random, std::string incarnation)
+    : m_settings(std::move(settings)), m_protocol(protocol), m_random(random), m_incarnation(std::move(incarnation)),
+      m_directory({}), m_choice({}),
+      m_retries({.ratio = m_settings.retryRatio, .slack = m_settings.retrySlack, .window = m_settings.retryWindow}),
+      m_pool({}), m_pace({}),
+      m_pieces({}, protocol, m_pool, m_directory,
+               [this](std::uint64_t job, stages::piece_ref piece, const protocol::piece_result &result) {
+                   if (request_session *session = findSession(job)) {
+                       session->onPiece(piece, result);
+                   }
+               }),
+      m_context{m_settings, protocol, random, m_directory, m_choice, m_retries,
+                m_pool,     m_pieces, m_pace, m_metrics,   m_configuration},
+      m_configurationWatch(
+          protocol, protocol::store_topic::configuration, m_settings.storeAddress, configurationFollowing(),
+          [this](const follow_news &news) { onConfigurationNews(news); },
+          [this](bool isReachable) { onStoreReach(isReachable); }),
+      m_endpointWatch(
+          protocol, protocol::store_topic::endpoints, m_settings.storeAddress, {},
+          [this](const follow_news &news) { onEndpointNews(news); },
+          [this](bool isReachable) { onStoreReach(isReachable); }),
+      m_instanceLane(m_settings.storeAddress),
+      m_fleet(m_settings, m_incarnation,
+              {[this] { return m_configurationText; },
+               [this] { return m_configuration ? m_configuration->version() : 0; },
+               [this](const std::string &text) { followConfiguration(text, "peer"); },
+               [this](std::uint64_t) { m_configurationWatch.hurry(m_now); }}),
+      m_status([this](const http1::message_head &head) {
+          if (m_protocol.isReadinessCheck(head)) {
+              return status_answer{isReady() ? success : unavailable, "text/plain", {}};
+          }
+          if (head.target == "/metrics") {
+              return status_answer{success, "text/plain; version=0.0.4", m_metrics.exposition()};
+          }
+          return status_answer{};
+      }),
+      m_front([this](int descriptor) { onCaller(descriptor); }),
+      m_homes([this](int descriptor) { m_pieces.onConnection(descriptor); })
+{
+    QObject::connect(&m_timer, &QTimer::timeout, &m_timer, [this] { onTick(); });
+}
+
+daemon_core::~daemon_core() = default;
+
+std::string daemon_core::start()
+{
+    m_now = presentInstant();
+    m_startedAt = m_now;
+    m_bootTime = bootMicroseconds();
+    const auto front = net::parseAddress(m_settings.frontAddress);
+    const auto homes = net::parseAddress(m_settings.homeAddress);
+    if (!m_front.listen(front.value(), backlog)) {
+        return "cannot listen on " + m_settings.frontAddress;
+    }
+    if (!m_homes.listen(homes.value(), backlog)) {
+        return "cannot listen on " + m_settings.homeAddress;
+    }
+    if (!m_status.listen(m_settings.readyAddress)) {
+        return "cannot listen on " + m_settings.readyAddress;
+    }
+    if (!m_settings.metricsAddress.empty() && !m_status.listen(m_settings.metricsAddress)) {
+        return "cannot listen on " + m_settings.metricsAddress;
+    }
+    if (!m_fleet.listen()) {
+        return "cannot listen on " + m_settings.gossipAddress;
+    }
+    m_pieces.setMembers(m_fleet.homes(m_now), m_incarnation);
+    m_timer.start(tick);
+    onTick();
+    logEvent(event::started, {{"instance", std::string_view(m_settings.name)},
+                              {"data_centre", std::string_view(m_settings.dataCentre)},
+                              {"incarnation", std::string_view(m_incarnation)},
+                              {"front", std::string_view(m_settings.frontAddress)},
+                              {"store", std::string_view(m_settings.storeAddress)}});
+    return {};
+}
+
+void daemon_core::stop()
+{
+    if (m_stoppingSince) {
+        return;
+    }
+    m_stoppingSince = presentInstant();
+    m_fleet.announceLeaving();
+    logEvent(event::stop_began, {{"requests", static_cast<std::uint64_t>(m_sessions.size())}});
+}
+
+void daemon_core::reload(const frontend_settings &settings)
+{
+    // Addresses are taken over at the next start; what can change while running is taken over now.
+    m_settings.contacts = settings.contacts;
+    m_settings.stopLimit = settings.stopLimit;
+    m_fleet.setContacts(settings.contacts);
+}
+
+bool daemon_core::isReady() const
+{
+    return m_configuration && !m_stoppingSince && m_endpointWatch.follower().hasListed();
+}
+
+void daemon_core::onCaller(int descriptor)
+{
+    const catalog::caller_limits limits = m_configuration ? m_configuration->limits() : catalog::caller_limits{};
+    auto caller = std::make_unique<caller_connection>(descriptor, limits, *this, presentInstant());
+    caller_connection *raw = caller.get();
+    if (m_stoppingSince) {
+        raw->closeAfterAnswer();
+    }
+    m_callers.emplace(raw, std::move(caller));
+}
+
+request_session *daemon_core::findSession(std::uint64_t number)
+{
+    const auto found = m_sessions.find(number);
+    return found == m_sessions.end() || found->second->isEnded() ? nullptr : found->second.get();
+}
+
+int daemon_core::admit(const http1::message_head &head, request_session::admitted_request &request,
+                       std::string_view &reason)
+{
+    if (!m_configuration) {
+        reason = "no_configuration";
+        return unavailable;
+    }
+    const std::string *host = head.find("Host");
+    request.route = host == nullptr ? nullptr : m_configuration->findRoute(*host, pathOf(head.target));
+    if (request.route == nullptr) {
+        reason = "no_route";
+        return notFound;
+    }
+    request.priority = request.route->priority;
+    if (m_configuration->needsKeys() && !request.route->isPublic) {
+        const catalog::team *team = m_configuration->findTeam(request.attributes.apiKey);
+        if (team == nullptr) {
+            reason = "unknown_key";
+            return unauthorized;
+        }
+        request.team = team->name;
+        request.priority = team->priority.value_or(request.priority);
+    }
+    std::size_t held = 0;
+    for (const auto &[number, session] : m_sessions) {
+        held += session->bodyBytes();
+    }
+    const std::size_t memory = m_settings.memoryBytes > 0 ? m_settings.memoryBytes : defaultMemory;
+    if (static_cast<double>(held + head.length) > bodyMemoryShare * static_cast<double>(memory)) {
+        reason = "memory";
+        return unavailable;
+    }
+    request.configuration = m_configuration;
+    return 0;
+}
+
+void daemon_core::answerEarly(caller_connection &caller, const protocol::request_attributes &attributes, int status,
+                              std::string_view reason)
+{
+    logEvent(event::request_refused,
+             {{"request", std::string_view(attributes.requestId)},
+              {"status", std::int64_t{status}},
+              {"reason", reason},
+              {"configuration", m_configuration ? m_configuration->version() : 0}});
+    const auto retryAfter = status == unavailable ? std::optional(startRetryAfter) : std::nullopt;
+    caller.beginAnswer(m_protocol.ownAnswer(status, attributes.requestId, retryAfter), 0);
+    caller.endAnswer();
+}
+
+void daemon_core::onRequestHead(caller_connection &caller, http1::message_head head)
+{
+    if (m_stoppingSince) {
+        caller.closeAfterAnswer();
+    }
+    auto attributes = m_protocol.readRequest(head);
+    if (!attributes) {
+        answerEarly(caller, {}, badRequest, "malformed_attributes");
+        return;
+    }
+    request_session::admitted_request request;
+    request.attributes = std::move(attributes.value());
+    std::string_view reason;
+    if (const int status = admit(head, request, reason); status != 0) {
+        answerEarly(caller, request.attributes, status, reason);
+        return;
+    }
+    request.head = std::move(head);
+    const std::uint64_t number = ++m_lastSession;
+    caller.session = number;
+    auto session
+        = std::make_unique<request_session>(m_context, number, caller, std::move(request), presentInstant());
+    request_session *raw = session.get();
+    m_sessions.emplace(number, std::move(session));
+    raw->begin();
+}
+
+void daemon_core::onRequestBody(caller_connection &caller, std::string_view bytes)
+{
+    if (request_session *session = findSession(caller.session)) {
+        session->addBody(bytes);
+    }
+}
+
+void daemon_core::onRequestEnd(caller_connection &caller)
+{
+    if (request_session *session = findSession(caller.session)) {
+        session->onBodyEnd();
+    }
+}
+
+void daemon_core::onCallerGone(caller_connection &caller)
+{
+    if (request_session *session = findSession(std::exchange(caller.session, 0))) {
+        session->onCallerGone();
+    }
+}
+
+void daemon_core::onCallerDrained(caller_connection &caller)
+{
+    if (request_session *session = findSession(caller.session)) {
+        session->onCallerDrained();
+    }
+}
+
+void daemon_core::onBadRequest(int status)
+{
+    ++m_badRequests;
+    const instant now = presentInstant();
+    if (now - m_badRequestsAt >= badRequestInterval) {
+        m_badRequestsAt = now;
+        logEvent(event::bad_request, {{"status", std::int64_t{status}},
+                                      {"count", m_badRequests - std::exchange(m_badRequestsReported, m_badRequests)}});
+    }
+}
+
+void daemon_core::onConfigurationNews(const follow_news &news)
+{
+    for (const protocol::store_record &record : news.records) {
+        if (m_protocol.isConfigurationKey(record.key) && record.value) {
+            followConfiguration(*record.value, "store");
+        }
+    }
+}
+
+void daemon_core::followConfiguration(const std::string &text, std::string_view source)
+{
+    auto read = m_protocol.readConfiguration(text);
+    if (!read) {
+        logEvent(event::record_ignored, {{"topic", "configuration"}, {"source", source}, {"reason", "malformed"}});
+        return;
+    }
+    const std::uint64_t former = m_configuration ? m_configuration->version() : 0;
+    if (m_configuration && read.value().version() <= former) {
+        return;
+    }
+    m_configuration = std::make_shared<const catalog::service_configuration>(std::move(read.value()));
+    m_configurationText = text;
+    m_pieces.setConfiguration(m_configuration);
+    logEvent(event::configuration_followed,
+             {{"version", m_configuration->version()},
+              {"former", former},
+              {"source", source},
+              {"routes", static_cast<std::uint64_t>(m_configuration->routes().size())}});
+}
+
+void daemon_core::onEndpointNews(const follow_news &news)
+{
+    const instant now = presentInstant();
+    std::vector<catalog::directory_change> changes;
+    const auto take = [&](std::vector<catalog::directory_change> more) {
+        std::ranges::move(more, std::back_inserter(changes));
+    };
+    for (const protocol::store_record &record : news.records) {
+        if (!record.value) {
+            take(m_directory.onRemoved(record.key, now));
+            continue;
+        }
+        const auto read = m_protocol.readEndpoint(record.key, *record.value);
+        if (read) {
+            take(m_directory.onRecord(read.value(), now));
+        } else {
+            logEvent(event::record_ignored, {{"topic", "endpoints"},
+                                             {"key", std::string_view(record.key)},
+                                             {"reason", "malformed"},
+                                             {"offset", record.offset}});
+        }
+    }
+    if (news.isWholeListing) {
+        take(m_directory.onListing(news.listedKeys, now));
+    }
+    applyChanges(changes);
+}
+
+void daemon_core::applyChanges(const std::vector<catalog::directory_change> &changes)
+{
+    for (const catalog::directory_change &change : changes) {
+        logEvent(event::endpoint_changed, {{"endpoint", std::string_view(change.id)},
+                                           {"service", std::string_view(change.service)},
+                                           {"address", std::string_view(change.address)},
+                                           {"change", nameOf(change.kind)}});
+        if (change.kind == catalog::directory_change::what::removed) {
+            m_choice.forget(change.id);
+        }
+    }
+    if (!changes.empty()) {
+        m_pieces.onDirectoryChanged();
+    }
+}
+
+void daemon_core::onStoreReach(bool isReachable)
+{
+    const instant now = presentInstant();
+    if (isReachable) {
+        m_storeLostAt.reset();
+    } else if (!m_storeLostAt) {
+        m_storeLostAt = now;
+    }
+    const bool isLost = m_storeLostAt && now - *m_storeLostAt >= storeLossLimit;
+    if (isLost == m_isStoreReported) {
+        m_isStoreReported = !isLost;
+        logEvent(isLost ? event::store_unreachable : event::store_reachable, {});
+    }
+    m_directory.onStoreReachable(!m_storeLostAt, now);
+}
+
+/// Publishes the own address once and looks for other instances while none is known.
+void daemon_core::tendInstances(instant now)
+{
+    m_instanceLane.onTick(now);
+    if (m_instanceLane.isBusy() || now < m_instancesDueAt) {
+        return;
+    }
+    if (!m_hasPublished) {
+        m_instanceLane.call(
+            m_protocol.publishCall(protocol::store_topic::instances, m_settings.name, m_fleet.gossipAddress()),
+            instanceTimeout,
+            [this](const common::result<store_lane::store_answer> &answer) {
+                m_hasPublished = answer && answer.value().status == success;
+                m_instancesDueAt = m_now + (m_hasPublished ? duration{} : instanceInterval);
+            },
+            now);
+    } else if (m_fleet.liveCount() <= 1) {
+        m_instanceLane.call(
+            m_protocol.listCall(protocol::store_topic::instances, {}), instanceTimeout,
+            [this](common::result<store_lane::store_answer> answer) { onInstanceListing(std::move(answer)); }, now);
+    }
+}
+
+void daemon_core::onInstanceListing(common::result<store_lane::store_answer> answer)
+{
+    m_instancesDueAt = m_now + instanceInterval;
+    if (!answer) {
+        return;
+    }
+    const auto page = m_protocol.readListing(answer.value().status, answer.value().body);
+    if (!page) {
+        return;
+    }
+    std::vector<std::string> contacts = m_settings.contacts;
+    for (const protocol::store_record &record : page.value().records) {
+        if (record.value && net::parseAddress(*record.value) && *record.value != m_fleet.gossipAddress()) {
+            contacts.push_back(*record.value);
+        }
+    }
+    m_fleet.setContacts(std::move(contacts));
+}
+
+/// A process that was stopped or a machine that was suspended has missed what happened meanwhile.
+void daemon_core::noticePause(instant now)
+{
+    const std::int64_t boot = bootMicroseconds();
+    const duration gap = std::max(now - m_now, duration(boot - m_bootTime));
+    m_bootTime = boot;
+    if (gap < pauseLimit) {
+        return;
+    }
+    logEvent(event::process_paused,
+             {{"pause_ms", std::int64_t{std::chrono::duration_cast<std::chrono::milliseconds>(gap).count()}}});
+    m_pool.dropIdle();
+    m_pieces.onPause();
+    m_configurationWatch.restart(now);
+    m_endpointWatch.restart(now);
+}
+
+void daemon_core::onTick()
+{
+    const instant now = presentInstant();
+    noticePause(now);
+    m_now = now;
+    m_configurationWatch.onTick(now);
+    m_endpointWatch.onTick(now);
+    tendInstances(now);
+    applyChanges(m_directory.advance(now));
+    m_fleet.setState(!m_storeLostAt, m_configuration ? m_configuration->version() : 0);
+    m_fleet.onTick(now);
+    m_retries.onFleetSize(m_fleet.liveCount());
+    m_pieces.setMembers(m_fleet.homes(now), m_incarnation);
+    m_pieces.onTick(now);
+    m_status.onTick(now);
+    sweep(now);
+    if (m_stoppingSince) {
+        advanceStop(now);
+    }
+}
+
+void daemon_core::sweep(instant now)
+{
+    for (const auto &[number, session] : m_sessions) {
+        session->onTick(now);
+    }
+    std::erase_if(m_sessions, [](const auto &item) { return item.second->isEnded(); });
+    for (const auto &[raw, caller] : m_callers) {
+        raw->onTick(now);
+    }
+    std::erase_if(m_callers, [](const auto &item) { return item.first->isGone(); });
+    m_pool.sweep(now);
+}
+
+void daemon_core::advanceStop(instant now)
+{
+    const duration stopping = now - *m_stoppingSince;
+    if (stopping < lameDuck) {
+        return;
+    }
+    for (const auto &[raw, caller] : m_callers) {
+        raw->closeIfIdle();
+    }
+    const bool isOver = stopping >= m_settings.stopLimit - stopMargin;
+    if ((m_sessions.empty() && m_callers.empty()) || isOver) {
+        logEvent(event::stopped, {{"requests", static_cast<std::uint64_t>(m_sessions.size())}});
+        m_timer.stop();
+        QCoreApplication::exit(0);
+    }
+}
+
+} // namespace masticlever::frontend
--- /dev/null
+++ b/packages/frontend/src/fleet-host.cpp
@@ -0,0 +1,172 @@
+#include "fleet-host.h"
+
+#include <masticlever/common/digest.h>
+#include <masticlever/common/errors.h>
+#include <masticlever/net/stream-socket.h>
+#include <masticlever/telemetry/events.h>
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace masticlever::frontend
+{
+
+using telemetry::event;
+using telemetry::logEvent;
+
+namespace
+{
+
+// A home is replaced within a second: four rounds of heartbeats, then a loss.
+constexpr common::duration heartbeatInterval = std::chrono::milliseconds(200);
+constexpr common::duration suspectAfter = std::chrono::milliseconds(850);
+constexpr common::duration firstHeartbeatWithin = std::chrono::milliseconds(2500);
+constexpr common::duration forgetAfter = std::chrono::minutes(2);
+constexpr common::duration behindFor = std::chrono::milliseconds(250); ///< patience with the own reads of the store
+
+peers::peer_settings peerSettings(const frontend_settings &settings)
+{
+    peers::peer_settings made;
+    made.listenAddress = settings.gossipAddress;
+    made.key = settings.fleetKey;
+    made.gossip.interval = heartbeatInterval;
+    made.gossip.minimumGap = heartbeatInterval / 4;
+    made.catchUp.behindFor = behindFor;
+    made.catchUp.timeout = std::chrono::milliseconds(1000);
+    made.catchUp.avoidFor = std::chrono::milliseconds(1500);
+    made.catchUp.forgetAfter = std::chrono::seconds(4);
+    return made;
+}
+
+membership::membership_options membershipOptions()
+{
+    membership::membership_options options;
+    options.suspectAfter = suspectAfter;
+    options.firstHeartbeatWithin = firstHeartbeatWithin;
+    options.forgetAfter = forgetAfter;
+    return options;
+}
+
+membership::instance_notice selfNotice(const frontend_settings &settings, std::string incarnation)
+{
+    membership::instance_notice self;
+    self.name = settings.name;
+    self.incarnation = std::move(incarnation);
+    self.dataCentre = settings.dataCentre;
+    self.peerAddress = settings.gossipAddress;
+    return self;
+}
+
+} // namespace
+
+fleet_host::fleet_host(const frontend_settings &settings, std::string incarnation, event_handlers handlers)
+    : m_handlers(std::move(handlers)), m_gossipAddress(settings.gossipAddress),
+      m_table(membershipOptions(), selfNotice(settings, std::move(incarnation)))
+{
+    if (const auto home = net::parseAddress(settings.homeAddress)) {
+        m_homePort = home.value().port;
+    }
+    peers::peer_handlers peerHandlers;
+    peerHandlers.recordsFrom = [this](platform::log_offset from, std::size_t) -> common::result<platform::log_batch> {
+        const std::uint64_t version = m_handlers.version();
+        if (version < from || version == 0) {
+            return make_error_code(common::error::unavailable);
+        }
+        platform::log_batch batch{version, version + 1, {}};
+        batch.records.push_back({version, {}, m_handlers.configuration()});
+        return batch;
+    };
+    peerHandlers.onRecords = [this](const platform::log_batch &batch) {
+        for (const platform::log_record &record : batch.records) {
+            m_handlers.onConfiguration(record.payload);
+        }
+        return m_handlers.version();
+    };
+    peerHandlers.onRefused = [](std::error_code reason, std::uint64_t count) {
+        const std::string text = reason.message();
+        logEvent(event::peer_message_refused, {{"reason", std::string_view(text)}, {"count", count}});
+    };
+    m_service = std::make_unique<peers::peer_service>(peerSettings(settings), m_table, std::move(peerHandlers));
+    m_service->setContacts(settings.contacts);
+}
+
+fleet_host::~fleet_host() = default;
+
+bool fleet_host::listen()
+{
+    return m_service->listen().has_value();
+}
+
+void fleet_host::setContacts(std::vector<std::string> contacts)
+{
+    m_service->setContacts(std::move(contacts));
+}
+
+void fleet_host::setState(bool isStoreReachable, std::uint64_t version)
+{
+    m_service->setState(isStoreReachable, version);
+}
+
+void fleet_host::announceLeaving()
+{
+    m_service->announceLeaving();
+}
+
+std::string fleet_host::homeAddressOf(const std::string &gossipAddress) const
+{
+    auto address = net::parseAddress(gossipAddress);
+    if (!address) {
+        return {};
+    }
+    address.value().port = m_homePort;
+    return address.value().toString();
+}
+
+std::vector<stages::home_candidate> fleet_host::homes(common::instant now) const
+{
+    std::vector<stages::home_candidate> candidates;
+    for (const membership::instance_notice &notice : m_table.liveInstances(now)) {
+        const std::string address = homeAddressOf(notice.peerAddress);
+        if (!notice.leaving && !address.empty()) {
+            candidates.push_back({notice.incarnation, address, common::stableHash(notice.incarnation), false});
+        }
+    }
+    return candidates;
+}
+
+void fleet_host::logChanges(const std::vector<membership::instance_notice> &live)
+{
+    std::vector<std::string> present;
+    for (const membership::instance_notice &notice : live) {
+        present.push_back(notice.incarnation);
+    }
+    std::ranges::sort(present);
+    std::vector<std::string> joined;
+    std::vector<std::string> lost;
+    std::ranges::set_difference(present, m_known, std::back_inserter(joined));
+    std::ranges::set_difference(m_known, present, std::back_inserter(lost));
+    for (const std::string &incarnation : joined) {
+        logEvent(event::instance_live, {{"incarnation", std::string_view(incarnation)}});
+    }
+    for (const std::string &incarnation : lost) {
+        logEvent(event::instance_lost, {{"incarnation", std::string_view(incarnation)}});
+    }
+    m_known = std::move(present);
+}
+
+void fleet_host::onTick(common::instant now)
+{
+    const auto live = m_table.liveInstances(now);
+    m_liveCount = live.size();
+    logChanges(live);
+    std::uint64_t newest = 0;
+    for (const membership::instance_notice &notice : live) {
+        newest = std::max(newest, notice.configurationOffset);
+    }
+    if (newest > m_handlers.version()) {
+        m_handlers.onVersionSeen(newest);
+    }
+}
+
+} // namespace masticlever::frontend
--- /dev/null
+++ b/packages/frontend/src/fleet-host.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <masticlever/common/time.h>
+#include <masticlever/frontend/frontend-settings.h>
+#include <masticlever/membership/membership.h>
+#include <masticlever/peers/peer-service.h>
+#include <masticlever/stages/home-choice.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+/// \file
+/// The other instances of the fleet: who is live, and configurations from them while the store is away.
+
+namespace masticlever::frontend
+{
+
+class fleet_host
+{
+public:
+    struct event_handlers {
+        std::function<std::string()> configuration; ///< text of the one in force; empty: none
+        std::function<std::uint64_t()> version;
+        std::function<void(const std::string &text)> onConfiguration;
+        std::function<void(std::uint64_t version)> onVersionSeen; ///< a peer has that version
+    };
+
+    fleet_host(const frontend_settings &settings, std::string incarnation, event_handlers handlers);
+    ~fleet_host();
+
+    /// False when the address is taken.
+    bool listen();
+    void setContacts(std::vector<std::string> contacts);
+    void setState(bool isStoreReachable, std::uint64_t version);
+    void announceLeaving();
+    void onTick(common::instant now);
+
+    /// Live instances that may be homes, this one included unless it is leaving and not alone.
+    std::vector<stages::home_candidate> homes(common::instant now) const;
+    std::size_t liveCount() const { return m_liveCount; }
+    /// Gossip addresses of the live instances.
+    const std::string &gossipAddress() const { return m_gossipAddress; }
+
+private:
+    std::string homeAddressOf(const std::string &gossipAddress) const;
+    void logChanges(const std::vector<membership::instance_notice> &live);
+
+    event_handlers m_handlers;
+    std::string m_gossipAddress;
+    std::uint16_t m_homePort = 0; ///< the same on all instances
+    membership::membership_table m_table;
+    std::unique_ptr<peers::peer_service> m_service;
+    std::vector<std::string> m_known; ///< live incarnations that were logged
+    std::size_t m_liveCount = 1;
+};
+
+} // namespace masticlever::frontend
--- /dev/null
+++ b/packages/frontend/src/home-link.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <masticlever/common/time.h>
+#include <masticlever/net/stream-socket.h>
+#include <masticlever/stages/home-messages.h>
+
+#include <functional>
+#include <string>
+#include <string_view>
+
+/// \file
+/// A connection between two daemons that carries home messages both ways.
+
+namespace masticlever::frontend
+{
+
+class home_link final : private net::socket_handler
+{
+public:
+    struct event_handlers {
+        std::function<void(home_link &link, stages::home_message message)> onMessage;
+        std::function<void(home_link &link)> onClosed;
+    };
+
+    /// Connects to the home at \p address.
+    home_link(const net::socket_address &address, event_handlers handlers, common::instant now);
+    /// Takes over the connection of another instance.
+    home_link(int descriptor, event_handlers handlers, common::instant now);
+    ~home_link() override;
+
+    void send(const stages::home_message &message);
+    bool isOpen() const { return m_isOpen; }
+    bool isConnected() const { return m_socket->isConnected(); }
+    common::instant heardAt() const { return m_heardAt; }
+    void close();
+
+private:
+    void onBytes(std::string_view bytes) override;
+    void onClosed(net::close_reason reason) override;
+
+    event_handlers m_handlers;
+    net::stream_socket::pointer m_socket;
+    std::string m_received;
+    common::instant m_heardAt;
+    bool m_isOpen = true;
+};
+
+} // namespace masticlever::frontend
--- /dev/null
+++ b/packages/frontend/src/home-server.cpp
@@ -0,0 +1,235 @@
+#include "home-server.h"
+
+#include "frontend-context.h"
+
+#include <masticlever/telemetry/events.h>
+
+#include <tuple>
+#include <utility>
+
+namespace masticlever::frontend
+{
+
+using common::instant;
+using telemetry::event;
+using telemetry::logEvent;
+
+namespace
+{
+
+constexpr common::duration releaseInterval = std::chrono::milliseconds(100); ///< releases go out together
+constexpr int priorityClasses = 4; ///< priorities that a status tells apart; less urgent ones count as the last
+
+} // namespace
+
+std::string_view makerOf(std::string_view handle)
+{
+    return handle.substr(0, handle.find('/'));
+}
+
+home_server::home_server(const protocol::site_protocol &protocol, endpoint_pool &pool,
+                         catalog::endpoint_directory &directory, result_handler onResults)
+    : m_protocol(protocol), m_pool(pool), m_directory(directory), m_onResults(std::move(onResults))
+{ }
+
+home_server::~home_server() = default;
+
+void home_server::setConfiguration(std::shared_ptr<const catalog::service_configuration> configuration)
+{
+    m_configuration = std::move(configuration);
+    onDirectoryChanged();
+}
+
+void home_server::refresh(const std::string &service, service_queue &target)
+{
+    const catalog::service *known = m_configuration ? m_configuration->findService(service) : nullptr;
+    if (known != nullptr && known->batches) {
+        target.queue.setLimits(*known->batches);
+    }
+    target.queue.setEndpoints(m_directory.usable(service));
+}
+
+void home_server::onDirectoryChanged()
+{
+    for (auto &[service, target] : m_queues) {
+        refresh(service, target);
+    }
+}
+
+home_server::service_queue *home_server::findQueue(const std::string &service)
+{
+    const auto found = m_queues.find(service);
+    if (found != m_queues.end()) {
+        return &found->second;
+    }
+    const catalog::service *known = m_configuration ? m_configuration->findService(service) : nullptr;
+    if (known == nullptr || !known->batches) {
+        return nullptr;
+    }
+    service_queue added{stages::batch_queue({}, *known->batches), {}};
+    service_queue &stored = m_queues.emplace(service, std::move(added)).first->second;
+    refresh(service, stored);
+    return &stored;
+}
+
+void home_server::onWish(const std::string &service, stages::piece_wish wish, instant now)
+{
+    service_queue *target = findQueue(service);
+    if (target == nullptr) {
+        // The service is not known here yet: the owner orders again.
+        stages::results_message failed{wish.job, wish.stage, {}};
+        for (const std::size_t piece : wish.pieces) {
+            failed.results.push_back({piece, {}, static_cast<std::uint8_t>(protocol::piece_failure::failed)});
+        }
+        m_onResults(wish.owner, std::move(failed));
+        return;
+    }
+    target->queue.onWish(std::move(wish), now);
+    pump(service, *target, now);
+}
+
+void home_server::onCancel(std::uint64_t owner, std::uint64_t job)
+{
+    for (auto &[service, target] : m_queues) {
+        target.queue.onCancel(owner, job);
+    }
+}
+
+void home_server::onOwnerGone(std::uint64_t owner)
+{
+    for (auto &[service, target] : m_queues) {
+        target.queue.onOwnerGone(owner);
+    }
+}
+
+void home_server::onRelease(const std::string &service, const std::vector<std::string> &handles)
+{
+    const auto found = m_queues.find(service);
+    if (found != m_queues.end()) {
+        found->second.queue.onReleased(handles);
+    }
+    for (const std::string &handle : handles) {
+        m_toRelease[std::string(makerOf(handle))].push_back(handle);
+    }
+}
+
+void home_server::sendReleases()
+{
+    for (auto &[address, handles] : std::exchange(m_toRelease, {})) {
+        const std::uint64_t number = ++m_lastRelease;
+        auto call = std::make_unique<piece_call>(
+            m_pool, m_protocol, [this, number](piece_call::outcome /*outcome*/, std::string_view /*body*/) {
+                // A release that is lost only leaves the result until it expires.
+                m_ended.push_back(std::move(m_releases.extract(number).mapped()));
+            });
+        if (call->start(address, address, m_protocol.releaseCall(address), m_protocol.releaseBody(handles))) {
+            m_releases.emplace(number, std::move(call));
+        }
+    }
+}
+
+void home_server::pump(const std::string &service, service_queue &target, instant now)
+{
+    deliver(target.queue.takeHopeless(now));
+    for (stages::batch_call &call : target.queue.takeCalls(now)) {
+        start(service, target, std::move(call));
+    }
+}
+
+void home_server::start(const std::string &service, service_queue &target, stages::batch_call call)
+{
+    const std::uint64_t number = call.number;
+    auto sent = std::make_unique<piece_call>(
+        m_pool, m_protocol,
+        [this, service, number, id = call.endpointId](piece_call::outcome outcome, std::string_view body) {
+            onDone(service, number, id, outcome, body);
+        });
+    if (!sent->start(call.endpointId, call.address, m_protocol.pieceCall(call.address, call.endpointId),
+                     m_protocol.pieceCallBody(call.orders))) {
+        target.queue.onLost(number, presentInstant());
+        return;
+    }
+    target.calls.emplace(number, running_call{std::move(sent), call.giveUpAt});
+}
+
+void home_server::onDone(const std::string &service, std::uint64_t call, const std::string &endpointId,
+                         piece_call::outcome outcome, std::string_view body)
+{
+    service_queue &target = m_queues.find(service)->second;
+    m_ended.push_back(std::move(target.calls.extract(call).mapped().call));
+    const instant now = presentInstant();
+    if (outcome == piece_call::outcome::answered) {
+        const auto results = m_protocol.readPieceAnswer(body);
+        if (results) {
+            deliver(target.queue.onAnswer(call, results.value(), now));
+            pump(service, target, now);
+            return;
+        }
+        outcome = piece_call::outcome::lost;
+    }
+    logEvent(event::piece_call_failed,
+             {{"service", std::string_view(service)},
+              {"endpoint", std::string_view(endpointId)},
+              {"outcome", outcome == piece_call::outcome::lost ? "lost" : "rejected"}});
+    if (outcome == piece_call::outcome::misdirected) {
+        m_directory.onSeenLeaving(endpointId, now);
+        refresh(service, target);
+    }
+    if (outcome == piece_call::outcome::lost) {
+        target.queue.onLost(call, now);
+    } else {
+        target.queue.onRejected(call, now);
+    }
+    pump(service, target, now);
+}
+
+void home_server::deliver(const std::vector<stages::finished_piece> &pieces)
+{
+    std::map<std::tuple<std::uint64_t, std::uint64_t, std::size_t>, stages::results_message> messages;
+    for (const stages::finished_piece &finished : pieces) {
+        auto &message = messages[{finished.piece.owner, finished.piece.job, finished.piece.stage}];
+        message.job = finished.piece.job;
+        message.stage = finished.piece.stage;
+        message.results.push_back(
+            {finished.piece.piece, finished.result.handle, static_cast<std::uint8_t>(finished.result.failure)});
+    }
+    for (auto &[key, message] : messages) {
+        m_onResults(std::get<0>(key), std::move(message));
+    }
+}
+
+void home_server::onTick(instant now)
+{
+    m_ended.clear();
+    if (now - m_releasedAt >= releaseInterval) {
+        m_releasedAt = now;
+        sendReleases();
+    }
+    for (auto &[service, target] : m_queues) {
+        std::vector<piece_call *> late;
+        for (auto &[number, running] : target.calls) {
+            if (now >= running.giveUpAt) {
+                late.push_back(running.call.get());
+            }
+        }
+        for (piece_call *call : late) {
+            call->expire();
+        }
+        pump(service, target, now);
+    }
+}
+
+stages::status_message home_server::status(instant now) const
+{
+    stages::status_message message;
+    for (const auto &[service, target] : m_queues) {
+        stages::service_delay delay{service, {}};
+        for (int priority = 0; priority < priorityClasses; ++priority) {
+            delay.delays.push_back(target.queue.expectedDelay(priority, now).count());
+        }
+        message.services.push_back(std::move(delay));
+    }
+    return message;
+}
+
+} // namespace masticlever::frontend
--- /dev/null
+++ b/packages/frontend/src/request-session.cpp
@@ -0,0 +1,483 @@
+#include "request-session.h"
+
+#include <masticlever/telemetry/events.h>
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace masticlever::frontend
+{
+
+using common::duration;
+using common::instant;
+using forwarding::call_end;
+using forwarding::call_outcome;
+using forwarding::flow_step;
+using telemetry::event;
+using telemetry::logEvent;
+
+namespace
+{
+
+constexpr int firstFailureStatus = 500;
+constexpr int conflict = 409;
+constexpr int misdirected = 421;
+constexpr std::size_t slowReaderBytes = 262144; ///< unsent to a caller before the endpoint is no longer read
+constexpr std::array<double, 14> latencyBuckets{0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5,
+                                                0.75, 1.0,   1.5,  2.0, 3.0, 5.0, 10.0};
+
+const telemetry::metric_family requestsFamily{"masticlever_frontend_requests_total", "Requests by outcome."};
+const telemetry::metric_family callsFamily{"masticlever_frontend_calls_total", "Calls to endpoints by outcome."};
+const telemetry::metric_family latencyFamily{"masticlever_frontend_first_answer_seconds",
+                                             "Time from a request's head to the first byte of its answer.", 1500,
+                                             latencyBuckets};
+
+bool isSuccess(int status)
+{
+    return status >= 200 && status < 300;
+}
+
+std::string_view nameOf(call_end end)
+{
+    switch (end) {
+    case call_end::not_sent:
+        return "not_sent";
+    case call_end::rejected:
+        return "rejected";
+    case call_end::misdirected:
+        return "misdirected";
+    case call_end::input_gone:
+        return "input_gone";
+    case call_end::failure_answer:
+        return "failure_answer";
+    case call_end::broken:
+        break;
+    }
+    return "broken";
+}
+
+std::int64_t toMilliseconds(duration time)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+}
+
+instant deadlineOf(const catalog::route &route, const protocol::request_attributes &attributes, instant now)
+{
+    duration limit = route.timeout.count() > 0 ? route.timeout : duration::max();
+    if (attributes.deadline) {
+        limit = std::min(limit, *attributes.deadline);
+    }
+    constexpr duration longest = std::chrono::minutes(10); // neither the route nor the caller names a limit
+    return now + std::min(limit, longest);
+}
+
+} // namespace
+
+request_session::request_session(frontend_context &context, std::uint64_t number, caller_connection &caller,
+                                 admitted_request request, instant now)
+    : m_context(context), m_number(number), m_caller(&caller), m_request(std::move(request)),
+      m_flow(*m_request.route, m_request.attributes, now,
+             deadlineOf(*m_request.route, m_request.attributes, now), {})
+{
+    m_flow.setMakerCheck([this](std::string_view handle) { return m_context.pieces.isMakerGone(handle); });
+    m_service = chooseService();
+}
+
+request_session::~request_session()
+{
+    if (m_connection != nullptr) {
+        m_connection->abandon();
+        m_context.pool.release(m_connection, std::nullopt, presentInstant());
+    }
+}
+
+std::string request_session::chooseService()
+{
+    const auto &services = m_request.route->services;
+    double total = 0;
+    for (const auto &share : services) {
+        total += share.weight;
+    }
+    constexpr std::uint64_t steps = 1u << 30;
+    double point = total * static_cast<double>(m_context.random.next() % steps) / static_cast<double>(steps);
+    for (const auto &share : services) {
+        point -= share.weight;
+        if (point < 0 && share.weight > 0) {
+            return share.service;
+        }
+    }
+    return services.back().service;
+}
+
+void request_session::begin()
+{
+    m_context.retries.onRequest(m_service, presentInstant());
+    apply(m_flow.onBegin(presentInstant()));
+}
+
+void request_session::onBodyEnd()
+{
+    apply(m_flow.onBody(presentInstant()));
+}
+
+void request_session::onPiece(stages::piece_ref piece, const protocol::piece_result &result)
+{
+    const instant now = presentInstant();
+    if (result.handle.empty()) {
+        apply(m_flow.onPieceFailed(piece, result.failure, now));
+    } else {
+        apply(m_flow.onPieceMade(piece, result.handle, now));
+    }
+}
+
+void request_session::onCallerGone()
+{
+    m_caller = nullptr;
+    if (m_isEnded) {
+        return;
+    }
+    flow_step step = m_flow.onCallerGone();
+    const bool isLeftToFinish = m_connection != nullptr && !step.abortCall;
+    apply(std::move(step));
+    if (!isLeftToFinish) {
+        finish("caller_left", 0, "");
+    }
+}
+
+void request_session::onCallerDrained()
+{
+    if (m_connection != nullptr) {
+        m_connection->setReading(true);
+    }
+}
+
+void request_session::onTick(instant now)
+{
+    if (!m_isEnded && now >= m_flow.deadline()) {
+        if (m_flow.isEnded()) {
+            dropCall(call_outcome::answered);
+            finish("caller_left", 0, "");
+            return;
+        }
+        apply(m_flow.onDeadline());
+    }
+}
+
+void request_session::apply(flow_step step)
+{
+    m_context.pieces.release(step.release);
+    if (step.abortCall) {
+        dropCall(call_outcome::answered); // its end says nothing about the endpoint
+    }
+    if (step.passFailureOn) {
+        answerWhole();
+        finish("endpoint_failure", m_answer.status, step.reason);
+        return;
+    }
+    if (step.answer) {
+        answerOwn(*step.answer);
+        finish(step.answer->status == 503 ? "refused" : "failed", step.answer->status, step.reason);
+        return;
+    }
+    if (step.breakOff) {
+        if (m_caller != nullptr) {
+            std::exchange(m_caller, nullptr)->breakOff();
+        }
+        finish("broken_off", 0, step.reason);
+        return;
+    }
+    if (!step.order.empty()) {
+        order(step.order);
+    }
+    if (step.call) {
+        call();
+    }
+}
+
+void request_session::order(const std::vector<stages::piece_ref> &pieces)
+{
+    const instant now = presentInstant();
+    for (std::size_t i = 0; i < pieces.size();) {
+        const std::size_t stage = pieces[i].stage;
+        const catalog::stage_spec &spec = m_request.route->stages[stage];
+        stages::piece_wish wish;
+        for (; i < pieces.size() && pieces[i].stage == stage; ++i) {
+            wish.pieces.push_back(pieces[i].piece);
+        }
+        wish.job = m_number;
+        wish.requestId = m_request.attributes.requestId;
+        wish.stage = stage;
+        wish.inputs = m_flow.graph().inputsOf(stage);
+        wish.key = wish.inputs.empty() ? m_request.attributes.pieceKey : std::string();
+        wish.priority = m_request.priority;
+        wish.resultBytes = spec.resultBytes;
+        wish.effort = m_flow.graph().missingPieces();
+        wish.laterWork = m_context.pace.afterStage(*m_request.configuration, *m_request.route, stage);
+        wish.objective = m_flow.objective();
+        wish.deadline = m_flow.deadline();
+        m_context.pieces.submit(spec.service, std::move(wish), now);
+    }
+}
+
+void request_session::call()
+{
+    const instant now = presentInstant();
+    const auto endpoints = m_context.directory.usable(m_service);
+    const std::string chosen = m_context.choice.choose(endpoints, m_flow.excluded(), m_request.attributes,
+                                                       m_context.settings.dataCentre, now, m_context.random);
+    const catalog::endpoint_record *endpoint = m_context.directory.findUsable(chosen);
+    if (endpoint == nullptr) {
+        apply(m_flow.onNoEndpoint(now));
+        return;
+    }
+    send(*endpoint);
+}
+
+void request_session::send(const catalog::endpoint_record &endpoint)
+{
+    const instant now = presentInstant();
+    m_connection = m_context.pool.acquire(endpoint.id, endpoint.address, now);
+    if (m_connection == nullptr) {
+        apply(m_flow.onNoEndpoint(now));
+        return;
+    }
+    protocol::forward_options options;
+    options.endpointId = endpoint.id;
+    options.team = m_request.team;
+    options.remaining = m_flow.deadline() - now;
+    options.hasInputs = !m_request.route->stages.empty();
+    options.inputs = m_flow.graph().finalInputs();
+    options.resumeAfter = m_flow.resumeAfter();
+    if (m_request.route->hasPrompt) {
+        options.priority = m_request.priority;
+    }
+    http1::message_head head = m_context.protocol.forwarded(m_request.head, options);
+    if (!m_body.empty() || m_request.head.framing != http1::body_framing::none) {
+        head.fields.push_back({"Content-Length", std::to_string(m_body.size())});
+    }
+    m_endpointId = endpoint.id;
+    m_sentAt = now;
+    m_use = answer_use::none;
+    m_events = {};
+    m_buffered.clear();
+    m_flow.onCallBegins(endpoint.id);
+    m_context.choice.onCallBegins(endpoint.id);
+    m_connection->start(http1::requestText(head) + m_body, head.method == "HEAD", *this);
+}
+
+void request_session::dropCall(call_outcome outcome)
+{
+    if (m_connection == nullptr) {
+        return;
+    }
+    endpoint_pool::connection *used = std::exchange(m_connection, nullptr);
+    used->abandon();
+    const instant now = presentInstant();
+    m_context.pool.release(used, std::nullopt, now);
+    m_context.choice.onCallEnds(m_endpointId, outcome, now);
+}
+
+/// The call gave no answer for the caller; the flow decides what follows.
+void request_session::endCall(call_end end, call_outcome outcome)
+{
+    const instant now = presentInstant();
+    if (m_connection != nullptr) {
+        m_context.pool.release(std::exchange(m_connection, nullptr), m_answerAttributes.idleLimit, now);
+        m_context.choice.onCallEnds(m_endpointId, outcome, now);
+    }
+    m_context.metrics.counterOf(callsFamily, {{"outcome", nameOf(end)}}).add();
+    logEvent(event::call_failed,
+             {{"request", std::string_view(m_request.attributes.requestId)},
+              {"endpoint", std::string_view(m_endpointId)},
+              {"end", nameOf(end)},
+              {"status", std::int64_t{m_answer.status}},
+              {"call_ms", toMilliseconds(now - m_sentAt)},
+              {"attempt", static_cast<std::uint64_t>(m_flow.attempts())}});
+    if (end == call_end::misdirected) {
+        m_context.directory.onSeenLeaving(m_endpointId, now);
+    }
+    if (m_flow.isEnded()) {
+        finish("caller_left", 0, nameOf(end));
+        return;
+    }
+    apply(m_flow.onCallEnds(end, now, [&] { return m_context.retries.take(m_service, now); }));
+}
+
+bool request_session::onHead(const http1::message_head &head)
+{
+    const protocol::answer_attributes attributes = m_context.protocol.readAnswer(head);
+    if (attributes.requestId && *attributes.requestId != m_request.attributes.requestId) {
+        logEvent(event::foreign_answer, {{"request", std::string_view(m_request.attributes.requestId)},
+                                         {"endpoint", std::string_view(m_endpointId)}});
+        return false;
+    }
+    m_answer = head;
+    m_answerAttributes = attributes;
+    const bool isWhole = attributes.requestId.has_value() && (attributes.hasSignature || !isSuccess(head.status));
+    if (attributes.provesNotRun) {
+        m_use = answer_use::discard;
+        m_verdict = head.status == misdirected ? call_end::misdirected
+            : head.status == conflict          ? call_end::input_gone
+                                               : call_end::rejected;
+    } else if (!isWhole) {
+        m_use = answer_use::discard;
+        m_verdict = call_end::broken;
+    } else {
+        const std::string *type = head.find("Content-Type");
+        m_isEventStream = isSuccess(head.status) && type != nullptr && type->starts_with("text/event-stream");
+        m_use = m_isEventStream ? answer_use::pass_on : answer_use::buffer;
+    }
+    return true;
+}
+
+void request_session::onBody(std::string_view bytes)
+{
+    if (m_use == answer_use::pass_on) {
+        passEvents(bytes);
+    } else if (m_use == answer_use::buffer) {
+        m_buffered += bytes;
+    }
+}
+
+void request_session::beginStream()
+{
+    if (m_isHeadPassed || m_caller == nullptr) {
+        return;
+    }
+    m_isHeadPassed = true;
+    m_flow.onAnswerBegins();
+    const instant now = presentInstant();
+    m_firstAnswer = now - m_flow.receivedAt();
+    m_context.pace.onFirstAnswer(m_request.route->name, now - m_sentAt);
+    m_caller->beginAnswer(m_context.protocol.returned(m_answer), std::nullopt);
+}
+
+void request_session::passEvents(std::string_view bytes)
+{
+    std::string whole;
+    for (const forwarding::whole_event &entry : m_events.feed(bytes)) {
+        if (entry.id && m_flow.resumeAfter() && *entry.id <= *m_flow.resumeAfter()) {
+            continue; // a resumed stream may begin with what the caller has
+        }
+        whole += entry.bytes;
+        ++m_eventCount;
+        if (entry.id) {
+            m_flow.onEventPassed(*entry.id);
+        }
+    }
+    if (whole.empty() || m_caller == nullptr) {
+        return;
+    }
+    beginStream();
+    m_caller->sendBody(whole);
+    if (m_caller->unsentBytes() > slowReaderBytes) {
+        m_connection->setReading(false);
+    }
+}
+
+void request_session::onEnd()
+{
+    if (m_use == answer_use::discard) {
+        endCall(m_verdict, m_verdict == call_end::broken ? call_outcome::failed : call_outcome::rejected);
+        return;
+    }
+    if (m_isEventStream && m_events.pendingBytes() > 0) {
+        endCall(call_end::broken, call_outcome::failed);
+        return;
+    }
+    if (m_answer.status >= firstFailureStatus) {
+        endCall(call_end::failure_answer, call_outcome::failed);
+        return;
+    }
+    const instant now = presentInstant();
+    m_context.pool.release(std::exchange(m_connection, nullptr), m_answerAttributes.idleLimit, now);
+    m_context.choice.onCallEnds(m_endpointId, call_outcome::answered, now);
+    m_context.metrics.counterOf(callsFamily, {{"outcome", "answered"}}).add();
+    if (m_isEventStream) {
+        beginStream();
+        if (m_caller != nullptr) {
+            m_caller->endAnswer();
+        }
+    } else {
+        m_firstAnswer = now - m_flow.receivedAt();
+        m_context.pace.onFirstAnswer(m_request.route->name, now - m_sentAt);
+        answerWhole();
+    }
+    m_caller = nullptr;
+    apply(m_flow.onAnswerEnds());
+    finish("answered", m_answer.status, "");
+}
+
+void request_session::onFailure(http1::exchange_failure failure)
+{
+    m_answer.status = failure == http1::exchange_failure::garbled ? -1 : 0;
+    if (m_use == answer_use::discard && m_verdict != call_end::broken) {
+        endCall(m_verdict, call_outcome::rejected); // the head is proof enough
+    } else if (failure == http1::exchange_failure::not_connected) {
+        endCall(call_end::not_sent, call_outcome::unreachable);
+    } else {
+        endCall(call_end::broken, call_outcome::failed);
+    }
+}
+
+/// The endpoint's answer, which is here in full.
+void request_session::answerWhole()
+{
+    if (m_caller == nullptr) {
+        return;
+    }
+    caller_connection *caller = std::exchange(m_caller, nullptr);
+    caller->beginAnswer(m_context.protocol.returned(m_answer), m_buffered.size());
+    caller->sendBody(m_buffered);
+    caller->endAnswer();
+}
+
+void request_session::answerOwn(const forwarding::own_answer &answer)
+{
+    if (m_caller == nullptr) {
+        return;
+    }
+    std::optional<duration> retryAfter = answer.retryAfter;
+    if (retryAfter) {
+        // Callers that are refused together are spread, so that they do not come back together.
+        constexpr std::uint64_t steps = 1024;
+        *retryAfter += *retryAfter * static_cast<duration::rep>(m_context.random.next() % steps) / steps;
+    }
+    caller_connection *caller = std::exchange(m_caller, nullptr);
+    caller->beginAnswer(m_context.protocol.ownAnswer(answer.status, m_request.attributes.requestId, retryAfter), 0);
+    caller->endAnswer();
+}
+
+void request_session::finish(std::string_view outcome, int status, std::string_view reason)
+{
+    if (m_isEnded) {
+        return;
+    }
+    m_isEnded = true;
+    m_caller = nullptr;
+    m_context.pieces.cancel(m_number);
+    const instant now = presentInstant();
+    const std::int64_t version = static_cast<std::int64_t>(m_request.configuration->version());
+    m_context.metrics.counterOf(requestsFamily, {{"route", m_request.route->name}, {"outcome", outcome}}).add();
+    if (m_firstAnswer.count() > 0) {
+        m_context.metrics.histogramOf(latencyFamily, {{"route", m_request.route->name}})
+            .observe(std::chrono::duration<double>(m_firstAnswer).count());
+    }
+    logEvent(outcome == "answered" ? event::request_answered : event::request_ended,
+             {{"request", std::string_view(m_request.attributes.requestId)},
+              {"route", std::string_view(m_request.route->name)},
+              {"team", std::string_view(m_request.team)},
+              {"outcome", outcome},
+              {"status", std::int64_t{status}},
+              {"reason", reason},
+              {"endpoint", std::string_view(m_endpointId)},
+              {"attempts", static_cast<std::uint64_t>(m_flow.attempts())},
+              {"pieces_left", static_cast<std::uint64_t>(m_flow.graph().missingPieces())},
+              {"first_ms", toMilliseconds(m_firstAnswer)},
+              {"total_ms", toMilliseconds(now - m_flow.receivedAt())},
+              {"left_ms", toMilliseconds(m_flow.deadline() - now)},
+              {"configuration", version}});
+}
+
+} // namespace masticlever::frontend
--- /dev/null
+++ b/packages/frontend/src/service-pace.cpp
@@ -0,0 +1,50 @@
+#include "service-pace.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace masticlever::frontend
+{
+
+void service_pace::onFirstAnswer(std::string_view route, common::duration time)
+{
+    const auto [found, isFirst] = m_routes.try_emplace(std::string(route), time);
+    if (!isFirst) {
+        const auto difference = static_cast<double>((time - found->second).count());
+        found->second += common::duration(std::llround(m_options.learningRate * difference));
+    }
+}
+
+common::duration service_pace::firstAnswer(std::string_view route) const
+{
+    const auto found = m_routes.find(route);
+    return found == m_routes.end() ? m_options.firstGuess : found->second;
+}
+
+common::duration service_pace::afterStage(const catalog::service_configuration &configuration,
+                                          const catalog::route &route, std::size_t index) const
+{
+    common::duration longest{};
+    bool isFollowed = false;
+    for (std::size_t i = 0; i < route.stages.size(); ++i) {
+        const auto &after = route.stages[i].after;
+        if (std::ranges::find(after, index) != after.end()) {
+            isFollowed = true;
+            longest = std::max(longest, typicalCall(configuration, route.stages[i].service)
+                                   + afterStage(configuration, route, i));
+        }
+    }
+    return isFollowed ? longest : firstAnswer(route.name);
+}
+
+common::duration typicalCall(const catalog::service_configuration &configuration, std::string_view service)
+{
+    const catalog::service *found = configuration.findService(service);
+    if (found == nullptr || !found->batches) {
+        return {};
+    }
+    const auto half = static_cast<common::duration::rep>((found->batches->batchSize + 1) / 2);
+    return found->batches->callTime + found->batches->pieceTime * half;
+}
+
+} // namespace masticlever::frontend
--- /dev/null
+++ b/packages/frontend/src/store-lane.cpp
@@ -0,0 +1,89 @@
+#include "store-lane.h"
+
+#include <masticlever/common/errors.h>
+
+#include <utility>
+
+namespace masticlever::frontend
+{
+
+namespace
+{
+
+constexpr net::socket_options storeSocket{std::chrono::milliseconds(1500), std::chrono::seconds(1)};
+constexpr http1::reader_limits storeLimits{65536, std::uint64_t{64} * 1024 * 1024};
+
+} // namespace
+
+store_lane::~store_lane() = default;
+
+void store_lane::call(const protocol::store_call &call, common::duration timeout, answer_handler handler,
+                      common::instant now)
+{
+    m_handler = std::move(handler);
+    m_answer = {};
+    m_giveUpAt = now + timeout;
+    const auto address = net::parseAddress(m_address);
+    if (!address) {
+        finish(make_error_code(common::error::malformed));
+        return;
+    }
+    if (!m_connection || !m_connection->isReusable()) {
+        m_ended = std::move(m_connection);
+        m_connection = std::make_unique<http1::client_connection>(address.value(), storeSocket, storeLimits);
+    }
+    http1::message_head head;
+    head.method = call.method;
+    head.target = call.target;
+    head.fields.push_back({"Host", m_address});
+    if (!call.contentType.empty()) {
+        head.fields.push_back({"Content-Type", call.contentType});
+    }
+    if (!call.body.empty()) {
+        head.fields.push_back({"Content-Length", std::to_string(call.body.size())});
+    }
+    m_connection->start(http1::requestText(head) + call.body, false, *this);
+}
+
+void store_lane::onTick(common::instant now)
+{
+    m_ended.reset();
+    if (m_handler && now >= m_giveUpAt) {
+        reset();
+    }
+}
+
+void store_lane::reset()
+{
+    if (m_connection) {
+        m_connection->abandon();
+    }
+    if (m_handler) {
+        finish(make_error_code(common::error::lost_answer));
+    }
+}
+
+bool store_lane::onHead(const http1::message_head &head)
+{
+    m_answer.status = head.status;
+    return true;
+}
+
+void store_lane::onEnd()
+{
+    finish(std::move(m_answer));
+}
+
+void store_lane::onFailure(http1::exchange_failure failure)
+{
+    const bool isUnsent = failure == http1::exchange_failure::not_connected;
+    finish(make_error_code(isUnsent ? common::error::unavailable : common::error::lost_answer));
+}
+
+void store_lane::finish(common::result<store_answer> answer)
+{
+    const answer_handler handler = std::exchange(m_handler, nullptr);
+    handler(std::move(answer));
+}
+
+} // namespace masticlever::frontend
--- /dev/null
+++ b/packages/frontend/src/store-lane.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <masticlever/common/result.h>
+#include <masticlever/common/time.h>
+#include <masticlever/http1/client-connection.h>
+#include <masticlever/protocol/site-protocol.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+/// \file
+/// One connection to the store that carries one call after the other.
+
+namespace masticlever::frontend
+{
+
+class store_lane final : private http1::exchange_handler
+{
+public:
+    struct store_answer {
+        int status = 0;
+        std::string body;
+    };
+    /// error::lost_answer: the call may have been carried out.
+    using answer_handler = std::function<void(common::result<store_answer> answer)>;
+
+    explicit store_lane(std::string address) : m_address(std::move(address)) { }
+    ~store_lane() override;
+
+    bool isBusy() const { return static_cast<bool>(m_handler); }
+    void call(const protocol::store_call &call, common::duration timeout, answer_handler handler,
+              common::instant now);
+    /// Ends calls whose time is over.
+    void onTick(common::instant now);
+    /// Drops the connection; a call under way fails.
+    void reset();
+
+private:
+    bool onHead(const http1::message_head &head) override;
+    void onBody(std::string_view bytes) override { m_answer.body += bytes; }
+    void onEnd() override;
+    void onFailure(http1::exchange_failure failure) override;
+    void finish(common::result<store_answer> answer);
+
+    std::string m_address;
+    std::unique_ptr<http1::client_connection> m_connection;
+    std::unique_ptr<http1::client_connection> m_ended; ///< deleted outside of its own calls
+    answer_handler m_handler;
+    store_answer m_answer;
+    common::instant m_giveUpAt;
+};
+
+} // namespace masticlever::frontend
--- /dev/null
+++ b/packages/frontend/src/store-watch.cpp
@@ -0,0 +1,73 @@
+#include "store-watch.h"
+
+#include "frontend-context.h"
+
+#include <masticlever/common/errors.h>
+
+#include <utility>
+
+namespace masticlever::frontend
+{
+
+store_watch::store_watch(const protocol::site_protocol &protocol, protocol::store_topic topic,
+                         const std::string &address, topic_follower_options options, news_handler onNews,
+                         reach_handler onReach)
+    : m_protocol(protocol), m_topic(topic), m_lane(address), m_follower(options), m_onNews(std::move(onNews)),
+      m_onReach(std::move(onReach))
+{ }
+
+void store_watch::onTick(common::instant now)
+{
+    m_lane.onTick(now);
+    if (const auto call = m_follower.next(now)) {
+        send(*call, now);
+    }
+}
+
+void store_watch::restart(common::instant now)
+{
+    m_lane.reset();
+    m_follower.restart(now);
+}
+
+void store_watch::send(const follow_call &call, common::instant now)
+{
+    ++m_calls;
+    const protocol::store_call request = call.isListing ? m_protocol.listCall(m_topic, call.afterKey)
+                                                        : m_protocol.readCall(m_topic, call.from, call.wait);
+    m_lane.call(
+        request, call.timeout,
+        [this, call](common::result<store_lane::store_answer> answer) { onAnswer(call, std::move(answer)); }, now);
+}
+
+void store_watch::onAnswer(const follow_call &call, common::result<store_lane::store_answer> answer)
+{
+    const common::instant now = presentInstant();
+    follow_news news;
+    bool isGood = false;
+    if (answer && call.isListing) {
+        auto page = m_protocol.readListing(answer.value().status, answer.value().body);
+        isGood = page.has_value();
+        if (page) {
+            news = m_follower.onListing(std::move(page.value()), now);
+        }
+    } else if (answer) {
+        auto page = m_protocol.readRecords(answer.value().status, answer.value().body, call.from);
+        isGood = page.has_value();
+        if (page) {
+            news = m_follower.onRecords(std::move(page.value()), now);
+        } else if (page.error() == common::error::truncated) {
+            m_follower.onTruncated(now);
+            return;
+        }
+    }
+    if (!isGood) {
+        m_follower.onFailure(now);
+    }
+    m_onReach(isGood);
+    if (isGood) {
+        m_onNews(std::move(news));
+    }
+}
+
+} // namespace masticlever::frontend
--- /dev/null
+++ b/packages/frontend/src/store-watch.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "store-lane.h"
+
+#include <masticlever/frontend/topic-follower.h>
+#include <masticlever/protocol/site-protocol.h>
+
+#include <functional>
+#include <string>
+
+/// \file
+/// Carries out the calls of a topic's follower.
+
+namespace masticlever::frontend
+{
+
+class store_watch
+{
+public:
+    using news_handler = std::function<void(follow_news news)>;
+    using reach_handler = std::function<void(bool isReachable)>;
+
+    store_watch(const protocol::site_protocol &protocol, protocol::store_topic topic, const std::string &address,
+                topic_follower_options options, news_handler onNews, reach_handler onReach);
+
+    void onTick(common::instant now);
+    void hurry(common::instant now) { m_follower.hurry(now); }
+    /// After a pause of the process.
+    void restart(common::instant now);
+    const topic_follower &follower() const { return m_follower; }
+    std::uint64_t calls() const { return m_calls; }
+
+private:
+    void send(const follow_call &call, common::instant now);
+    void onAnswer(const follow_call &call, common::result<store_lane::store_answer> answer);
+
+    const protocol::site_protocol &m_protocol;
+    protocol::store_topic m_topic;
+    store_lane m_lane;
+    topic_follower m_follower;
+    news_handler m_onNews;
+    reach_handler m_onReach;
+    std::uint64_t m_calls = 0;
+};
+
+} // namespace masticlever::frontend
--- /dev/null
+++ b/packages/frontend/src/topic-follower.cpp
@@ -0,0 +1,91 @@
+#include <masticlever/frontend/topic-follower.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace masticlever::frontend
+{
+
+std::optional<follow_call> topic_follower::next(common::instant now)
+{
+    if (m_isUnderWay || now < m_dueAt) {
+        return std::nullopt;
+    }
+    m_isUnderWay = true;
+    if (m_isListing) {
+        return follow_call{true, m_afterKey, 0, {}, m_options.timeout};
+    }
+    return follow_call{false, {}, m_from, m_options.wait, m_options.wait + m_options.timeout};
+}
+
+follow_news topic_follower::onListing(protocol::listing_page page, common::instant now)
+{
+    m_isUnderWay = false;
+    m_isReachable = true;
+    m_heardAt = now;
+    m_retry = {};
+    m_dueAt = now;
+    if (!m_listedEnd) {
+        m_listedEnd = page.end;
+        m_listedKeys.clear();
+    }
+    for (const protocol::store_record &record : page.records) {
+        m_listedKeys.push_back(record.key);
+        m_afterKey = record.key;
+    }
+    follow_news news;
+    const bool isLast = !page.hasMore || page.records.empty();
+    news.records = std::move(page.records);
+    if (isLast) {
+        m_isListing = false;
+        m_hasListed = true;
+        m_from = *std::exchange(m_listedEnd, std::nullopt);
+        m_afterKey.clear();
+        news.isWholeListing = true;
+        news.listedKeys = std::exchange(m_listedKeys, {});
+        m_dueAt = now + (m_options.wait.count() > 0 ? common::duration{} : m_options.pollInterval);
+    }
+    return news;
+}
+
+follow_news topic_follower::onRecords(protocol::record_page page, common::instant now)
+{
+    m_isUnderWay = false;
+    m_isReachable = true;
+    m_heardAt = now;
+    m_retry = {};
+    m_from = std::max(m_from, page.end);
+    m_dueAt = now + (m_options.wait.count() > 0 ? common::duration{} : m_options.pollInterval);
+    return {std::move(page.records), false, {}};
+}
+
+void topic_follower::onTruncated(common::instant now)
+{
+    m_isReachable = true;
+    m_heardAt = now;
+    restart(now);
+    m_isUnderWay = false;
+}
+
+void topic_follower::onFailure(common::instant now)
+{
+    m_isUnderWay = false;
+    m_isReachable = false;
+    m_retry = m_retry.count() == 0 ? m_options.firstRetry : std::min(m_retry * 2, m_options.longestRetry);
+    m_dueAt = now + m_retry;
+}
+
+void topic_follower::hurry(common::instant now)
+{
+    m_dueAt = std::min(m_dueAt, now);
+}
+
+void topic_follower::restart(common::instant now)
+{
+    m_isListing = true;
+    m_afterKey.clear();
+    m_listedEnd.reset();
+    m_dueAt = now;
+}
+
+} // namespace masticlever::frontend
--- /dev/null
+++ b/packages/http1/include/masticlever/http1/message-reader.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include <masticlever/common/result.h>
+#include <masticlever/http1/message.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <system_error>
+
+/// \file
+/// Reads HTTP/1.1 messages from a byte stream, one after the other, and refuses whatever two readers could frame
+/// differently. Parsing is Boost.Beast's.
+
+namespace masticlever::http1
+{
+
+/// Receives the parts of a message in order.
+class message_sink
+{
+public:
+    virtual ~message_sink() = default;
+    virtual void onHead(message_head head) = 0;
+    virtual void onBody(std::string_view bytes) = 0;
+    virtual void onEnd() = 0;
+};
+
+struct reader_limits {
+    std::size_t headBytes = 16384;
+    std::uint64_t bodyBytes = std::uint64_t{4} * 1024 * 1024;
+};
+
+enum class message_kind { request, answer };
+
+class message_reader
+{
+public:
+    /// \p sink must outlive the reader.
+    message_reader(message_kind kind, reader_limits limits, message_sink &sink);
+    ~message_reader();
+    message_reader(const message_reader &) = delete;
+    message_reader &operator=(const message_reader &) = delete;
+
+    /// Takes more bytes. Stops after a whole message; what follows it is kept for next().
+    /// error::malformed or error::too_large end the connection.
+    std::error_code feed(std::string_view bytes);
+    /// The other side has closed in an orderly way; error::malformed when a message is thereby cut.
+    std::error_code finish();
+    /// Goes on with the message after the one that has ended; its bytes may already be here.
+    std::error_code next();
+
+    /// The next answer is to a HEAD request and has no body.
+    void expectNoBody() { m_isBodyExpected = false; }
+
+    bool isEnded() const { return m_isEnded; } ///< a whole message was read and next() not called yet
+    bool isUntouched() const; ///< no byte of the present message has arrived
+    bool hasHead() const { return m_hasHead; }
+    std::size_t pendingBytes() const { return m_pending.size(); } ///< read but not parsed
+
+private:
+    class parser;
+    template <bool isRequest> class parser_of;
+
+    std::error_code advance();
+    void restart();
+
+    message_kind m_kind;
+    reader_limits m_limits;
+    message_sink &m_sink;
+    std::unique_ptr<parser> m_parser;
+    std::string m_pending;
+    bool m_isEnded = false;
+    bool m_hasHead = false;
+    bool m_isStarted = false;
+    bool m_isBodyExpected = true;
+};
+
+} // namespace masticlever::http1
--- /dev/null
+++ b/packages/http1/src/client-connection.cpp
@@ -0,0 +1,117 @@
+#include <masticlever/http1/client-connection.h>
+
+#include <utility>
+
+namespace masticlever::http1
+{
+
+client_connection::client_connection(const net::socket_address &address, const net::socket_options &options,
+                                     reader_limits limits)
+    : m_socket(net::stream_socket::connectTo(address, options, *this)),
+      m_reader(message_kind::answer, limits, *this)
+{ }
+
+client_connection::~client_connection() = default;
+
+void client_connection::start(std::string_view request, bool isHead, exchange_handler &handler)
+{
+    m_handler = &handler;
+    m_isSkipping = false;
+    if (m_hasAnswered) {
+        m_hasAnswered = false;
+        static_cast<void>(m_reader.next()); // a reusable connection has no bytes left over
+    }
+    if (isHead) {
+        m_reader.expectNoBody();
+    }
+    m_socket->write(request);
+}
+
+void client_connection::abandon()
+{
+    m_handler = nullptr;
+    close();
+}
+
+void client_connection::failConnecting()
+{
+    if (!m_isConnected && m_isOpen) {
+        fail(exchange_failure::not_connected);
+    }
+}
+
+void client_connection::close()
+{
+    m_isOpen = false;
+    m_socket->abort();
+}
+
+bool client_connection::isReusable() const
+{
+    return m_isOpen && m_handler == nullptr && m_keepsAlive && !m_hasSkipped && m_reader.pendingBytes() == 0
+        && m_socket->unsentBytes() == 0;
+}
+
+void client_connection::onBytes(std::string_view bytes)
+{
+    if (m_handler == nullptr) {
+        close(); // nothing was asked: the other side answers a second time
+        return;
+    }
+    if (m_reader.feed(bytes)) {
+        fail(exchange_failure::garbled);
+    }
+}
+
+void client_connection::onClosed(net::close_reason reason)
+{
+    m_isOpen = false;
+    if (m_handler == nullptr) {
+        return;
+    }
+    if (reason == net::close_reason::orderly && !m_isSkipping && m_reader.hasHead() && !m_reader.finish()) {
+        if (m_handler == nullptr) {
+            return; // the close was the end of the answer
+        }
+    }
+    fail(m_isConnected ? exchange_failure::closed : exchange_failure::not_connected);
+}
+
+void client_connection::onHead(message_head head)
+{
+    m_keepsAlive = head.keepAlive;
+    m_isSkipping = m_handler != nullptr && !m_handler->onHead(head);
+    m_hasSkipped = m_hasSkipped || m_isSkipping;
+}
+
+void client_connection::onBody(std::string_view bytes)
+{
+    if (m_handler != nullptr && !m_isSkipping) {
+        m_handler->onBody(bytes);
+    }
+}
+
+void client_connection::onEnd()
+{
+    if (m_handler == nullptr) {
+        return;
+    }
+    if (std::exchange(m_isSkipping, false)) {
+        if (!m_keepsAlive || m_reader.next()) {
+            fail(exchange_failure::garbled);
+        }
+        return;
+    }
+    m_hasAnswered = true;
+    std::exchange(m_handler, nullptr)->onEnd();
+}
+
+void client_connection::fail(exchange_failure failure)
+{
+    close();
+    if (exchange_handler *handler = std::exchange(m_handler, nullptr)) {
+        handler->onFailure(failure);
+    }
+}
+
+} // namespace masticlever::http1
--- /dev/null
+++ b/packages/http1/src/message-reader.cpp
@@ -0,0 +1,249 @@
+#include <masticlever/common/errors.h>
+#include <masticlever/http1/message-reader.h>
+
+#include <boost/beast/http/basic_parser.hpp>
+#include <boost/beast/http/error.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace masticlever::http1
+{
+
+namespace beast = boost::beast;
+using boost::system::error_code;
+
+namespace
+{
+
+constexpr int firstFinalStatus = 200; // 1xx answers announce another answer
+
+bool isControl(char c)
+{
+    const auto value = static_cast<unsigned char>(c);
+    return (value < 0x20 && c != '\t') || value == 0x7f;
+}
+
+} // namespace
+
+/// What the two kinds of Beast parsers have in common.
+class message_reader::parser
+{
+public:
+    virtual ~parser() = default;
+    virtual std::size_t put(std::string_view bytes, error_code &failure) = 0;
+    virtual void putEnd(error_code &failure) = 0;
+    virtual bool isDone() const = 0;
+    virtual bool isInterim() const = 0;
+};
+
+template <bool isRequest>
+class message_reader::parser_of : public message_reader::parser, private beast::http::basic_parser<isRequest>
+{
+    using base = beast::http::basic_parser<isRequest>;
+
+public:
+    explicit parser_of(message_reader &owner) : m_owner(owner)
+    {
+        this->eager(true);
+        this->header_limit(static_cast<std::uint32_t>(owner.m_limits.headBytes));
+        this->body_limit(owner.m_limits.bodyBytes);
+        this->skip(!owner.m_isBodyExpected);
+    }
+
+    std::size_t put(std::string_view bytes, error_code &failure) override
+    {
+        return base::put(boost::asio::const_buffer(bytes.data(), bytes.size()), failure);
+    }
+    void putEnd(error_code &failure) override { base::put_eof(failure); }
+    bool isDone() const override { return base::is_done(); }
+    bool isInterim() const override { return m_isInterim; }
+
+private:
+    void on_request_impl(beast::http::verb /*verb*/, beast::string_view method, beast::string_view target,
+                         int version, error_code & /*failure*/) override
+    {
+        m_head.method.assign(method.data(), method.size());
+        m_head.target.assign(target.data(), target.size());
+        m_head.isVersion11 = version >= 11;
+    }
+
+    void on_response_impl(int code, beast::string_view reason, int version, error_code & /*failure*/) override
+    {
+        m_head.status = code;
+        m_head.reason.assign(reason.data(), reason.size());
+        m_head.isVersion11 = version >= 11;
+    }
+
+    void on_field_impl(beast::http::field /*field*/, beast::string_view name, beast::string_view value,
+                       error_code &failure) override
+    {
+        if (m_isHeadDone) {
+            return; // trailers are not passed on
+        }
+        if (std::any_of(value.begin(), value.end(), isControl)) {
+            failure = make_error_code(beast::http::error::bad_value);
+            return;
+        }
+        m_head.fields.push_back({{name.data(), name.size()}, {value.data(), value.size()}});
+    }
+
+    void on_header_impl(error_code &failure) override
+    {
+        m_isHeadDone = true;
+        m_head.keepAlive = this->keep_alive();
+        if (!isFramingClear()) {
+            failure = make_error_code(beast::http::error::bad_transfer_encoding);
+            return;
+        }
+        m_isInterim = !isRequest && m_head.status < firstFinalStatus;
+        if (m_isInterim) {
+            return;
+        }
+        m_head.framing = framing();
+        m_owner.m_hasHead = true;
+        m_owner.m_sink.onHead(std::move(m_head));
+    }
+
+    void on_body_init_impl(const boost::optional<std::uint64_t> & /*length*/, error_code & /*failure*/) override { }
+
+    std::size_t on_body_impl(beast::string_view body, error_code & /*failure*/) override
+    {
+        m_owner.m_sink.onBody({body.data(), body.size()});
+        return body.size();
+    }
+
+    void on_chunk_header_impl(std::uint64_t /*size*/, beast::string_view /*extensions*/,
+                              error_code & /*failure*/) override
+    { }
+
+    std::size_t on_chunk_body_impl(std::uint64_t /*remain*/, beast::string_view body, error_code &failure) override
+    {
+        return on_body_impl(body, failure);
+    }
+
+    void on_finish_impl(error_code & /*failure*/) override { }
+
+    /// Any transfer coding but a single "chunked" could be read as another framing by the next hop.
+    bool isFramingClear() const
+    {
+        std::size_t codings = 0;
+        std::size_t lengths = 0;
+        for (const header_field &field : m_head.fields) {
+            if (equalNames(field.name, "Transfer-Encoding")) {
+                ++codings;
+                if (!equalNames(field.value, "chunked")) {
+                    return false;
+                }
+            }
+            lengths += equalNames(field.name, "Content-Length") ? 1 : 0;
+        }
+        return codings + lengths <= 1;
+    }
+
+    body_framing framing()
+    {
+        if (this->chunked()) {
+            return body_framing::chunked;
+        }
+        if (const auto length = this->content_length()) {
+            m_head.length = *length;
+            return body_framing::length;
+        }
+        if (!isRequest && this->need_eof()) {
+            m_head.keepAlive = false;
+            return body_framing::until_close;
+        }
+        return body_framing::none;
+    }
+
+    message_reader &m_owner;
+    message_head m_head;
+    bool m_isHeadDone = false;
+    bool m_isInterim = false;
+};
+
+message_reader::message_reader(message_kind kind, reader_limits limits, message_sink &sink)
+    : m_kind(kind), m_limits(limits), m_sink(sink)
+{ }
+
+message_reader::~message_reader() = default;
+
+bool message_reader::isUntouched() const
+{
+    return !m_isStarted && m_pending.empty();
+}
+
+void message_reader::restart()
+{
+    if (m_kind == message_kind::request) {
+        m_parser = std::make_unique<parser_of<true>>(*this);
+    } else {
+        m_parser = std::make_unique<parser_of<false>>(*this);
+    }
+    m_isEnded = false;
+    m_hasHead = false;
+    m_isStarted = false;
+}
+
+std::error_code message_reader::feed(std::string_view bytes)
+{
+    m_pending.append(bytes);
+    return advance();
+}
+
+std::error_code message_reader::next()
+{
+    m_parser.reset();
+    m_isBodyExpected = true;
+    m_isEnded = false;
+    m_hasHead = false;
+    m_isStarted = false;
+    return advance();
+}
+
+std::error_code message_reader::finish()
+{
+    if (m_isEnded || !m_isStarted) {
+        return {};
+    }
+    error_code failure;
+    m_parser->putEnd(failure);
+    if (failure || !m_parser->isDone() || m_parser->isInterim()) {
+        return make_error_code(common::error::malformed);
+    }
+    m_isEnded = true;
+    m_sink.onEnd();
+    return {};
+}
+
+std::error_code message_reader::advance()
+{
+    while (!m_isEnded && !m_pending.empty()) {
+        if (!m_parser) {
+            restart();
+        }
+        m_isStarted = true;
+        error_code failure;
+        const std::size_t used = m_parser->put(m_pending, failure);
+        m_pending.erase(0, used);
+        if (failure && failure != beast::http::error::need_more) {
+            const bool isTooLarge
+                = failure == beast::http::error::header_limit || failure == beast::http::error::body_limit;
+            return make_error_code(isTooLarge ? common::error::too_large : common::error::malformed);
+        }
+        if (m_parser->isDone()) {
+            if (m_parser->isInterim()) {
+                m_parser.reset();
+                continue;
+            }
+            m_isEnded = true;
+            m_sink.onEnd();
+        } else if (used == 0 || failure) {
+            break;
+        }
+    }
+    return {};
+}
+
+} // namespace masticlever::http1
--- a/packages/masticleverd/src/main.cpp
+++ b/packages/masticleverd/src/main.cpp
@@ -1,4 +1,5 @@
 #include "daemon.h"
+#include "frontend-main.h"
 #include "options.h"
 
 #include <masticlever/settings/settings.h>
@@ -26,6 +27,13 @@
     if (!options) {
         return exitCode;
     }
+    // Qt's own event dispatcher costs less than GLib's with many streams; the variable can switch it back.
+    if (!qEnvironmentVariableIsSet("QT_NO_GLIB")) {
+        qputenv("QT_NO_GLIB", "1");
+    }
+    if (options->isFrontend) {
+        return masticleverd::runFrontend(argc, argv, options->settingsFile, options->checkOnly);
+    }
     const auto read = settings::readSettings(options->settingsFile);
     if (const auto *error = std::get_if<settings::settings_error>(&read)) {
         std::fprintf(stderr, "%s\n", error->message.c_str());
@@ -37,10 +45,6 @@
         return 0;
     }
     telemetry::setLogLevel(telemetry::parseLogLevel(accepted.logLevel).value());
-    // Qt's own event dispatcher costs less than GLib's with many streams; the variable can switch it back.
-    if (!qEnvironmentVariableIsSet("QT_NO_GLIB")) {
-        qputenv("QT_NO_GLIB", "1");
-    }
     const QCoreApplication application(argc, argv);
     masticleverd::daemon daemon(accepted);
     const std::string fault = daemon.start();
--- a/packages/masticleverd/src/options.h
+++ b/packages/masticleverd/src/options.h
@@ -12,6 +12,7 @@
 struct options {
     std::string settingsFile;
     bool checkOnly = false;
+    bool isFrontend = false; ///< serves a site's requests; the settings are a front end's
 };
 
 /// Nothing: the process ends with \p exitCode (help or a usage fault was printed).
--- a/packages/peers/include/masticlever/peers/gossip.h
+++ b/packages/peers/include/masticlever/peers/gossip.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 /// \file
@@ -27,6 +28,8 @@
     std::size_t lossLimit = 8;
     std::size_t endpointLimit = 8;
     std::size_t suspectLimit = 8;
+    std::size_t contactPeers = 2; ///< addresses that may have an instance, in each round
+    std::size_t introductionLimit = 16; ///< messages that acquaint a newcomer with the fleet
 };
 
 /// One message for several peers.
@@ -52,6 +55,12 @@
     /// Names endpoints that are silent here in the next round, which is sent early.
     void suspect(std::vector<std::string> endpoints, common::instant now);
 
+    /// Addresses that may have an instance; those that no live instance has are tried in turn.
+    void setContacts(std::vector<std::string> contacts) { m_contacts = std::move(contacts); }
+
+    /// Messages that acquaint the newcomers heard of since the last call with all live instances.
+    std::vector<gossip_round> takeIntroductions(common::instant now);
+
     /// Takes the news over; false for a repeated or reflected message, which changes nothing.
     bool onMessage(const gossip_message &message, common::instant now);
 
@@ -64,6 +73,8 @@
     common::instant m_nextAt;
     common::instant m_sentAt;
     std::vector<std::string> m_suspects; ///< for the next round
+    std::vector<std::string> m_contacts;
+    std::vector<std::string> m_newcomers; ///< addresses
     bool m_isUrgent = false;
     std::uint64_t m_rounds = 0;
     std::map<std::string, std::uint64_t, std::less<>> m_lastMessages; ///< heartbeat by sender's incarnation
--- a/packages/peers/include/masticlever/peers/peer-service.h
+++ b/packages/peers/include/masticlever/peers/peer-service.h
@@ -75,6 +75,8 @@
     void setState(bool isLogReachable, platform::log_offset configurationOffset);
     /// This instance is leaving: told to the peers at once.
     void announceLeaving();
+    /// Addresses, "IP:port", at which other instances may be found.
+    void setContacts(std::vector<std::string> contacts);
     /// An endpoint said that it is leaving: told to the peers at once.
     void announceEndpointLeaving(const membership::endpoint_notice &notice);
 
--- a/packages/peers/src/gossip.cpp
+++ b/packages/peers/src/gossip.cpp
@@ -49,6 +49,16 @@
     std::vector<std::string> peers = m_table.watcherPeers(now);
     const std::size_t others = m_isUrgent ? m_options.urgentPeers : m_options.rotatingPeers;
     std::ranges::move(m_table.nextPeers(others, now), std::back_inserter(peers));
+    std::vector<std::string> live;
+    for (const membership::instance_notice &notice : m_table.liveInstances(now)) {
+        live.push_back(notice.peerAddress);
+    }
+    for (std::size_t i = 0; i < std::min(m_options.contactPeers, m_contacts.size()); ++i) {
+        const std::string &contact = m_contacts[(m_rounds * m_options.contactPeers + i) % m_contacts.size()];
+        if (std::ranges::find(live, contact) == live.end()) {
+            peers.push_back(contact);
+        }
+    }
     std::ranges::sort(peers);
     peers.erase(std::unique(peers.begin(), peers.end()), peers.end());
     return peers;
@@ -84,6 +94,27 @@
     m_nextAt = std::min(m_nextAt, std::max(now, m_sentAt + m_options.minimumGap));
 }
 
+std::vector<gossip_round> gossip::takeIntroductions(common::instant now)
+{
+    std::vector<gossip_round> rounds;
+    const std::vector<std::string> newcomers = std::exchange(m_newcomers, {});
+    if (newcomers.empty()) {
+        return rounds;
+    }
+    const std::vector<membership::instance_notice> live = m_table.liveInstances(now);
+    for (std::size_t begin = 0; begin < live.size() && rounds.size() < m_options.introductionLimit;
+         begin += m_options.noticeLimit) {
+        m_table.beat(); // receivers drop a message whose heartbeat they have heard
+        gossip_round round{newcomers, {}};
+        round.message.sender = m_table.self();
+        const std::size_t end = std::min(begin + m_options.noticeLimit, live.size());
+        round.message.notices.assign(live.begin() + static_cast<std::ptrdiff_t>(begin),
+                                     live.begin() + static_cast<std::ptrdiff_t>(end));
+        rounds.push_back(std::move(round));
+    }
+    return rounds;
+}
+
 bool gossip::onMessage(const gossip_message &message, common::instant now)
 {
     const std::string &sender = message.sender.incarnation;
@@ -95,6 +126,9 @@
         return false;
     }
     last = message.sender.heartbeat;
+    if (!m_table.isLive(sender, now)) {
+        m_newcomers.push_back(message.sender.peerAddress);
+    }
     m_table.onNotice(message.sender, now);
     for (const membership::instance_notice &notice : message.notices) {
         m_table.onNotice(notice, now);
--- a/packages/peers/src/peer-service.cpp
+++ b/packages/peers/src/peer-service.cpp
@@ -43,6 +43,7 @@
     void setState(bool isLogReachable, platform::log_offset configurationOffset);
     void sendEarly();
     void suspect(std::vector<std::string> endpoints);
+    void setContacts(std::vector<std::string> contacts) { m_gossip.setContacts(std::move(contacts)); }
 
     membership::membership_table &table() { return m_table; }
     const peer_counters &counters();
@@ -211,6 +212,9 @@
         return;
     }
     m_catchUp.onPeer(sender.peerAddress, sender.configurationOffset, now);
+    for (gossip_round &round : m_gossip.takeIntroductions(now)) {
+        sendRound(std::move(round));
+    }
     if (m_handlers.onSuspects && !message.value().suspects.empty()) {
         m_handlers.onSuspects(message.value().suspects);
     }
@@ -302,6 +306,11 @@
     m_implementation->suspect(std::move(endpoints));
 }
 
+void peer_service::setContacts(std::vector<std::string> contacts)
+{
+    m_implementation->setContacts(std::move(contacts));
+}
+
 const peer_counters &peer_service::counters() const
 {
     return m_implementation->counters();
--- a/packages/routing/src/policies.cpp
+++ b/packages/routing/src/policies.cpp
@@ -1,7 +1,7 @@
 #include <masticlever/routing/router.h>
 
 #include "detail/load-estimate.h"
-#include "detail/rendezvous.h"
+#include <masticlever/common/rendezvous.h>
 
 #include <masticlever/common/digest.h>
 
@@ -157,7 +157,7 @@
         std::uint64_t first = 0;
         std::uint64_t second = 0;
         for (std::size_t i = 0; i < candidates.size(); ++i) {
-            const std::uint64_t own = detail::rendezvousRank(prefix, candidates[i].nameHash);
+            const std::uint64_t own = common::rendezvousRank(prefix, candidates[i].nameHash);
             if (own >= first) {
                 second = first;
                 best.second = best.first;
--- a/packages/routing/src/router.cpp
+++ b/packages/routing/src/router.cpp
@@ -2,7 +2,7 @@
 
 #include "detail/load-estimate.h"
 #include "detail/pool.h"
-#include "detail/rendezvous.h"
+#include <masticlever/common/rendezvous.h>
 
 #include <masticlever/common/digest.h>
 
@@ -40,7 +40,7 @@
     }
     const std::uint64_t own = common::stableHash(options.instanceName);
     std::sort(members.begin(), members.end(), [own](const member &left, const member &right) {
-        return detail::rendezvousRank(own, left.view.nameHash) > detail::rendezvousRank(own, right.view.nameHash);
+        return common::rendezvousRank(own, left.view.nameHash) > common::rendezvousRank(own, right.view.nameHash);
     });
     members.erase(members.begin() + static_cast<std::ptrdiff_t>(options.subsetSize), members.end());
     members.shrink_to_fit();
--- /dev/null
+++ b/packages/stages/include/masticlever/stages/batch-queue.h
@@ -0,0 +1,158 @@
+#pragma once
+
+#include <masticlever/catalog/endpoint-directory.h>
+#include <masticlever/catalog/service-configuration.h>
+#include <masticlever/common/time.h>
+#include <masticlever/protocol/requests.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+/// \file
+/// The queue of one stage service at its home: which pieces go together into a call, to which endpoint, and which
+/// can no longer be of use. Answers the load at which calls of one piece would use up the endpoints.
+
+namespace masticlever::stages
+{
+
+/// One request's wish for results of one stage.
+struct piece_wish {
+    std::uint64_t owner = 0; ///< whom the results go to
+    std::uint64_t job = 0; ///< the owner's number of the request
+    std::string requestId;
+    std::size_t stage = 0;
+    std::vector<std::size_t> pieces;
+    std::string key;
+    std::vector<std::string> inputs;
+    int priority = 0; ///< 0 is the most urgent
+    double resultBytes = 0; ///< of one piece
+    std::size_t effort = 1; ///< pieces that the whole request still needs
+    common::duration laterWork{}; ///< expected time of what follows the stage
+    common::instant objective; ///< of the request
+    common::instant deadline; ///< of the request
+};
+
+struct queued_piece {
+    std::uint64_t owner = 0;
+    std::uint64_t job = 0;
+    std::size_t piece = 0;
+    std::size_t stage = 0;
+};
+
+struct batch_call {
+    std::uint64_t number = 0;
+    std::string endpointId;
+    std::string address;
+    std::vector<protocol::piece_order> orders;
+    common::instant giveUpAt; ///< the endpoint is taken for silent from then on
+};
+
+struct finished_piece {
+    queued_piece piece;
+    protocol::piece_result result;
+};
+
+struct batch_queue_options {
+    double slowFactor = 2.5; ///< an endpoint slower than its equals by this factor gets work only when all are
+    double giveUpFactor = 3; ///< of the expected time of a call
+    common::duration giveUpSlack = std::chrono::milliseconds(300); ///< besides, for the links and the endpoint's queue
+    common::duration restAfterFailure = std::chrono::milliseconds(500); ///< of an endpoint that did not answer
+    common::duration restAfterRejection = std::chrono::milliseconds(60); ///< of an endpoint that was full
+    double learningRate = 0.2; ///< weight of one call in the learnt speed
+};
+
+class batch_queue
+{
+public:
+    batch_queue(batch_queue_options options, catalog::batch_limits limits);
+
+    void setLimits(const catalog::batch_limits &limits) { m_limits = limits; }
+    void setEndpoints(std::span<const catalog::endpoint_record *const> endpoints);
+
+    void onWish(piece_wish wish, common::instant now);
+    void onCancel(std::uint64_t owner, std::uint64_t job);
+    void onOwnerGone(std::uint64_t owner);
+    void onReleased(std::span<const std::string> handles);
+
+    /// Calls to send now.
+    std::vector<batch_call> takeCalls(common::instant now);
+    /// A call was answered; \p results are in the order of its pieces.
+    std::vector<finished_piece> onAnswer(std::uint64_t call, std::span<const protocol::piece_result> results,
+                                         common::instant now);
+    /// The endpoint did not take the call: its pieces wait again.
+    void onRejected(std::uint64_t call, common::instant now);
+    /// No answer came; the pieces wait again and the endpoint rests.
+    void onLost(std::uint64_t call, common::instant now);
+    /// Pieces that can no longer be made in time; they are dropped.
+    std::vector<finished_piece> takeHopeless(common::instant now);
+
+    std::size_t waitingPieces() const { return m_waitingPieces; }
+    std::size_t callsUnderWay() const { return m_calls.size(); }
+    /// Time until a piece of that priority that is ordered now would be made.
+    common::duration expectedDelay(int priority, common::instant now) const;
+
+private:
+    struct held_result {
+        double bytes = 0;
+        common::instant until;
+    };
+
+    struct endpoint_entry {
+        catalog::endpoint_record record;
+        std::size_t calls = 0;
+        double slowness = 1; ///< time of its calls over the expected time
+        common::instant restsUntil;
+        bool isListed = true;
+        std::map<std::string, held_result, std::less<>> held; ///< by handle
+        double reserved = 0; ///< bytes of calls under way
+    };
+
+    struct wish_entry {
+        piece_wish wish;
+        std::vector<std::size_t> waiting; ///< pieces in the queue
+        std::size_t underWay = 0; ///< pieces in calls
+    };
+
+    struct call_entry {
+        std::string endpointId;
+        common::instant sentAt;
+        common::duration expected{};
+        double reserved = 0;
+        std::vector<queued_piece> pieces;
+        std::vector<std::uint64_t> wishes; ///< of each piece
+    };
+
+    using wish_map = std::map<std::uint64_t, wish_entry>;
+
+    common::duration plainCall(std::size_t pieces) const;
+    common::duration expectedCall(const endpoint_entry &endpoint, std::size_t pieces) const;
+    endpoint_entry *chooseEndpoint(common::instant now);
+    double leastSlowness() const;
+    double freeBytes(const endpoint_entry &endpoint) const;
+    double piecesPerMicrosecond() const;
+    std::vector<wish_map::iterator> orderedWishes(common::instant now);
+    bool canMakeObjective(const wish_entry &entry, common::instant now) const;
+    std::optional<batch_call> fill(endpoint_entry &endpoint, common::instant now);
+    std::optional<call_entry> endCall(std::uint64_t call);
+    void requeue(const call_entry &call);
+    void rest(const std::string &endpointId, common::instant until);
+    void dropWish(wish_map::iterator found);
+    void expireResults(endpoint_entry &endpoint, common::instant now);
+
+    batch_queue_options m_options;
+    catalog::batch_limits m_limits;
+    std::map<std::string, endpoint_entry, std::less<>> m_endpoints;
+    wish_map m_wishes; ///< in the order of arrival
+    std::map<std::uint64_t, call_entry> m_calls;
+    std::uint64_t m_lastWish = 0;
+    std::uint64_t m_lastCall = 0;
+    std::size_t m_waitingPieces = 0;
+};
+
+} // namespace masticlever::stages
--- /dev/null
+++ b/packages/stages/src/batch-queue.cpp
@@ -0,0 +1,390 @@
+#include <masticlever/stages/batch-queue.h>
+
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+#include <utility>
+
+namespace masticlever::stages
+{
+
+using common::duration;
+using common::instant;
+
+namespace
+{
+
+duration scaled(duration time, double factor)
+{
+    return duration(std::llround(static_cast<double>(time.count()) * factor));
+}
+
+} // namespace
+
+batch_queue::batch_queue(batch_queue_options options, catalog::batch_limits limits)
+    : m_options(options), m_limits(limits)
+{ }
+
+void batch_queue::setEndpoints(std::span<const catalog::endpoint_record *const> endpoints)
+{
+    for (auto &[id, known] : m_endpoints) {
+        known.isListed = false;
+    }
+    for (const catalog::endpoint_record *record : endpoints) {
+        endpoint_entry &known = m_endpoints[record->id];
+        if (known.record.bornMs != record->bornMs) {
+            known.held.clear();
+            known.slowness = 1;
+        }
+        known.record = *record;
+        known.isListed = true;
+    }
+    std::erase_if(m_endpoints, [](const auto &item) { return !item.second.isListed && item.second.calls == 0; });
+}
+
+duration batch_queue::plainCall(std::size_t pieces) const
+{
+    return m_limits.callTime + m_limits.pieceTime * static_cast<duration::rep>(pieces);
+}
+
+duration batch_queue::expectedCall(const endpoint_entry &endpoint, std::size_t pieces) const
+{
+    return scaled(plainCall(pieces), endpoint.slowness);
+}
+
+void batch_queue::onWish(piece_wish wish, instant /*now*/)
+{
+    wish_entry entry;
+    entry.waiting = wish.pieces;
+    entry.wish = std::move(wish);
+    m_waitingPieces += entry.waiting.size();
+    m_wishes.emplace(++m_lastWish, std::move(entry));
+}
+
+void batch_queue::dropWish(wish_map::iterator found)
+{
+    m_waitingPieces -= found->second.waiting.size();
+    m_wishes.erase(found);
+}
+
+void batch_queue::onCancel(std::uint64_t owner, std::uint64_t job)
+{
+    for (auto it = m_wishes.begin(); it != m_wishes.end();) {
+        const auto current = it++;
+        if (current->second.wish.owner == owner && current->second.wish.job == job) {
+            dropWish(current);
+        }
+    }
+}
+
+void batch_queue::onOwnerGone(std::uint64_t owner)
+{
+    for (auto it = m_wishes.begin(); it != m_wishes.end();) {
+        const auto current = it++;
+        if (current->second.wish.owner == owner) {
+            dropWish(current);
+        }
+    }
+}
+
+void batch_queue::onReleased(std::span<const std::string> handles)
+{
+    for (auto &[id, endpoint] : m_endpoints) {
+        for (const std::string &handle : handles) {
+            endpoint.held.erase(handle);
+        }
+    }
+}
+
+void batch_queue::expireResults(endpoint_entry &endpoint, instant now)
+{
+    std::erase_if(endpoint.held, [&](const auto &item) { return item.second.until <= now; });
+}
+
+double batch_queue::freeBytes(const endpoint_entry &endpoint) const
+{
+    double used = endpoint.reserved;
+    for (const auto &[handle, result] : endpoint.held) {
+        used += result.bytes;
+    }
+    return m_limits.resultBytes - used;
+}
+
+double batch_queue::leastSlowness() const
+{
+    double least = 0;
+    for (const auto &[id, endpoint] : m_endpoints) {
+        if (endpoint.isListed && (least == 0 || endpoint.slowness < least)) {
+            least = endpoint.slowness;
+        }
+    }
+    return least;
+}
+
+/// The fastest endpoint that can take a call now. A slow one is left idle while the others can be waited for.
+batch_queue::endpoint_entry *batch_queue::chooseEndpoint(instant now)
+{
+    endpoint_entry *best = nullptr;
+    const double limit = leastSlowness() * m_options.slowFactor;
+    bool isFasterBusy = false;
+    for (auto &[id, endpoint] : m_endpoints) {
+        const bool isFull = endpoint.calls >= m_limits.parallelCalls;
+        if (endpoint.isListed && isFull && endpoint.slowness <= limit) {
+            isFasterBusy = true;
+        }
+        if (!endpoint.isListed || isFull || now < endpoint.restsUntil) {
+            continue;
+        }
+        if (best == nullptr || endpoint.slowness < best->slowness) {
+            best = &endpoint;
+        }
+    }
+    if (best != nullptr && best->slowness > limit && isFasterBusy) {
+        return nullptr;
+    }
+    return best;
+}
+
+bool batch_queue::canMakeObjective(const wish_entry &entry, instant now) const
+{
+    return now + plainCall(entry.waiting.size()) + entry.wish.laterWork <= entry.wish.objective;
+}
+
+/// Requests that can still meet their objective go first, the most urgent class before the others, and within a
+/// class those that need the least work to be finished.
+std::vector<batch_queue::wish_map::iterator> batch_queue::orderedWishes(instant now)
+{
+    std::vector<std::tuple<bool, int, std::uint64_t, wish_map::iterator>> ranked;
+    for (auto it = m_wishes.begin(); it != m_wishes.end(); ++it) {
+        if (!it->second.waiting.empty()) {
+            ranked.emplace_back(!canMakeObjective(it->second, now), it->second.wish.priority, it->first, it);
+        }
+    }
+    std::ranges::sort(ranked, [](const auto &left, const auto &right) {
+        return std::tie(std::get<0>(left), std::get<1>(left), std::get<2>(left))
+            < std::tie(std::get<0>(right), std::get<1>(right), std::get<2>(right));
+    });
+    std::vector<wish_map::iterator> ordered;
+    ordered.reserve(ranked.size());
+    for (const auto &item : ranked) {
+        ordered.push_back(std::get<3>(item));
+    }
+    return ordered;
+}
+
+std::optional<batch_call> batch_queue::fill(endpoint_entry &endpoint, instant now)
+{
+    expireResults(endpoint, now);
+    batch_call call;
+    call_entry entry;
+    double room = freeBytes(endpoint);
+    for (const auto found : orderedWishes(now)) {
+        wish_entry &source = found->second;
+        while (!source.waiting.empty() && call.orders.size() < m_limits.batchSize
+               && source.wish.resultBytes <= room) {
+            const std::size_t piece = source.waiting.front();
+            source.waiting.erase(source.waiting.begin());
+            ++source.underWay;
+            room -= source.wish.resultBytes;
+            entry.reserved += source.wish.resultBytes;
+            entry.pieces.push_back({source.wish.owner, source.wish.job, piece, source.wish.stage});
+            entry.wishes.push_back(found->first);
+            call.orders.push_back({source.wish.requestId, source.wish.stage, piece, source.wish.deadline - now,
+                                   source.wish.key, source.wish.inputs});
+        }
+        if (call.orders.size() >= m_limits.batchSize) {
+            break;
+        }
+    }
+    if (call.orders.empty()) {
+        return std::nullopt;
+    }
+    m_waitingPieces -= call.orders.size();
+    call.number = ++m_lastCall;
+    call.endpointId = endpoint.record.id;
+    call.address = endpoint.record.address;
+    entry.endpointId = endpoint.record.id;
+    entry.sentAt = now;
+    entry.expected = plainCall(call.orders.size());
+    call.giveUpAt
+        = now + scaled(expectedCall(endpoint, call.orders.size()), m_options.giveUpFactor) + m_options.giveUpSlack;
+    ++endpoint.calls;
+    endpoint.reserved += entry.reserved;
+    m_calls.emplace(call.number, std::move(entry));
+    return call;
+}
+
+std::vector<batch_call> batch_queue::takeCalls(instant now)
+{
+    std::vector<batch_call> calls;
+    while (m_waitingPieces > 0) {
+        endpoint_entry *endpoint = chooseEndpoint(now);
+        if (endpoint == nullptr) {
+            break;
+        }
+        auto call = fill(*endpoint, now);
+        if (!call) {
+            // There is no room for the results; it comes with releases or when results expire.
+            endpoint->restsUntil = now + m_options.restAfterRejection;
+            continue;
+        }
+        calls.push_back(std::move(*call));
+    }
+    return calls;
+}
+
+std::optional<batch_queue::call_entry> batch_queue::endCall(std::uint64_t call)
+{
+    const auto found = m_calls.find(call);
+    if (found == m_calls.end()) {
+        return std::nullopt;
+    }
+    call_entry ended = std::move(found->second);
+    m_calls.erase(found);
+    const auto endpoint = m_endpoints.find(ended.endpointId);
+    if (endpoint != m_endpoints.end()) {
+        --endpoint->second.calls;
+        endpoint->second.reserved -= ended.reserved;
+        if (!endpoint->second.isListed && endpoint->second.calls == 0) {
+            m_endpoints.erase(endpoint);
+        }
+    }
+    return ended;
+}
+
+void batch_queue::requeue(const call_entry &call)
+{
+    for (std::size_t i = 0; i < call.pieces.size(); ++i) {
+        const auto wish = m_wishes.find(call.wishes[i]);
+        if (wish != m_wishes.end()) {
+            wish->second.waiting.push_back(call.pieces[i].piece);
+            --wish->second.underWay;
+            ++m_waitingPieces;
+        }
+    }
+}
+
+void batch_queue::rest(const std::string &endpointId, instant until)
+{
+    const auto endpoint = m_endpoints.find(endpointId);
+    if (endpoint != m_endpoints.end()) {
+        endpoint->second.restsUntil = std::max(endpoint->second.restsUntil, until);
+    }
+}
+
+std::vector<finished_piece> batch_queue::onAnswer(std::uint64_t call, std::span<const protocol::piece_result> results,
+                                                  instant now)
+{
+    const auto ended = endCall(call);
+    if (!ended) {
+        return {};
+    }
+    const auto endpoint = m_endpoints.find(ended->endpointId);
+    if (endpoint != m_endpoints.end()) {
+        const double ratio = static_cast<double>((now - ended->sentAt).count())
+            / static_cast<double>(std::max<duration::rep>(1, ended->expected.count()));
+        endpoint->second.slowness += m_options.learningRate * (ratio - endpoint->second.slowness);
+    }
+    std::vector<finished_piece> finished;
+    for (std::size_t i = 0; i < ended->pieces.size(); ++i) {
+        const auto wish = m_wishes.find(ended->wishes[i]);
+        const protocol::piece_result result = i < results.size() ? results[i] : protocol::piece_result{};
+        if (endpoint != m_endpoints.end() && !result.handle.empty()) {
+            const double bytes = wish == m_wishes.end() ? 0 : wish->second.wish.resultBytes;
+            endpoint->second.held[result.handle] = {bytes, now + m_limits.resultLifetime};
+        }
+        const bool isToRepeat = result.handle.empty() && result.failure == protocol::piece_failure::no_room;
+        if (isToRepeat) {
+            rest(ended->endpointId, now + m_options.restAfterRejection);
+        }
+        if (wish == m_wishes.end()) {
+            finished.push_back({ended->pieces[i], result}); // cancelled: the owner's result is to be released
+            continue;
+        }
+        --wish->second.underWay;
+        if (isToRepeat) {
+            wish->second.waiting.push_back(ended->pieces[i].piece);
+            ++m_waitingPieces;
+            continue;
+        }
+        finished.push_back({ended->pieces[i], result});
+        if (wish->second.waiting.empty() && wish->second.underWay == 0) {
+            m_wishes.erase(wish);
+        }
+    }
+    return finished;
+}
+
+void batch_queue::onRejected(std::uint64_t call, instant now)
+{
+    if (const auto ended = endCall(call)) {
+        requeue(*ended);
+        rest(ended->endpointId, now + m_options.restAfterRejection);
+    }
+}
+
+void batch_queue::onLost(std::uint64_t call, instant now)
+{
+    if (const auto ended = endCall(call)) {
+        requeue(*ended);
+        rest(ended->endpointId, now + m_options.restAfterFailure);
+    }
+}
+
+std::vector<finished_piece> batch_queue::takeHopeless(instant now)
+{
+    std::vector<finished_piece> hopeless;
+    for (auto it = m_wishes.begin(); it != m_wishes.end();) {
+        const auto current = it++;
+        wish_entry &entry = current->second;
+        const bool isHopeless
+            = now + plainCall(1) + entry.wish.laterWork > entry.wish.deadline && !entry.waiting.empty();
+        if (!isHopeless) {
+            continue;
+        }
+        for (const std::size_t piece : entry.waiting) {
+            hopeless.push_back({{entry.wish.owner, entry.wish.job, piece, entry.wish.stage},
+                                {{}, protocol::piece_failure::late}});
+        }
+        dropWish(current);
+    }
+    return hopeless;
+}
+
+double batch_queue::piecesPerMicrosecond() const
+{
+    double rate = 0;
+    const double limit = leastSlowness() * m_options.slowFactor;
+    for (const auto &[id, endpoint] : m_endpoints) {
+        if (endpoint.isListed && endpoint.slowness <= limit) {
+            const double batch = static_cast<double>(m_limits.batchSize * m_limits.parallelCalls);
+            rate += batch / static_cast<double>(expectedCall(endpoint, m_limits.batchSize).count());
+        }
+    }
+    return rate;
+}
+
+duration batch_queue::expectedDelay(int priority, instant now) const
+{
+    const double rate = piecesPerMicrosecond();
+    if (rate <= 0) {
+        return m_limits.callTime * 4;
+    }
+    std::size_t ahead = 0;
+    for (const auto &[number, entry] : m_wishes) {
+        ahead += entry.wish.priority <= priority ? entry.waiting.size() : 0;
+    }
+    duration untilFree = duration::max();
+    for (const auto &[id, endpoint] : m_endpoints) {
+        if (endpoint.isListed && endpoint.calls < m_limits.parallelCalls) {
+            untilFree = {};
+        }
+    }
+    for (const auto &[number, call] : m_calls) {
+        untilFree = std::min(untilFree, std::max(duration{}, call.sentAt + call.expected - now));
+    }
+    const double queueing = static_cast<double>(ahead) / rate;
+    return std::max(untilFree, duration(std::llround(queueing))) + plainCall(m_limits.batchSize / 2);
+}
+
+} // namespace masticlever::stages
--- /dev/null
+++ b/packages/stages/src/home-messages.cpp
@@ -0,0 +1,111 @@
+#include <masticlever/common/errors.h>
+#include <masticlever/stages/home-messages.h>
+
+#include <cereal/archives/portable_binary.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/variant.hpp>
+#include <cereal/types/vector.hpp>
+
+#include <sstream>
+
+namespace masticlever::stages
+{
+
+namespace
+{
+
+constexpr std::size_t prefixBytes = 4;
+
+} // namespace
+
+template <typename Archive> void serialize(Archive &archive, wish_message &message)
+{
+    piece_wish &wish = message.wish;
+    std::vector<std::uint64_t> pieces(wish.pieces.begin(), wish.pieces.end());
+    std::uint64_t stage = wish.stage;
+    std::uint64_t effort = wish.effort;
+    std::int64_t laterWork = wish.laterWork.count();
+    std::int32_t priority = wish.priority;
+    archive(message.service, wish.job, wish.requestId, stage, pieces, wish.key, wish.inputs, priority,
+            wish.resultBytes, effort, laterWork, message.objectiveLeft, message.deadlineLeft);
+    wish.stage = stage;
+    wish.pieces.assign(pieces.begin(), pieces.end());
+    wish.effort = effort;
+    wish.laterWork = common::duration(laterWork);
+    wish.priority = priority;
+}
+
+template <typename Archive> void serialize(Archive &archive, cancel_message &message)
+{
+    archive(message.job);
+}
+
+template <typename Archive> void serialize(Archive &archive, release_message &message)
+{
+    archive(message.service, message.handles);
+}
+
+template <typename Archive> void serialize(Archive &archive, result_entry &entry)
+{
+    archive(entry.piece, entry.handle, entry.failure);
+}
+
+template <typename Archive> void serialize(Archive &archive, results_message &message)
+{
+    archive(message.job, message.stage, message.results);
+}
+
+template <typename Archive> void serialize(Archive &archive, service_delay &delay)
+{
+    archive(delay.service, delay.delays);
+}
+
+template <typename Archive> void serialize(Archive &archive, status_message &message)
+{
+    archive(message.services);
+}
+
+std::string encodeHomeMessage(const home_message &message)
+{
+    std::ostringstream stream;
+    {
+        cereal::PortableBinaryOutputArchive archive(stream);
+        archive(message);
+    }
+    const std::string body = std::move(stream).str();
+    std::string frame;
+    frame.reserve(prefixBytes + body.size());
+    for (std::size_t i = prefixBytes; i > 0; --i) {
+        frame += static_cast<char>(body.size() >> (8 * (i - 1)) & 0xff);
+    }
+    return frame + body;
+}
+
+common::result<std::optional<home_message>> takeHomeMessage(std::string &bytes)
+{
+    std::optional<home_message> message;
+    if (bytes.size() < prefixBytes) {
+        return message;
+    }
+    std::size_t length = 0;
+    for (std::size_t i = 0; i < prefixBytes; ++i) {
+        length = length << 8 | static_cast<unsigned char>(bytes[i]);
+    }
+    if (length > maximumHomeMessageBytes) {
+        return make_error_code(common::error::too_large);
+    }
+    if (bytes.size() < prefixBytes + length) {
+        return message;
+    }
+    std::istringstream stream(bytes.substr(prefixBytes, length));
+    bytes.erase(0, prefixBytes + length);
+    try {
+        cereal::PortableBinaryInputArchive archive(stream);
+        archive(message.emplace());
+    } catch (const std::exception &) {
+        return make_error_code(common::error::malformed); // cereal reports bad input by exceptions only
+    }
+    return message;
+}
+
+} // namespace masticlever::stages
--- /dev/null
+++ b/packages/stages/src/stage-graph.cpp
@@ -0,0 +1,228 @@
+#include <masticlever/stages/stage-graph.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace masticlever::stages
+{
+
+stage_graph::stage_graph(std::span<const catalog::stage_spec> stages, std::span<const std::size_t> counts)
+{
+    for (std::size_t i = 0; i < stages.size(); ++i) {
+        stage_entry entry;
+        entry.spec = &stages[i];
+        entry.pieces.resize(i < counts.size() ? counts[i] : 0);
+        m_stages.push_back(std::move(entry));
+    }
+    for (const stage_entry &entry : m_stages) {
+        for (const std::size_t before : entry.spec->after) {
+            m_stages[before].isFinal = false;
+        }
+    }
+}
+
+bool stage_graph::isStageComplete(std::size_t index) const
+{
+    return std::ranges::all_of(m_stages[index].pieces, [](const piece_entry &piece) {
+        return piece.state == piece_state::made || piece.state == piece_state::released;
+    });
+}
+
+bool stage_graph::areInputsComplete(std::size_t index) const
+{
+    return std::ranges::all_of(m_stages[index].spec->after, [&](std::size_t before) {
+        return std::ranges::all_of(m_stages[before].pieces,
+                                   [](const piece_entry &piece) { return piece.state == piece_state::made; });
+    });
+}
+
+std::vector<piece_ref> stage_graph::takeReady()
+{
+    std::vector<piece_ref> ready;
+    for (std::size_t i = 0; i < m_stages.size(); ++i) {
+        if (!areInputsComplete(i)) {
+            continue;
+        }
+        for (std::size_t j = 0; j < m_stages[i].pieces.size(); ++j) {
+            piece_entry &piece = m_stages[i].pieces[j];
+            if (piece.state == piece_state::waiting) {
+                piece.state = piece_state::under_way;
+                ready.push_back({i, j});
+            }
+        }
+    }
+    return ready;
+}
+
+std::vector<std::string> stage_graph::onResult(piece_ref ref, std::string handle)
+{
+    piece_entry &piece = m_stages[ref.stage].pieces[ref.piece];
+    if (piece.state == piece_state::made || piece.state == piece_state::released) {
+        return piece.handle == handle ? std::vector<std::string>{} : std::vector<std::string>{std::move(handle)};
+    }
+    piece.state = piece_state::made;
+    piece.handle = std::move(handle);
+    return releaseUnneeded();
+}
+
+/// A result of an inner stage is needed until all stages after it are complete.
+bool stage_graph::isStageNeeded(std::size_t index) const
+{
+    if (m_stages[index].isFinal) {
+        return true;
+    }
+    for (std::size_t i = 0; i < m_stages.size(); ++i) {
+        const auto &after = m_stages[i].spec->after;
+        const bool isReader = std::ranges::find(after, index) != after.end();
+        if (isReader && !isStageComplete(i)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+std::vector<std::string> stage_graph::releaseUnneeded()
+{
+    std::vector<std::string> released;
+    for (std::size_t i = 0; i < m_stages.size(); ++i) {
+        if (isStageNeeded(i)) {
+            continue;
+        }
+        for (piece_entry &piece : m_stages[i].pieces) {
+            if (piece.state == piece_state::made) {
+                piece.state = piece_state::released;
+                released.push_back(std::exchange(piece.handle, {}));
+            }
+        }
+    }
+    return released;
+}
+
+void stage_graph::onFailed(piece_ref ref)
+{
+    piece_entry &piece = m_stages[ref.stage].pieces[ref.piece];
+    if (piece.state == piece_state::under_way) {
+        piece.state = piece_state::waiting;
+    }
+}
+
+/// Results of the stage that were released have to be made again, and so do their own inputs.
+void stage_graph::reopen(std::size_t index)
+{
+    for (piece_entry &piece : m_stages[index].pieces) {
+        if (piece.state == piece_state::released) {
+            piece.state = piece_state::waiting;
+        }
+    }
+}
+
+void stage_graph::redo(std::span<const std::size_t> stages, const std::function<bool(std::string_view)> &isMakerGone)
+{
+    bool isAnyKnown = false;
+    for (const std::size_t index : stages) {
+        for (piece_entry &piece : m_stages[index].pieces) {
+            if (piece.state == piece_state::made && isMakerGone(piece.handle)) {
+                piece = {};
+                isAnyKnown = true;
+            }
+        }
+    }
+    for (const std::size_t index : stages) {
+        for (piece_entry &piece : m_stages[index].pieces) {
+            if (!isAnyKnown && piece.state == piece_state::made) {
+                piece = {};
+            }
+        }
+    }
+    for (bool hasChanged = true; hasChanged;) {
+        hasChanged = false;
+        for (const stage_entry &entry : m_stages) {
+            const bool isMaking = std::ranges::any_of(
+                entry.pieces, [](const piece_entry &piece) { return piece.state == piece_state::waiting; });
+            for (const std::size_t before : entry.spec->after) {
+                const auto isReleased = [](const piece_entry &piece) { return piece.state == piece_state::released; };
+                if (isMaking && std::ranges::any_of(m_stages[before].pieces, isReleased)) {
+                    reopen(before);
+                    hasChanged = true;
+                }
+            }
+        }
+    }
+}
+
+void stage_graph::onInputGone(piece_ref ref, const std::function<bool(std::string_view)> &isMakerGone)
+{
+    onFailed(ref);
+    redo(m_stages[ref.stage].spec->after, isMakerGone);
+}
+
+void stage_graph::onFinalInputGone(const std::function<bool(std::string_view)> &isMakerGone)
+{
+    std::vector<std::size_t> last;
+    for (std::size_t i = 0; i < m_stages.size(); ++i) {
+        if (m_stages[i].isFinal) {
+            last.push_back(i);
+        }
+    }
+    redo(last, isMakerGone);
+}
+
+bool stage_graph::isComplete() const
+{
+    return missingPieces() == 0;
+}
+
+std::size_t stage_graph::missingPieces(std::size_t index) const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(m_stages[index].pieces, [](const piece_entry &piece) {
+        return piece.state == piece_state::waiting || piece.state == piece_state::under_way;
+    }));
+}
+
+std::size_t stage_graph::missingPieces() const
+{
+    std::size_t missing = 0;
+    for (std::size_t i = 0; i < m_stages.size(); ++i) {
+        missing += missingPieces(i);
+    }
+    return missing;
+}
+
+std::vector<std::string> stage_graph::inputsOf(std::size_t index) const
+{
+    std::vector<std::string> handles;
+    for (const std::size_t before : m_stages[index].spec->after) {
+        for (const piece_entry &piece : m_stages[before].pieces) {
+            handles.push_back(piece.handle);
+        }
+    }
+    return handles;
+}
+
+std::vector<std::string> stage_graph::finalInputs() const
+{
+    std::vector<std::string> handles;
+    for (const stage_entry &entry : m_stages) {
+        for (const piece_entry &piece : entry.pieces) {
+            if (entry.isFinal) {
+                handles.push_back(piece.handle);
+            }
+        }
+    }
+    return handles;
+}
+
+std::vector<std::string> stage_graph::heldHandles() const
+{
+    std::vector<std::string> handles;
+    for (const stage_entry &entry : m_stages) {
+        for (const piece_entry &piece : entry.pieces) {
+            if (piece.state == piece_state::made) {
+                handles.push_back(piece.handle);
+            }
+        }
+    }
+    return handles;
+}
+
+} // namespace masticlever::stages
--- a/packages/telemetry/include/masticlever/telemetry/events.h
+++ b/packages/telemetry/include/masticlever/telemetry/events.h
@@ -61,6 +61,28 @@
     instance_lost = 603,
 
     spans_lost = 700,
+
+    request_answered = 800,
+    request_ended = 801,
+    request_refused = 802,
+    call_failed = 803,
+    foreign_answer = 804,
+    bad_request = 805,
+
+    configuration_followed = 810,
+    record_ignored = 811,
+    endpoint_changed = 812,
+    store_unreachable = 813,
+    store_reachable = 814,
+
+    piece_call_failed = 820,
+    home_lost = 821,
+
+    stop_began = 830,
+    stopped = 831,
+    settings_reloaded = 832,
+    process_paused = 833,
+    log_lines_dropped = 834,
 };
 
 enum class log_level { debug, info, warning, error };
--- a/packages/telemetry/src/events.cpp
+++ b/packages/telemetry/src/events.cpp
@@ -1,14 +1,19 @@
+#include "detail/log-writer.h"
+
 #include <masticlever/common/errors.h>
 #include <masticlever/telemetry/events.h>
 
 #include <easylogging++.h>
 
+#include <unistd.h>
+
 #include <algorithm>
 #include <array>
 #include <atomic>
 #include <chrono>
 #include <cstdio>
 #include <ctime>
+#include <mutex>
 
 INITIALIZE_EASYLOGGINGPP
 
@@ -44,6 +49,23 @@
     return std::string(date.data()) + fraction.data();
 }
 
+detail::log_writer &writer()
+{
+    static detail::log_writer standardOutput(STDOUT_FILENO);
+    return standardOutput;
+}
+
+/// Takes the finished lines from the logging library, whose own output would wait for its reader.
+class writing_callback : public el::LogDispatchCallback
+{
+protected:
+    void handle(const el::LogDispatchData *data) override
+    {
+        el::Logger *logger = data->logMessage()->logger();
+        writer().write(logger->logBuilder()->build(data->logMessage(), false));
+    }
+};
+
 void configureOnce()
 {
     static const bool done = [] {
@@ -51,9 +73,11 @@
         el::Configurations settings;
         settings.setToDefault();
         settings.setGlobally(el::ConfigurationType::ToFile, "false");
-        settings.setGlobally(el::ConfigurationType::ToStandardOutput, "true");
+        settings.setGlobally(el::ConfigurationType::ToStandardOutput, "false");
         settings.setGlobally(el::ConfigurationType::Format, "%utc %level %msg");
         el::Loggers::reconfigureAllLoggers(settings);
+        el::Helpers::uninstallLogDispatchCallback<el::base::DefaultLogDispatchCallback>("DefaultLogDispatchCallback");
+        el::Helpers::installLogDispatchCallback<writing_callback>("writing_callback");
         return true;
     }();
     static_cast<void>(done);
@@ -128,14 +152,11 @@
     return line;
 }
 
-void logEvent(event number, std::span<const field> fields)
+namespace
+{
+
+void writeLine(log_level level, const std::string &line)
 {
-    const log_level level = describe(number).level;
-    if (level < threshold) {
-        return;
-    }
-    configureOnce();
-    const std::string line = formatEvent(number, fields);
     switch (level) {
     case log_level::debug:
         LOG(DEBUG) << line;
@@ -152,4 +173,30 @@
     }
 }
 
+std::mutex &writing()
+{
+    static std::mutex mutex;
+    return mutex;
+}
+
+} // namespace
+
+void logEvent(event number, std::span<const field> fields)
+{
+    const log_level level = describe(number).level;
+    if (level < threshold) {
+        return;
+    }
+    const std::scoped_lock lock(writing());
+    configureOnce();
+    if (!writer().admit(number, std::chrono::steady_clock::now())) {
+        return;
+    }
+    if (const std::uint64_t dropped = writer().takeDropped(); dropped > 0) {
+        const field count{"count", dropped};
+        writeLine(log_level::warning, formatEvent(event::log_lines_dropped, {&count, 1}));
+    }
+    writeLine(level, formatEvent(number, fields));
+}
+
 } // namespace masticlever::telemetry
