Release a request's inputs at its first event

Cause: stage endpoints hold 18 MB of results; results were held until the whole stream had ended, so 839 pieces found no room and the chat class waited. Room was also counted as free before the release had reached its maker. Ruled out: too few calls (busy share was under a half). Change: the flow releases final results at the first event and makes them anew for a resumed call; the home counts room when the release is answered.

--- a/packages/forwarding/include/masticlever/forwarding/request-flow.h
+++ b/packages/forwarding/include/masticlever/forwarding/request-flow.h
@@ -83,6 +83,8 @@
     flow_step onCallEnds(call_end end, common::instant now, const std::function<bool()> &takeRetry);
     /// The head of the answer goes to the caller.
     void onAnswerBegins() { m_hasHead = true; }
+    /// The endpoint has made something of the request: it has read its inputs.
+    flow_step onProgress();
     void onEventPassed(std::uint64_t id) { m_lastEvent = id; }
     flow_step onAnswerEnds();
     flow_step onCallerGone();
--- a/packages/forwarding/src/request-flow.cpp
+++ b/packages/forwarding/src/request-flow.cpp
@@ -162,6 +162,7 @@
         m_graph.onFinalInputGone(m_isMakerGone);
     }
     if (mayCallAgain(ended, now, takeRetry)) {
+        m_graph.reopenFinal();
         return proceed(now);
     }
     if (ended == call_end::failure_answer && !m_hasHead) {
@@ -173,6 +174,13 @@
     return end(badGateway, ended == call_end::broken ? "answer_broken" : "rejected");
 }
 
+flow_step request_flow::onProgress()
+{
+    flow_step step;
+    step.release = m_graph.releaseFinal();
+    return step;
+}
+
 flow_step request_flow::onAnswerEnds()
 {
     m_isCalling = false;
--- a/packages/frontend/src/home-server.cpp
+++ b/packages/frontend/src/home-server.cpp
@@ -104,10 +104,7 @@
 
 void home_server::onRelease(const std::string &service, const std::vector<std::string> &handles)
 {
-    const auto found = m_queues.find(service);
-    if (found != m_queues.end()) {
-        found->second.queue.onReleased(handles);
-    }
+    static_cast<void>(service); // the maker's address is part of the handle
     for (const std::string &handle : handles) {
         m_toRelease[std::string(makerOf(handle))].push_back(handle);
     }
@@ -118,8 +115,13 @@
     for (auto &[address, handles] : std::exchange(m_toRelease, {})) {
         const std::uint64_t number = ++m_lastRelease;
         auto call = std::make_unique<piece_call>(
-            m_pool, m_protocol, [this, number](piece_call::outcome /*outcome*/, std::string_view /*body*/) {
+            m_pool, m_protocol, [this, number, handles = handles](piece_call::outcome outcome, std::string_view) {
                 // A release that is lost only leaves the result until it expires.
+                if (outcome == piece_call::outcome::answered) {
+                    for (auto &[service, target] : m_queues) {
+                        target.queue.onReleased(handles);
+                    }
+                }
                 m_ended.push_back(std::move(m_releases.extract(number).mapped()));
             });
         if (call->start(address, address, m_protocol.releaseCall(address), m_protocol.releaseBody(handles))) {
--- a/packages/frontend/src/request-session.cpp
+++ b/packages/frontend/src/request-session.cpp
@@ -356,6 +356,7 @@
 void request_session::passEvents(std::string_view bytes)
 {
     std::string whole;
+    apply(m_flow.onProgress());
     for (const forwarding::whole_event &entry : m_events.feed(bytes)) {
         if (entry.id && m_flow.resumeAfter() && *entry.id <= *m_flow.resumeAfter()) {
             continue; // a resumed stream may begin with what the caller has
--- a/packages/stages/include/masticlever/stages/stage-graph.h
+++ b/packages/stages/include/masticlever/stages/stage-graph.h
@@ -40,6 +40,11 @@
     /// As onInputGone(), for the inputs of the request itself.
     void onFinalInputGone(const std::function<bool(std::string_view handle)> &isMakerGone);
 
+    /// The request itself has read its inputs: nothing needs them unless it is called again. Returns their handles.
+    std::vector<std::string> releaseFinal();
+    /// The request is called again: released results that it reads become ready to be made once more.
+    void reopenFinal();
+
     bool isComplete() const;
     /// Handles of all results that stage \p index reads, in the order of stages and pieces.
     std::vector<std::string> inputsOf(std::size_t index) const;
@@ -73,6 +78,8 @@
     std::vector<std::string> releaseUnneeded();
     void redo(std::span<const std::size_t> stages, const std::function<bool(std::string_view)> &isMakerGone);
     void reopen(std::size_t index);
+    void reopenReleasedInputs();
+    std::vector<std::string> releaseStage(stage_entry &stage);
 
     std::vector<stage_entry> m_stages;
 };
--- a/packages/stages/src/stage-graph.cpp
+++ b/packages/stages/src/stage-graph.cpp
@@ -1,6 +1,7 @@
 #include <masticlever/stages/stage-graph.h>
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace masticlever::stages
@@ -85,19 +86,46 @@
 {
     std::vector<std::string> released;
     for (std::size_t i = 0; i < m_stages.size(); ++i) {
-        if (isStageNeeded(i)) {
-            continue;
+        if (!isStageNeeded(i)) {
+            std::ranges::move(releaseStage(m_stages[i]), std::back_inserter(released));
         }
-        for (piece_entry &piece : m_stages[i].pieces) {
-            if (piece.state == piece_state::made) {
-                piece.state = piece_state::released;
-                released.push_back(std::exchange(piece.handle, {}));
-            }
+    }
+    return released;
+}
+
+std::vector<std::string> stage_graph::releaseStage(stage_entry &stage)
+{
+    std::vector<std::string> released;
+    for (piece_entry &piece : stage.pieces) {
+        if (piece.state == piece_state::made) {
+            piece.state = piece_state::released;
+            released.push_back(std::exchange(piece.handle, {}));
+        }
+    }
+    return released;
+}
+
+std::vector<std::string> stage_graph::releaseFinal()
+{
+    std::vector<std::string> released;
+    for (stage_entry &stage : m_stages) {
+        if (stage.isFinal) {
+            std::ranges::move(releaseStage(stage), std::back_inserter(released));
         }
     }
     return released;
 }
 
+void stage_graph::reopenFinal()
+{
+    for (std::size_t i = 0; i < m_stages.size(); ++i) {
+        if (m_stages[i].isFinal) {
+            reopen(i);
+        }
+    }
+    reopenReleasedInputs();
+}
+
 void stage_graph::onFailed(piece_ref ref)
 {
     piece_entry &piece = m_stages[ref.stage].pieces[ref.piece];
@@ -134,6 +162,12 @@
             }
         }
     }
+    reopenReleasedInputs();
+}
+
+/// Pieces that wait need the results before them, back to the stages that come first.
+void stage_graph::reopenReleasedInputs()
+{
     for (bool hasChanged = true; hasChanged;) {
         hasChanged = false;
         for (const stage_entry &entry : m_stages) {
