Make a request's pieces in one data centre; end kept connections at a stop

Change: the likely model endpoint's data centre is where the pieces are wanted; pieces wait 150 ms for it while less than one call's work is queued. Weighted rendezvous gives data centres requests by their scarcest stage. Releases go out every 25 ms. Callers are told to close at SIGTERM; after the balancer's notice new requests are refused as not run. Slow stage endpoints are tried again as what was learnt fades.

--- a/packages/catalog/src/endpoint-directory.cpp
+++ b/packages/catalog/src/endpoint-directory.cpp
@@ -66,8 +66,7 @@
     return {};
 }
 
-std::vector<directory_change>
-endpoint_directory::erase(std::map<std::string, entry, std::less<>>::iterator found)
+std::vector<directory_change> endpoint_directory::erase(std::map<std::string, entry, std::less<>>::iterator found)
 {
     std::vector<directory_change> changes{change(directory_change::what::removed, found->second.record)};
     unindexService(found->second.record);
--- a/packages/forwarding/include/masticlever/forwarding/endpoint-choice.h
+++ b/packages/forwarding/include/masticlever/forwarding/endpoint-choice.h
@@ -34,6 +34,9 @@
 
 enum class call_outcome { answered, failed, unreachable, rejected };
 
+/// Shares of the requests that the data centres should get; those not named get a weight of 1.
+using data_centre_weights = std::map<std::string, double, std::less<>>;
+
 class endpoint_choice
 {
 public:
@@ -42,7 +45,8 @@
     /// \p excluded are endpoints that this request has been to. Empty when there is none.
     std::string choose(std::span<const catalog::endpoint_record *const> endpoints,
                        std::span<const std::string> excluded, const protocol::request_attributes &request,
-                       std::string_view dataCentre, common::instant now, common::random_source &random);
+                       std::string_view dataCentre, const data_centre_weights &weights, common::instant now,
+                       common::random_source &random);
 
     void onCallBegins(const std::string &id) { ++m_endpoints[id].inFlight; }
     void onCallEnds(const std::string &id, call_outcome outcome, common::instant now);
@@ -63,7 +67,7 @@
         const catalog::endpoint_record *record = nullptr;
         std::size_t inFlight = 0;
         bool isAvoided = false;
-        std::uint64_t rank = 0; ///< for the prompt's shared parts
+        double rank = 0; ///< for the prompt's shared parts, least first
         std::uint64_t tieBreak = 0;
     };
 
--- a/packages/forwarding/src/endpoint-choice.cpp
+++ b/packages/forwarding/src/endpoint-choice.cpp
@@ -10,6 +10,20 @@
 namespace masticlever::forwarding
 {
 
+namespace
+{
+
+/// Weighted rendezvous hashing: the least rank wins, an endpoint in proportion to its weight.
+double weightedRank(std::uint64_t key, const catalog::endpoint_record &record, const data_centre_weights &weights)
+{
+    constexpr double range = 18446744073709551616.0; // 2 to the power of 64
+    const auto hash = static_cast<double>(common::rendezvousRank(key, common::stableHash(record.id)));
+    const auto weight = weights.find(record.dataCentre);
+    return -std::log((hash + 1) / (range + 1)) / (weight == weights.end() ? 1.0 : weight->second);
+}
+
+} // namespace
+
 std::string_view affinityPart(const protocol::request_attributes &request)
 {
     if (request.prompt.empty()) {
@@ -37,8 +51,8 @@
 }
 
 std::string endpoint_choice::choose(std::span<const catalog::endpoint_record *const> endpoints,
-                                    std::span<const std::string> excluded,
-                                    const protocol::request_attributes &request, std::string_view dataCentre,
+                                    std::span<const std::string> excluded, const protocol::request_attributes &request,
+                                    std::string_view dataCentre, const data_centre_weights &weights,
                                     common::instant now, common::random_source &random)
 {
     const std::string_view part = affinityPart(request);
@@ -51,9 +65,9 @@
         }
         const endpoint_state *state = find(record->id);
         candidate added{record, state == nullptr ? 0 : state->inFlight, false, 0, random.next()};
-        added.isAvoided = state != nullptr
-            && (now < state->restsUntil || state->failureShare > m_options.failureShareToAvoid);
-        added.rank = part.empty() ? 0 : common::rendezvousRank(key, common::stableHash(record->id));
+        added.isAvoided
+            = state != nullptr && (now < state->restsUntil || state->failureShare > m_options.failureShareToAvoid);
+        added.rank = part.empty() ? 0 : weightedRank(key, *record, weights);
         total += added.inFlight;
         candidates.push_back(added);
     }
@@ -66,7 +80,7 @@
         const bool isOver = part.empty() || static_cast<double>(c.inFlight) > bound;
         const bool isRemote = c.record->dataCentre != dataCentre;
         // Above the bound the least busy one wins, a near one among equals.
-        return std::tuple(c.isAvoided, isOver, isOver ? c.inFlight : 0, isOver && isRemote, ~c.rank, c.tieBreak);
+        return std::tuple(c.isAvoided, isOver, isOver ? c.inFlight : 0, isOver && isRemote, c.rank, c.tieBreak);
     };
     const auto best = std::ranges::min_element(
         candidates, [&](const candidate &left, const candidate &right) { return order(left) < order(right); });
@@ -88,9 +102,9 @@
     const bool isOut = outcome == call_outcome::unreachable || state.failuresInRow >= m_options.failuresToRest;
     if (isOut) {
         const auto exponent = static_cast<double>(std::min<std::size_t>(state.failuresInRow, 6)) - 1;
-        const auto rest = std::min(m_options.longestRest,
-                                   common::duration(std::llround(static_cast<double>(m_options.firstRest.count())
-                                                                 * std::pow(2.0, exponent))));
+        const auto rest = std::min(
+            m_options.longestRest,
+            common::duration(std::llround(static_cast<double>(m_options.firstRest.count()) * std::pow(2.0, exponent))));
         state.restsUntil = now + rest;
     }
 }
--- a/packages/frontend/include/masticlever/frontend/frontend-daemon.h
+++ b/packages/frontend/include/masticlever/frontend/frontend-daemon.h
@@ -18,8 +18,8 @@
 {
 public:
     /// \p protocol and \p random must outlive the daemon.
-    frontend_daemon(frontend_settings settings, const protocol::site_protocol &protocol,
-                    common::random_source &random, std::string incarnation);
+    frontend_daemon(frontend_settings settings, const protocol::site_protocol &protocol, common::random_source &random,
+                    std::string incarnation);
     ~frontend_daemon();
     frontend_daemon(const frontend_daemon &) = delete;
     frontend_daemon &operator=(const frontend_daemon &) = delete;
--- a/packages/frontend/src/caller-connection.cpp
+++ b/packages/frontend/src/caller-connection.cpp
@@ -146,7 +146,7 @@
     if (!m_hasAnswered || m_isGone) {
         return;
     }
-    if (!m_keepsAlive) {
+    if (!m_keepsAlive || m_isClosing) {
         m_isFinished = true;
         m_socket->setReading(true);
         m_socket->closeWhenSent();
--- a/packages/frontend/src/daemon-core.cpp
+++ b/packages/frontend/src/daemon-core.cpp
@@ -25,7 +25,8 @@
 constexpr duration badRequestInterval = std::chrono::seconds(1); ///< between log lines
 constexpr duration instanceInterval = std::chrono::seconds(2); ///< between listings while no peer is known
 constexpr duration instanceTimeout = std::chrono::seconds(2);
-constexpr duration startRetryAfter = std::chrono::milliseconds(500); ///< for callers of an instance that has no configuration
+constexpr duration startRetryAfter
+    = std::chrono::milliseconds(500); ///< for callers of an instance that has no configuration
 /// After SIGTERM: the balancer's two misses, one second each, and the connections opened meanwhile.
 constexpr duration lameDuck = std::chrono::milliseconds(2600);
 constexpr duration stopMargin = std::chrono::milliseconds(400); ///< before the process would be killed
@@ -92,7 +93,7 @@
                        session->onPiece(piece, result);
                    }
                }),
-      m_context{m_settings, protocol, random, m_directory, m_choice, m_retries,
+      m_context{m_settings, protocol, random, m_directory, m_choice,       m_retries,
                 m_pool,     m_pieces, m_pace, m_metrics,   m_configuration},
       m_configurationWatch(
           protocol, protocol::store_topic::configuration, m_settings.storeAddress, configurationFollowing(),
@@ -150,11 +151,12 @@
     m_pieces.setMembers(m_fleet.homes(m_now), m_incarnation);
     m_timer.start(tick);
     onTick();
-    logEvent(event::started, {{"instance", std::string_view(m_settings.name)},
-                              {"data_centre", std::string_view(m_settings.dataCentre)},
-                              {"incarnation", std::string_view(m_incarnation)},
-                              {"front", std::string_view(m_settings.frontAddress)},
-                              {"store", std::string_view(m_settings.storeAddress)}});
+    logEvent(event::started,
+             {{"instance", std::string_view(m_settings.name)},
+              {"data_centre", std::string_view(m_settings.dataCentre)},
+              {"incarnation", std::string_view(m_incarnation)},
+              {"front", std::string_view(m_settings.frontAddress)},
+              {"store", std::string_view(m_settings.storeAddress)}});
     return {};
 }
 
@@ -164,6 +166,9 @@
         return;
     }
     m_stoppingSince = presentInstant();
+    for (const auto &[raw, caller] : m_callers) {
+        raw->closeAfterAnswer();
+    }
     m_fleet.announceLeaving();
     logEvent(event::stop_began, {{"requests", static_cast<std::uint64_t>(m_sessions.size())}});
 }
@@ -221,6 +226,10 @@
         request.team = team->name;
         request.priority = team->priority.value_or(request.priority);
     }
+    if (m_stoppingSince && presentInstant() - *m_stoppingSince > lameDuck) {
+        reason = "stopping";
+        return unavailable;
+    }
     std::size_t held = 0;
     for (const auto &[number, session] : m_sessions) {
         held += session->bodyBytes();
@@ -267,8 +276,7 @@
     request.head = std::move(head);
     const std::uint64_t number = ++m_lastSession;
     caller.session = number;
-    auto session
-        = std::make_unique<request_session>(m_context, number, caller, std::move(request), presentInstant());
+    auto session = std::make_unique<request_session>(m_context, number, caller, std::move(request), presentInstant());
     request_session *raw = session.get();
     m_sessions.emplace(number, std::move(session));
     raw->begin();
@@ -308,8 +316,9 @@
     const instant now = presentInstant();
     if (now - m_badRequestsAt >= badRequestInterval) {
         m_badRequestsAt = now;
-        logEvent(event::bad_request, {{"status", std::int64_t{status}},
-                                      {"count", m_badRequests - std::exchange(m_badRequestsReported, m_badRequests)}});
+        logEvent(event::bad_request,
+                 {{"status", std::int64_t{status}},
+                  {"count", m_badRequests - std::exchange(m_badRequestsReported, m_badRequests)}});
     }
 }
 
@@ -347,9 +356,8 @@
 {
     const instant now = presentInstant();
     std::vector<catalog::directory_change> changes;
-    const auto take = [&](std::vector<catalog::directory_change> more) {
-        std::ranges::move(more, std::back_inserter(changes));
-    };
+    const auto take
+        = [&](std::vector<catalog::directory_change> more) { std::ranges::move(more, std::back_inserter(changes)); };
     for (const protocol::store_record &record : news.records) {
         if (!record.value) {
             take(m_directory.onRemoved(record.key, now));
@@ -359,10 +367,11 @@
         if (read) {
             take(m_directory.onRecord(read.value(), now));
         } else {
-            logEvent(event::record_ignored, {{"topic", "endpoints"},
-                                             {"key", std::string_view(record.key)},
-                                             {"reason", "malformed"},
-                                             {"offset", record.offset}});
+            logEvent(event::record_ignored,
+                     {{"topic", "endpoints"},
+                      {"key", std::string_view(record.key)},
+                      {"reason", "malformed"},
+                      {"offset", record.offset}});
         }
     }
     if (news.isWholeListing) {
@@ -374,10 +383,11 @@
 void daemon_core::applyChanges(const std::vector<catalog::directory_change> &changes)
 {
     for (const catalog::directory_change &change : changes) {
-        logEvent(event::endpoint_changed, {{"endpoint", std::string_view(change.id)},
-                                           {"service", std::string_view(change.service)},
-                                           {"address", std::string_view(change.address)},
-                                           {"change", nameOf(change.kind)}});
+        logEvent(event::endpoint_changed,
+                 {{"endpoint", std::string_view(change.id)},
+                  {"service", std::string_view(change.service)},
+                  {"address", std::string_view(change.address)},
+                  {"change", nameOf(change.kind)}});
         if (change.kind == catalog::directory_change::what::removed) {
             m_choice.forget(change.id);
         }
--- a/packages/frontend/src/endpoint-pool.cpp
+++ b/packages/frontend/src/endpoint-pool.cpp
@@ -49,8 +49,8 @@
     found->second.since = now;
     found->second.idleLimit = m_options.idleWithoutLimit;
     if (idleLimit) {
-        found->second.idleLimit = common::duration(
-            std::llround(static_cast<double>(idleLimit->count()) * m_options.idleUse));
+        found->second.idleLimit
+            = common::duration(std::llround(static_cast<double>(idleLimit->count()) * m_options.idleUse));
     }
 }
 
--- a/packages/frontend/src/frontend-daemon.cpp
+++ b/packages/frontend/src/frontend-daemon.cpp
@@ -13,8 +13,7 @@
 
 frontend_daemon::frontend_daemon(frontend_settings settings, const protocol::site_protocol &protocol,
                                  common::random_source &random, std::string incarnation)
-    : m_implementation(
-        std::make_unique<implementation>(std::move(settings), protocol, random, std::move(incarnation)))
+    : m_implementation(std::make_unique<implementation>(std::move(settings), protocol, random, std::move(incarnation)))
 { }
 
 frontend_daemon::~frontend_daemon() = default;
--- a/packages/frontend/src/home-server.cpp
+++ b/packages/frontend/src/home-server.cpp
@@ -17,7 +17,7 @@
 namespace
 {
 
-constexpr common::duration releaseInterval = std::chrono::milliseconds(100); ///< releases go out together
+constexpr common::duration releaseInterval = std::chrono::milliseconds(25); ///< releases go out together
 constexpr int priorityClasses = 4; ///< priorities that a status tells apart; less urgent ones count as the last
 
 } // namespace
--- a/packages/frontend/src/piece-service.cpp
+++ b/packages/frontend/src/piece-service.cpp
@@ -26,9 +26,8 @@
 piece_service::piece_service(piece_service_options options, const protocol::site_protocol &protocol,
                              endpoint_pool &pool, catalog::endpoint_directory &directory, result_handler onResult)
     : m_options(options), m_directory(directory), m_onResult(std::move(onResult)),
-      m_server(protocol, pool, directory, [this](std::uint64_t owner, stages::results_message message) {
-          onResults(owner, std::move(message));
-      })
+      m_server(protocol, pool, directory,
+               [this](std::uint64_t owner, stages::results_message message) { onResults(owner, std::move(message)); })
 { }
 
 piece_service::~piece_service() = default;
@@ -56,8 +55,7 @@
     std::vector<stages::home_candidate> candidates = m_members;
     for (stages::home_candidate &candidate : candidates) {
         const auto avoided = m_avoided.find(candidate.address);
-        candidate.isAvoided
-            = candidate.incarnation != m_self && avoided != m_avoided.end() && now < avoided->second;
+        candidate.isAvoided = candidate.incarnation != m_self && avoided != m_avoided.end() && now < avoided->second;
     }
     const stages::home_candidate *home = stages::chooseHome(pending.service, candidates);
     pending.sentAt = now;
@@ -132,9 +130,10 @@
     m_ended.push_back(std::move(found->second.link));
     m_links.erase(found);
     m_avoided[address] = now + m_options.avoidFor;
-    logEvent(event::home_lost, {{"home", std::string_view(address)},
-                                {"reason", reason},
-                                {"awaited", static_cast<std::uint64_t>(awaitedFrom(address))}});
+    logEvent(event::home_lost,
+             {{"home", std::string_view(address)},
+              {"reason", reason},
+              {"awaited", static_cast<std::uint64_t>(awaitedFrom(address))}});
     std::vector<pending_wish> again;
     for (auto it = m_pending.begin(); it != m_pending.end();) {
         if (it->second.home == address) {
@@ -152,14 +151,14 @@
 void piece_service::onConnection(int descriptor)
 {
     const std::uint64_t owner = ++m_lastOwner;
-    m_owners.emplace(owner,
-                     std::make_unique<home_link>(
-                         descriptor,
-                         home_link::event_handlers{[this, owner](home_link &, stages::home_message message) {
-                                                 onOwnerMessage(owner, std::move(message));
-                                             },
-                                             [this, owner](home_link &) { onOwnerClosed(owner); }},
-                         presentInstant()));
+    m_owners.emplace(
+        owner,
+        std::make_unique<home_link>(descriptor,
+                                    home_link::event_handlers{[this, owner](home_link &, stages::home_message message) {
+                                                                  onOwnerMessage(owner, std::move(message));
+                                                              },
+                                                              [this, owner](home_link &) { onOwnerClosed(owner); }},
+                                    presentInstant()));
 }
 
 void piece_service::onOwnerMessage(std::uint64_t owner, stages::home_message message)
@@ -301,8 +300,8 @@
     if (found == m_delays.end() || found->second.empty()) {
         return std::nullopt;
     }
-    const auto index = std::clamp<std::size_t>(static_cast<std::size_t>(std::max(0, priority)), 0,
-                                               found->second.size() - 1);
+    const auto index
+        = std::clamp<std::size_t>(static_cast<std::size_t>(std::max(0, priority)), 0, found->second.size() - 1);
     return duration(found->second[index]);
 }
 
--- a/packages/frontend/src/request-session.cpp
+++ b/packages/frontend/src/request-session.cpp
@@ -23,6 +23,7 @@
 constexpr int firstFailureStatus = 500;
 constexpr int conflict = 409;
 constexpr int misdirected = 421;
+constexpr double leastWeight = 0.01; ///< of a data centre without stage endpoints
 constexpr std::size_t slowReaderBytes = 262144; ///< unsent to a caller before the endpoint is no longer read
 constexpr std::array<double, 14> latencyBuckets{0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5,
                                                 0.75, 1.0,   1.5,  2.0, 3.0, 5.0, 10.0};
@@ -77,8 +78,7 @@
 request_session::request_session(frontend_context &context, std::uint64_t number, caller_connection &caller,
                                  admitted_request request, instant now)
     : m_context(context), m_number(number), m_caller(&caller), m_request(std::move(request)),
-      m_flow(*m_request.route, m_request.attributes, now,
-             deadlineOf(*m_request.route, m_request.attributes, now), {})
+      m_flow(*m_request.route, m_request.attributes, now, deadlineOf(*m_request.route, m_request.attributes, now), {})
 {
     m_flow.setMakerCheck([this](std::string_view handle) { return m_context.pieces.isMakerGone(handle); });
     m_service = chooseService();
@@ -110,9 +110,41 @@
     return services.back().service;
 }
 
+/// A data centre gets requests in proportion to what the scarcest of its stage services can carry.
+void request_session::weighDataCentres()
+{
+    std::map<std::string, double> shares;
+    for (const catalog::endpoint_record *endpoint : m_context.directory.usable(m_service)) {
+        shares[endpoint->dataCentre] += 1;
+    }
+    for (const auto &[dataCentre, count] : shares) {
+        double scarcest = 1;
+        for (const catalog::stage_spec &stage : m_request.route->stages) {
+            const auto makers = m_context.directory.usable(stage.service);
+            const auto near
+                = std::ranges::count_if(makers, [&](const auto *maker) { return maker->dataCentre == dataCentre; });
+            const auto all = static_cast<double>(std::max<std::size_t>(1, makers.size()));
+            scarcest = std::min(scarcest, static_cast<double>(near) / all);
+        }
+        m_weights[dataCentre] = std::max(leastWeight, scarcest / count);
+    }
+}
+
+std::string request_session::chooseEndpoint(instant now)
+{
+    return m_context.choice.choose(m_context.directory.usable(m_service), m_flow.excluded(), m_request.attributes,
+                                   m_context.settings.dataCentre, m_weights, now, m_context.random);
+}
+
 void request_session::begin()
 {
-    m_context.retries.onRequest(m_service, presentInstant());
+    const instant now = presentInstant();
+    m_context.retries.onRequest(m_service, now);
+    if (!m_request.route->stages.empty()) {
+        weighDataCentres();
+        const catalog::endpoint_record *likely = m_context.directory.findUsable(chooseEndpoint(now));
+        m_dataCentre = likely == nullptr ? m_context.settings.dataCentre : likely->dataCentre;
+    }
     apply(m_flow.onBegin(presentInstant()));
 }
 
@@ -210,6 +242,7 @@
         wish.stage = stage;
         wish.inputs = m_flow.graph().inputsOf(stage);
         wish.key = wish.inputs.empty() ? m_request.attributes.pieceKey : std::string();
+        wish.dataCentre = m_dataCentre;
         wish.priority = m_request.priority;
         wish.resultBytes = spec.resultBytes;
         wish.effort = m_flow.graph().missingPieces();
@@ -223,10 +256,7 @@
 void request_session::call()
 {
     const instant now = presentInstant();
-    const auto endpoints = m_context.directory.usable(m_service);
-    const std::string chosen = m_context.choice.choose(endpoints, m_flow.excluded(), m_request.attributes,
-                                                       m_context.settings.dataCentre, now, m_context.random);
-    const catalog::endpoint_record *endpoint = m_context.directory.findUsable(chosen);
+    const catalog::endpoint_record *endpoint = m_context.directory.findUsable(chooseEndpoint(now));
     if (endpoint == nullptr) {
         apply(m_flow.onNoEndpoint(now));
         return;
@@ -308,8 +338,9 @@
 {
     const protocol::answer_attributes attributes = m_context.protocol.readAnswer(head);
     if (attributes.requestId && *attributes.requestId != m_request.attributes.requestId) {
-        logEvent(event::foreign_answer, {{"request", std::string_view(m_request.attributes.requestId)},
-                                         {"endpoint", std::string_view(m_endpointId)}});
+        logEvent(event::foreign_answer,
+                 {{"request", std::string_view(m_request.attributes.requestId)},
+                  {"endpoint", std::string_view(m_endpointId)}});
         return false;
     }
     m_answer = head;
--- a/packages/frontend/src/request-session.h
+++ b/packages/frontend/src/request-session.h
@@ -66,6 +66,8 @@
     void answerOwn(const forwarding::own_answer &answer);
     void finish(std::string_view outcome, int status, std::string_view reason);
     std::string chooseService();
+    std::string chooseEndpoint(common::instant now);
+    void weighDataCentres();
 
     frontend_context &m_context;
     std::uint64_t m_number;
@@ -79,6 +81,8 @@
     endpoint_pool::connection *m_connection = nullptr;
     std::string m_endpointId;
     std::string m_service; ///< chosen once, so that a retry stays on the same side of a split
+    forwarding::data_centre_weights m_weights; ///< what the stage services of each data centre can carry
+    std::string m_dataCentre; ///< where stage results are wanted
     common::instant m_sentAt;
     http1::message_head m_answer;
     protocol::answer_attributes m_answerAttributes;
--- a/packages/frontend/src/service-pace.cpp
+++ b/packages/frontend/src/service-pace.cpp
@@ -30,8 +30,8 @@
         const auto &after = route.stages[i].after;
         if (std::ranges::find(after, index) != after.end()) {
             isFollowed = true;
-            longest = std::max(longest, typicalCall(configuration, route.stages[i].service)
-                                   + afterStage(configuration, route, i));
+            longest = std::max(
+                longest, typicalCall(configuration, route.stages[i].service) + afterStage(configuration, route, i));
         }
     }
     return isFollowed ? longest : firstAnswer(route.name);
--- a/packages/frontend/src/store-lane.h
+++ b/packages/frontend/src/store-lane.h
@@ -30,8 +30,7 @@
     ~store_lane() override;
 
     bool isBusy() const { return static_cast<bool>(m_handler); }
-    void call(const protocol::store_call &call, common::duration timeout, answer_handler handler,
-              common::instant now);
+    void call(const protocol::store_call &call, common::duration timeout, answer_handler handler, common::instant now);
     /// Ends calls whose time is over.
     void onTick(common::instant now);
     /// Drops the connection; a call under way fails.
--- a/packages/http1/src/client-connection.cpp
+++ b/packages/http1/src/client-connection.cpp
@@ -7,8 +7,7 @@
 
 client_connection::client_connection(const net::socket_address &address, const net::socket_options &options,
                                      reader_limits limits)
-    : m_socket(net::stream_socket::connectTo(address, options, *this)),
-      m_reader(message_kind::answer, limits, *this)
+    : m_socket(net::stream_socket::connectTo(address, options, *this)), m_reader(message_kind::answer, limits, *this)
 { }
 
 client_connection::~client_connection() = default;
--- a/packages/http1/src/message-reader.cpp
+++ b/packages/http1/src/message-reader.cpp
@@ -60,8 +60,8 @@
     bool isInterim() const override { return m_isInterim; }
 
 private:
-    void on_request_impl(beast::http::verb /*verb*/, beast::string_view method, beast::string_view target,
-                         int version, error_code & /*failure*/) override
+    void on_request_impl(beast::http::verb /*verb*/, beast::string_view method, beast::string_view target, int version,
+                         error_code & /*failure*/) override
     {
         m_head.method.assign(method.data(), method.size());
         m_head.target.assign(target.data(), target.size());
--- a/packages/http1/src/message.cpp
+++ b/packages/http1/src/message.cpp
@@ -60,7 +60,7 @@
 bool isConnectionField(const message_head &head, std::string_view name)
 {
     static constexpr std::array<std::string_view, 9> names{
-        "Connection", "Keep-Alive",        "Proxy-Connection", "TE", "Trailer",
+        "Connection", "Keep-Alive",        "Proxy-Connection", "TE",    "Trailer",
         "Upgrade",    "Transfer-Encoding", "Content-Length",   "Expect"};
     if (std::ranges::any_of(names, [&](std::string_view known) { return equalNames(known, name); })) {
         return true;
@@ -89,19 +89,19 @@
 std::string_view reasonPhrase(int status)
 {
     static constexpr std::array<std::pair<int, std::string_view>, 14> phrases{{{200, "OK"},
-                                                                              {400, "Bad Request"},
-                                                                              {401, "Unauthorized"},
-                                                                              {404, "Not Found"},
-                                                                              {405, "Method Not Allowed"},
-                                                                              {408, "Request Timeout"},
-                                                                              {413, "Content Too Large"},
-                                                                              {421, "Misdirected Request"},
-                                                                              {429, "Too Many Requests"},
-                                                                              {431, "Request Header Fields Too Large"},
-                                                                              {500, "Internal Server Error"},
-                                                                              {502, "Bad Gateway"},
-                                                                              {503, "Service Unavailable"},
-                                                                              {504, "Gateway Timeout"}}};
+                                                                               {400, "Bad Request"},
+                                                                               {401, "Unauthorized"},
+                                                                               {404, "Not Found"},
+                                                                               {405, "Method Not Allowed"},
+                                                                               {408, "Request Timeout"},
+                                                                               {413, "Content Too Large"},
+                                                                               {421, "Misdirected Request"},
+                                                                               {429, "Too Many Requests"},
+                                                                               {431, "Request Header Fields Too Large"},
+                                                                               {500, "Internal Server Error"},
+                                                                               {502, "Bad Gateway"},
+                                                                               {503, "Service Unavailable"},
+                                                                               {504, "Gateway Timeout"}}};
     const auto *const found = std::ranges::find(phrases, status, &std::pair<int, std::string_view>::first);
     return found == phrases.end() ? std::string_view("Status") : found->second;
 }
--- a/packages/masticleverd/src/frontend-main.cpp
+++ b/packages/masticleverd/src/frontend-main.cpp
@@ -62,8 +62,7 @@
     {
         const auto read = frontend::readFrontendSettings(m_path);
         if (const auto *error = std::get_if<frontend::frontend_settings_error>(&read)) {
-            logEvent(event::settings_reloaded,
-                     {{"outcome", "invalid"}, {"problem", std::string_view(error->message)}});
+            logEvent(event::settings_reloaded, {{"outcome", "invalid"}, {"problem", std::string_view(error->message)}});
             return;
         }
         daemon.reload(std::get<frontend::frontend_settings>(read));
--- a/packages/net/src/stream-socket.cpp
+++ b/packages/net/src/stream-socket.cpp
@@ -38,8 +38,7 @@
 void configure(int descriptor, const socket_options &options)
 {
     setOption(descriptor, IPPROTO_TCP, TCP_NODELAY, 1);
-    setOption(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT,
-              static_cast<unsigned>(options.unacknowledgedLimit.count()));
+    setOption(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<unsigned>(options.unacknowledgedLimit.count()));
     if (options.probeAfter.count() > 0) {
         setOption(descriptor, SOL_SOCKET, SO_KEEPALIVE, 1);
         setOption(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, static_cast<int>(options.probeAfter.count()));
@@ -308,8 +307,7 @@
     m_descriptor = openSocket();
     setOption(m_descriptor, SOL_SOCKET, SO_REUSEADDR, 1);
     const sockaddr_in local = systemAddress(address);
-    const bool isListening
-        = ::bind(m_descriptor, reinterpret_cast<const sockaddr *>(&local), sizeof(local)) == 0
+    const bool isListening = ::bind(m_descriptor, reinterpret_cast<const sockaddr *>(&local), sizeof(local)) == 0
         && ::listen(m_descriptor, backlog) == 0;
     sockaddr_in bound{};
     socklen_t size = sizeof(bound);
--- a/packages/stages/include/masticlever/stages/batch-queue.h
+++ b/packages/stages/include/masticlever/stages/batch-queue.h
@@ -30,6 +30,7 @@
     std::vector<std::size_t> pieces;
     std::string key;
     std::vector<std::string> inputs;
+    std::string dataCentre; ///< where the results are wanted; empty: anywhere
     int priority = 0; ///< 0 is the most urgent
     double resultBytes = 0; ///< of one piece
     std::size_t effort = 1; ///< pieces that the whole request still needs
@@ -65,6 +66,9 @@
     common::duration restAfterFailure = std::chrono::milliseconds(500); ///< of an endpoint that did not answer
     common::duration restAfterRejection = std::chrono::milliseconds(60); ///< of an endpoint that was full
     double learningRate = 0.2; ///< weight of one call in the learnt speed
+    common::duration forgetSlowness = std::chrono::seconds(2); ///< half-life while an endpoint is not used
+    /// For so long pieces wait for an endpoint in the data centre where they are wanted, if their objective allows.
+    common::duration dataCentrePatience = std::chrono::milliseconds(150);
 };
 
 class batch_queue
@@ -107,6 +111,7 @@
         catalog::endpoint_record record;
         std::size_t calls = 0;
         double slowness = 1; ///< time of its calls over the expected time
+        common::instant usedAt;
         common::instant restsUntil;
         bool isListed = true;
         std::map<std::string, held_result, std::less<>> held; ///< by handle
@@ -115,6 +120,7 @@
 
     struct wish_entry {
         piece_wish wish;
+        common::instant since;
         std::vector<std::size_t> waiting; ///< pieces in the queue
         std::size_t underWay = 0; ///< pieces in calls
     };
@@ -131,12 +137,15 @@
     using wish_map = std::map<std::uint64_t, wish_entry>;
 
     common::duration plainCall(std::size_t pieces) const;
-    common::duration expectedCall(const endpoint_entry &endpoint, std::size_t pieces) const;
-    endpoint_entry *chooseEndpoint(common::instant now);
-    double leastSlowness() const;
+    common::duration expectedCall(const endpoint_entry &endpoint, std::size_t pieces, common::instant now) const;
+    std::vector<endpoint_entry *> idleEndpoints(common::instant now);
+    double slownessOf(const endpoint_entry &endpoint, common::instant now) const;
+    double leastSlowness(common::instant now) const;
+    bool isWantedAt(const wish_entry &entry, const endpoint_entry &endpoint, common::instant now) const;
+    bool hasEndpointIn(std::string_view dataCentre) const;
     double freeBytes(const endpoint_entry &endpoint) const;
-    double piecesPerMicrosecond() const;
-    std::vector<wish_map::iterator> orderedWishes(common::instant now);
+    double piecesPerMicrosecond(common::instant now) const;
+    std::vector<wish_map::iterator> orderedWishes(const endpoint_entry &endpoint, common::instant now);
     bool canMakeObjective(const wish_entry &entry, common::instant now) const;
     std::optional<batch_call> fill(endpoint_entry &endpoint, common::instant now);
     std::optional<call_entry> endCall(std::uint64_t call);
--- a/packages/stages/src/batch-queue.cpp
+++ b/packages/stages/src/batch-queue.cpp
@@ -47,14 +47,23 @@
     return m_limits.callTime + m_limits.pieceTime * static_cast<duration::rep>(pieces);
 }
 
-duration batch_queue::expectedCall(const endpoint_entry &endpoint, std::size_t pieces) const
+/// What was learnt of an endpoint that is not used fades, so that a slow one is tried again.
+double batch_queue::slownessOf(const endpoint_entry &endpoint, instant now) const
 {
-    return scaled(plainCall(pieces), endpoint.slowness);
+    const double halvings = std::max(0.0, static_cast<double>((now - endpoint.usedAt).count()))
+        / static_cast<double>(m_options.forgetSlowness.count());
+    return endpoint.calls > 0 ? endpoint.slowness : 1 + (endpoint.slowness - 1) * std::exp2(-halvings);
 }
 
-void batch_queue::onWish(piece_wish wish, instant /*now*/)
+duration batch_queue::expectedCall(const endpoint_entry &endpoint, std::size_t pieces, instant now) const
+{
+    return scaled(plainCall(pieces), slownessOf(endpoint, now));
+}
+
+void batch_queue::onWish(piece_wish wish, instant now)
 {
     wish_entry entry;
+    entry.since = now;
     entry.waiting = wish.pieces;
     entry.wish = std::move(wish);
     m_waitingPieces += entry.waiting.size();
@@ -110,39 +119,53 @@
     return m_limits.resultBytes - used;
 }
 
-double batch_queue::leastSlowness() const
+double batch_queue::leastSlowness(instant now) const
 {
     double least = 0;
     for (const auto &[id, endpoint] : m_endpoints) {
-        if (endpoint.isListed && (least == 0 || endpoint.slowness < least)) {
-            least = endpoint.slowness;
+        const double slowness = slownessOf(endpoint, now);
+        if (endpoint.isListed && now >= endpoint.restsUntil && (least == 0 || slowness < least)) {
+            least = slowness;
         }
     }
     return least;
 }
 
-/// The fastest endpoint that can take a call now. A slow one is left idle while the others can be waited for.
-batch_queue::endpoint_entry *batch_queue::chooseEndpoint(instant now)
+/// Endpoints that can take a call now, the fastest first. One that is much slower than the fastest is left out.
+std::vector<batch_queue::endpoint_entry *> batch_queue::idleEndpoints(instant now)
 {
-    endpoint_entry *best = nullptr;
-    const double limit = leastSlowness() * m_options.slowFactor;
-    bool isFasterBusy = false;
+    std::vector<endpoint_entry *> idle;
+    const double limit = leastSlowness(now) * m_options.slowFactor;
     for (auto &[id, endpoint] : m_endpoints) {
-        const bool isFull = endpoint.calls >= m_limits.parallelCalls;
-        if (endpoint.isListed && isFull && endpoint.slowness <= limit) {
-            isFasterBusy = true;
-        }
-        if (!endpoint.isListed || isFull || now < endpoint.restsUntil) {
-            continue;
-        }
-        if (best == nullptr || endpoint.slowness < best->slowness) {
-            best = &endpoint;
+        const bool isFree = endpoint.calls < m_limits.parallelCalls && now >= endpoint.restsUntil;
+        if (endpoint.isListed && isFree && slownessOf(endpoint, now) <= limit) {
+            idle.push_back(&endpoint);
         }
     }
-    if (best != nullptr && best->slowness > limit && isFasterBusy) {
-        return nullptr;
+    std::ranges::stable_sort(idle, [&](const endpoint_entry *left, const endpoint_entry *right) {
+        return slownessOf(*left, now) < slownessOf(*right, now);
+    });
+    return idle;
+}
+
+bool batch_queue::hasEndpointIn(std::string_view dataCentre) const
+{
+    return std::ranges::any_of(m_endpoints, [&](const auto &item) {
+        return item.second.isListed && item.second.record.dataCentre == dataCentre;
+    });
+}
+
+/// Results that cross data centres are dear: pieces wait a little for an endpoint where they are wanted,
+/// unless there is more than one call's work.
+bool batch_queue::isWantedAt(const wish_entry &entry, const endpoint_entry &endpoint, instant now) const
+{
+    const std::string &wanted = entry.wish.dataCentre;
+    const bool isCrowded = m_waitingPieces >= m_limits.batchSize;
+    if (isCrowded || wanted.empty() || wanted == endpoint.record.dataCentre || !hasEndpointIn(wanted)) {
+        return true;
     }
-    return best;
+    const instant latest = entry.wish.objective - entry.wish.laterWork - plainCall(m_limits.batchSize) * 2;
+    return now - entry.since >= m_options.dataCentrePatience || now >= latest;
 }
 
 bool batch_queue::canMakeObjective(const wish_entry &entry, instant now) const
@@ -151,23 +174,23 @@
 }
 
 /// Requests that can still meet their objective go first, the most urgent class before the others, and within a
-/// class those that need the least work to be finished.
-std::vector<batch_queue::wish_map::iterator> batch_queue::orderedWishes(instant now)
+/// class those whose results are wanted where the endpoint stands.
+std::vector<batch_queue::wish_map::iterator> batch_queue::orderedWishes(const endpoint_entry &endpoint, instant now)
 {
-    std::vector<std::tuple<bool, int, std::uint64_t, wish_map::iterator>> ranked;
+    using rank = std::tuple<bool, int, bool, std::uint64_t>;
+    std::vector<std::pair<rank, wish_map::iterator>> ranked;
     for (auto it = m_wishes.begin(); it != m_wishes.end(); ++it) {
-        if (!it->second.waiting.empty()) {
-            ranked.emplace_back(!canMakeObjective(it->second, now), it->second.wish.priority, it->first, it);
+        const wish_entry &entry = it->second;
+        if (!entry.waiting.empty() && isWantedAt(entry, endpoint, now)) {
+            const bool isForeign = entry.wish.dataCentre != endpoint.record.dataCentre;
+            ranked.emplace_back(rank(!canMakeObjective(entry, now), entry.wish.priority, isForeign, it->first), it);
         }
     }
-    std::ranges::sort(ranked, [](const auto &left, const auto &right) {
-        return std::tie(std::get<0>(left), std::get<1>(left), std::get<2>(left))
-            < std::tie(std::get<0>(right), std::get<1>(right), std::get<2>(right));
-    });
+    std::ranges::sort(ranked, [](const auto &left, const auto &right) { return left.first < right.first; });
     std::vector<wish_map::iterator> ordered;
     ordered.reserve(ranked.size());
     for (const auto &item : ranked) {
-        ordered.push_back(std::get<3>(item));
+        ordered.push_back(item.second);
     }
     return ordered;
 }
@@ -178,10 +201,9 @@
     batch_call call;
     call_entry entry;
     double room = freeBytes(endpoint);
-    for (const auto found : orderedWishes(now)) {
+    for (const auto found : orderedWishes(endpoint, now)) {
         wish_entry &source = found->second;
-        while (!source.waiting.empty() && call.orders.size() < m_limits.batchSize
-               && source.wish.resultBytes <= room) {
+        while (!source.waiting.empty() && call.orders.size() < m_limits.batchSize && source.wish.resultBytes <= room) {
             const std::size_t piece = source.waiting.front();
             source.waiting.erase(source.waiting.begin());
             ++source.underWay;
@@ -207,7 +229,7 @@
     entry.sentAt = now;
     entry.expected = plainCall(call.orders.size());
     call.giveUpAt
-        = now + scaled(expectedCall(endpoint, call.orders.size()), m_options.giveUpFactor) + m_options.giveUpSlack;
+        = now + scaled(expectedCall(endpoint, call.orders.size(), now), m_options.giveUpFactor) + m_options.giveUpSlack;
     ++endpoint.calls;
     endpoint.reserved += entry.reserved;
     m_calls.emplace(call.number, std::move(entry));
@@ -217,18 +239,14 @@
 std::vector<batch_call> batch_queue::takeCalls(instant now)
 {
     std::vector<batch_call> calls;
-    while (m_waitingPieces > 0) {
-        endpoint_entry *endpoint = chooseEndpoint(now);
-        if (endpoint == nullptr) {
-            break;
-        }
-        auto call = fill(*endpoint, now);
-        if (!call) {
-            // There is no room for the results; it comes with releases or when results expire.
-            endpoint->restsUntil = now + m_options.restAfterRejection;
-            continue;
+    for (endpoint_entry *endpoint : idleEndpoints(now)) {
+        while (m_waitingPieces > 0 && endpoint->calls < m_limits.parallelCalls) {
+            auto call = fill(*endpoint, now);
+            if (!call) {
+                break; // no room for results, or nothing that is wanted there
+            }
+            calls.push_back(std::move(*call));
         }
-        calls.push_back(std::move(*call));
     }
     return calls;
 }
@@ -284,6 +302,7 @@
         const double ratio = static_cast<double>((now - ended->sentAt).count())
             / static_cast<double>(std::max<duration::rep>(1, ended->expected.count()));
         endpoint->second.slowness += m_options.learningRate * (ratio - endpoint->second.slowness);
+        endpoint->second.usedAt = now;
     }
     std::vector<finished_piece> finished;
     for (std::size_t i = 0; i < ended->pieces.size(); ++i) {
@@ -343,22 +362,22 @@
             continue;
         }
         for (const std::size_t piece : entry.waiting) {
-            hopeless.push_back({{entry.wish.owner, entry.wish.job, piece, entry.wish.stage},
-                                {{}, protocol::piece_failure::late}});
+            hopeless.push_back(
+                {{entry.wish.owner, entry.wish.job, piece, entry.wish.stage}, {{}, protocol::piece_failure::late}});
         }
         dropWish(current);
     }
     return hopeless;
 }
 
-double batch_queue::piecesPerMicrosecond() const
+double batch_queue::piecesPerMicrosecond(instant now) const
 {
     double rate = 0;
-    const double limit = leastSlowness() * m_options.slowFactor;
+    const double limit = leastSlowness(now) * m_options.slowFactor;
     for (const auto &[id, endpoint] : m_endpoints) {
-        if (endpoint.isListed && endpoint.slowness <= limit) {
+        if (endpoint.isListed && slownessOf(endpoint, now) <= limit) {
             const double batch = static_cast<double>(m_limits.batchSize * m_limits.parallelCalls);
-            rate += batch / static_cast<double>(expectedCall(endpoint, m_limits.batchSize).count());
+            rate += batch / static_cast<double>(expectedCall(endpoint, m_limits.batchSize, now).count());
         }
     }
     return rate;
@@ -366,7 +385,7 @@
 
 duration batch_queue::expectedDelay(int priority, instant now) const
 {
-    const double rate = piecesPerMicrosecond();
+    const double rate = piecesPerMicrosecond(now);
     if (rate <= 0) {
         return m_limits.callTime * 4;
     }
--- a/packages/stages/src/home-messages.cpp
+++ b/packages/stages/src/home-messages.cpp
@@ -26,7 +26,7 @@
     std::uint64_t effort = wish.effort;
     std::int64_t laterWork = wish.laterWork.count();
     std::int32_t priority = wish.priority;
-    archive(message.service, wish.job, wish.requestId, stage, pieces, wish.key, wish.inputs, priority,
+    archive(message.service, wish.job, wish.requestId, stage, pieces, wish.key, wish.inputs, wish.dataCentre, priority,
             wish.resultBytes, effort, laterWork, message.objectiveLeft, message.deadlineLeft);
     wish.stage = stage;
     wish.pieces.assign(pieces.begin(), pieces.end());
