--- /dev/null
+++ b/packages/forwarding/test/request-flow-test.cpp
@@ -0,0 +1,259 @@
+#include <masticlever/forwarding/request-flow.h>
+
+#include <catch2/catch.hpp>
+
+using namespace masticlever;
+using namespace masticlever::forwarding;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const common::instant start{1000s};
+const auto always = [] { return true; };
+const auto never = [] { return false; };
+
+catalog::route plainRoute(catalog::request_kind kind, std::size_t attempts = 3)
+{
+    catalog::route route;
+    route.kind = kind;
+    route.maximumAttempts = attempts;
+    route.timeout = 2s;
+    return route;
+}
+
+catalog::route stagedRoute()
+{
+    catalog::route route = plainRoute(catalog::request_kind::stream);
+    route.isResumable = true;
+    route.stages = {{"encode", {}, 100}, {"rank", {0}, 100}};
+    return route;
+}
+
+request_flow makeFlow(const catalog::route &route, std::vector<std::size_t> pieces = {})
+{
+    protocol::request_attributes attributes;
+    attributes.requestId = "r1";
+    attributes.pieces = std::move(pieces);
+    return {route, attributes, start, start + 2s, {}};
+}
+
+/// A flow that has been sent to one endpoint.
+request_flow calling(const catalog::route &route)
+{
+    request_flow flow = makeFlow(route);
+    flow.onBegin(start);
+    REQUIRE(flow.onBody(start).call);
+    flow.onCallBegins("e1");
+    return flow;
+}
+
+} // namespace
+
+TEST_CASE("A request that may not be repeated")
+{
+    const catalog::route route = plainRoute(catalog::request_kind::non_idempotent);
+    request_flow flow = calling(route);
+
+    SECTION("is sent again after a proof that it has not run")
+    {
+        CHECK(flow.onCallEnds(call_end::rejected, start, always).call);
+        CHECK(flow.state() == run_state::not_run);
+    }
+    SECTION("is sent again, without the budget, when it never left")
+    {
+        CHECK(flow.onCallEnds(call_end::not_sent, start, never).call);
+        CHECK(flow.attempts() == 0);
+    }
+    SECTION("gives up on connections that fail again and again")
+    {
+        std::size_t calls = 0;
+        flow_step step = flow.onCallEnds(call_end::not_sent, start, never);
+        while (step.call) {
+            ++calls;
+            flow.onCallBegins("e" + std::to_string(calls + 1));
+            step = flow.onCallEnds(call_end::not_sent, start, never);
+        }
+        CHECK(calls == 3);
+        REQUIRE(step.answer);
+        CHECK(step.answer->status == 503);
+    }
+    SECTION("is never sent again when it may have run, and not refused either")
+    {
+        const flow_step step = flow.onCallEnds(call_end::broken, start, always);
+        CHECK_FALSE(step.call);
+        REQUIRE(step.answer);
+        CHECK(step.answer->status == 502);
+        CHECK_FALSE(step.answer->retryAfter.has_value());
+        CHECK(flow.state() == run_state::may_have_run);
+    }
+    SECTION("stays in doubt when a later endpoint proves that it has not run there")
+    {
+        // A first call may have run; a second could only follow on a repeatable route, so the state is checked.
+        const catalog::route repeatable = plainRoute(catalog::request_kind::idempotent);
+        request_flow safe = calling(repeatable);
+        REQUIRE(safe.onCallEnds(call_end::broken, start, always).call);
+        safe.onCallBegins("e2");
+        const flow_step step = safe.onCallEnds(call_end::rejected, start, never);
+        REQUIRE(step.answer);
+        CHECK(step.answer->status == 502);
+    }
+    SECTION("passes the endpoint's own failure on")
+    {
+        CHECK(flow.onCallEnds(call_end::failure_answer, start, always).passFailureOn);
+        CHECK(flow.state() == run_state::has_run);
+    }
+    SECTION("is finished although its caller has gone")
+    {
+        CHECK_FALSE(flow.onCallerGone().abortCall);
+    }
+    SECTION("is not called refused at its deadline while an endpoint has it")
+    {
+        const flow_step step = flow.onDeadline();
+        REQUIRE(step.answer);
+        CHECK(step.answer->status == 504);
+        CHECK(step.abortCall);
+    }
+}
+
+TEST_CASE("A request that was never sent is refused as not run, with the time to come back")
+{
+    const catalog::route route = plainRoute(catalog::request_kind::non_idempotent);
+    request_flow flow = makeFlow(route);
+    flow.onBegin(start);
+    flow.onBody(start);
+    const flow_step step = GENERATE(true, false) ? flow.onNoEndpoint(start) : flow.onDeadline();
+    REQUIRE(step.answer);
+    CHECK(step.answer->status == 503);
+    CHECK(step.answer->retryAfter.has_value());
+}
+
+TEST_CASE("A repeatable request is tried again")
+{
+    const catalog::route route = plainRoute(catalog::request_kind::idempotent, 2);
+    request_flow flow = calling(route);
+
+    SECTION("after a failure, while the budget allows")
+    {
+        CHECK(flow.onCallEnds(call_end::failure_answer, start, always).call);
+    }
+    SECTION("not without the budget: the failure goes to the caller")
+    {
+        CHECK(flow.onCallEnds(call_end::failure_answer, start, never).passFailureOn);
+    }
+    SECTION("at as many endpoints as the route allows")
+    {
+        REQUIRE(flow.onCallEnds(call_end::broken, start, always).call);
+        flow.onCallBegins("e2");
+        const flow_step step = flow.onCallEnds(call_end::broken, start, always);
+        CHECK_FALSE(step.call);
+        CHECK(step.answer->status == 502);
+    }
+    SECTION("not when its time is over")
+    {
+        CHECK_FALSE(flow.onCallEnds(call_end::broken, start + 1999ms, always).call);
+    }
+    SECTION("and its call is dropped when the caller leaves")
+    {
+        CHECK(flow.onCallerGone().abortCall);
+    }
+}
+
+TEST_CASE("A stream whose head the caller has")
+{
+    SECTION("goes on at another endpoint after its last event where it may be resumed")
+    {
+        const catalog::route route = stagedRoute();
+        request_flow flow = makeFlow(route, {1, 1});
+        REQUIRE(flow.onBegin(start).order == std::vector<stages::piece_ref>{{0, 0}});
+        REQUIRE(flow.onPieceMade({0, 0}, "m/1", start).order == std::vector<stages::piece_ref>{{1, 0}});
+        CHECK_FALSE(flow.onPieceMade({1, 0}, "m/2", start).call); // the body is not here yet
+        REQUIRE(flow.onBody(start).call);
+        CHECK(flow.graph().finalInputs() == std::vector<std::string>{"m/2"});
+        flow.onCallBegins("e1");
+        flow.onAnswerBegins();
+        flow.onEventPassed(4);
+
+        SECTION("with its inputs as long as they are held")
+        {
+            CHECK(flow.onCallEnds(call_end::broken, start, always).call);
+            CHECK(flow.resumeAfter() == 4);
+        }
+        SECTION("with inputs made again once they were released")
+        {
+            CHECK(flow.onProgress().release == std::vector<std::string>{"m/2"});
+            const flow_step step = flow.onCallEnds(call_end::broken, start, always);
+            CHECK_FALSE(step.call);
+            CHECK(step.order == std::vector<stages::piece_ref>{{0, 0}});
+        }
+        SECTION("or is broken off")
+        {
+            const flow_step step = flow.onCallEnds(call_end::broken, start, never);
+            CHECK(step.breakOff);
+        }
+    }
+    SECTION("is broken off where it may not be resumed")
+    {
+        const catalog::route route = plainRoute(catalog::request_kind::stream);
+        request_flow flow = calling(route);
+        flow.onAnswerBegins();
+        const flow_step step = flow.onCallEnds(call_end::broken, start, always);
+        CHECK(step.breakOff);
+        CHECK_FALSE(step.answer.has_value());
+    }
+}
+
+TEST_CASE("Stages that fail")
+{
+    const catalog::route route = stagedRoute();
+    request_flow flow = makeFlow(route, {2, 1});
+    flow.onBegin(start);
+    flow.onBody(start);
+
+    SECTION("are ordered again")
+    {
+        CHECK(flow.onPieceFailed({0, 1}, protocol::piece_failure::failed, start).order
+              == std::vector<stages::piece_ref>{{0, 1}});
+    }
+    SECTION("end the request, as not run, when they fail for ever")
+    {
+        flow_step step;
+        for (int i = 0; i < 20 && !step.isEnd(); ++i) {
+            step = flow.onPieceFailed({0, 1}, protocol::piece_failure::failed, start);
+        }
+        REQUIRE(step.answer);
+        CHECK(step.answer->status == 503);
+    }
+    SECTION("end the request at once when they are too late for it")
+    {
+        REQUIRE(flow.onPieceFailed({0, 1}, protocol::piece_failure::late, start).answer);
+    }
+    SECTION("make lost inputs again")
+    {
+        flow.onPieceMade({0, 0}, "gone/1", start);
+        REQUIRE(flow.onPieceMade({0, 1}, "here/2", start).order.size() == 1);
+        flow.setMakerCheck([](std::string_view handle) { return handle.starts_with("gone"); });
+        CHECK(flow.onPieceFailed({1, 0}, protocol::piece_failure::input_gone, start).order
+              == std::vector<stages::piece_ref>{{0, 0}});
+    }
+    SECTION("release what is held when the request ends")
+    {
+        flow.onPieceMade({0, 0}, "m/1", start);
+        CHECK(flow.onCallerGone().release == std::vector<std::string>{"m/1"});
+        CHECK(flow.onPieceMade({0, 1}, "m/2", start).release == std::vector<std::string>{"m/2"});
+    }
+}
+
+TEST_CASE("A retry after lost inputs counts against the route's attempts")
+{
+    catalog::route route = stagedRoute();
+    route.maximumAttempts = 1;
+    request_flow flow = makeFlow(route, {1, 0});
+    flow.onBegin(start);
+    flow.onPieceMade({0, 0}, "m/1", start);
+    REQUIRE(flow.onBody(start).call);
+    flow.onCallBegins("e1");
+    const flow_step step = flow.onCallEnds(call_end::input_gone, start, always);
+    REQUIRE(step.answer);
+    CHECK(step.answer->status == 503);
+}
--- a/packages/http1/src/message-reader.cpp
+++ b/packages/http1/src/message-reader.cpp
@@ -124,7 +124,7 @@
 
     void on_finish_impl(error_code & /*failure*/) override { }
 
-    /// Any transfer coding but a single "chunked" could be read as another framing by the next hop.
+    /// Any transfer coding but a single "chunked", or a list of lengths, could be framed differently elsewhere.
     bool isFramingClear() const
     {
         std::size_t codings = 0;
@@ -136,7 +136,12 @@
                     return false;
                 }
             }
-            lengths += equalNames(field.name, "Content-Length") ? 1 : 0;
+            if (equalNames(field.name, "Content-Length")) {
+                ++lengths;
+                if (field.value.find_first_not_of("0123456789") != std::string::npos) {
+                    return false; // a list of lengths, even of equal ones
+                }
+            }
         }
         return codings + lengths <= 1;
     }
--- /dev/null
+++ b/packages/stages/test/batch-queue-test.cpp
@@ -0,0 +1,265 @@
+#include <masticlever/stages/batch-queue.h>
+
+#include <catch2/catch.hpp>
+
+using namespace masticlever;
+using namespace masticlever::stages;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const common::instant start{1000s};
+
+catalog::batch_limits limits()
+{
+    catalog::batch_limits made;
+    made.batchSize = 4;
+    made.callTime = 200ms;
+    made.pieceTime = 10ms;
+    made.resultBytes = 1000;
+    made.resultLifetime = 4s;
+    return made;
+}
+
+struct service {
+    std::vector<catalog::endpoint_record> records;
+
+    explicit service(std::size_t count)
+    {
+        for (std::size_t i = 0; i < count; ++i) {
+            catalog::endpoint_record record;
+            record.id = "e" + std::to_string(i);
+            record.address = record.id + ":1";
+            record.dataCentre = i % 2 == 0 ? "west" : "east";
+            records.push_back(record);
+        }
+    }
+
+    std::vector<const catalog::endpoint_record *> pointers() const
+    {
+        std::vector<const catalog::endpoint_record *> all;
+        for (const auto &record : records) {
+            all.push_back(&record);
+        }
+        return all;
+    }
+};
+
+piece_wish wish(std::uint64_t job, std::size_t count, int priority = 1)
+{
+    piece_wish made;
+    made.owner = 9;
+    made.job = job;
+    made.requestId = "r" + std::to_string(job);
+    for (std::size_t i = 0; i < count; ++i) {
+        made.pieces.push_back(i);
+    }
+    made.key = "k";
+    made.priority = priority;
+    made.resultBytes = 10;
+    made.objective = start + 2s;
+    made.deadline = start + 8s;
+    return made;
+}
+
+std::vector<protocol::piece_result> made(const batch_call &call)
+{
+    std::vector<protocol::piece_result> results;
+    for (std::size_t i = 0; i < call.orders.size(); ++i) {
+        results.push_back({call.address + "/" + std::to_string(call.number) + "-" + std::to_string(i), {}});
+    }
+    return results;
+}
+
+} // namespace
+
+TEST_CASE("Pieces of several requests share a call")
+{
+    service endpoints(1);
+    batch_queue queue({}, limits());
+    queue.setEndpoints(endpoints.pointers());
+    queue.onWish(wish(1, 3), start);
+    queue.onWish(wish(2, 3), start);
+    const auto calls = queue.takeCalls(start);
+    REQUIRE(calls.size() == 1);
+    CHECK(calls[0].orders.size() == 4);
+    CHECK(queue.waitingPieces() == 2);
+    CHECK(queue.takeCalls(start).empty()); // its one place is taken
+
+    SECTION("and their results go to their owners; the rest follows")
+    {
+        const auto finished = queue.onAnswer(calls[0].number, made(calls[0]), start + 240ms);
+        CHECK(finished.size() == 4);
+        CHECK(finished[3].piece.job == 2);
+        CHECK(queue.takeCalls(start + 240ms)[0].orders.size() == 2);
+    }
+    SECTION("a call that was not taken is sent again after a rest")
+    {
+        queue.onRejected(calls[0].number, start + 1ms);
+        CHECK(queue.waitingPieces() == 6);
+        CHECK(queue.takeCalls(start + 1ms).empty());
+        CHECK(queue.takeCalls(start + 100ms).size() == 1);
+    }
+    SECTION("a call without an answer is given up after a multiple of its expected time")
+    {
+        CHECK(calls[0].giveUpAt == start + 3 * 240ms + 300ms);
+        queue.onLost(calls[0].number, start + 1s);
+        CHECK(queue.waitingPieces() == 6);
+    }
+    SECTION("pieces without room are made later, failed ones are reported")
+    {
+        auto results = made(calls[0]);
+        results[0] = {{}, protocol::piece_failure::no_room};
+        results[1] = {{}, protocol::piece_failure::failed};
+        const auto finished = queue.onAnswer(calls[0].number, results, start + 240ms);
+        CHECK(finished.size() == 3);
+        CHECK(queue.waitingPieces() == 3);
+    }
+    SECTION("a cancelled request leaves the queue; what was under way is still told, to be released")
+    {
+        queue.onCancel(9, 1);
+        queue.onCancel(9, 2);
+        CHECK(queue.waitingPieces() == 0);
+        CHECK(queue.onAnswer(calls[0].number, made(calls[0]), start + 240ms).size() == 4);
+    }
+    SECTION("the requests of an owner that is gone leave the queue")
+    {
+        queue.onOwnerGone(9);
+        CHECK(queue.waitingPieces() == 0);
+    }
+    SECTION("an answer to a call that is over is ignored")
+    {
+        queue.onLost(calls[0].number, start);
+        CHECK(queue.onAnswer(calls[0].number, made(calls[0]), start).empty());
+    }
+}
+
+TEST_CASE("Room for results bounds a call")
+{
+    service endpoints(1);
+    batch_queue queue({}, limits());
+    queue.setEndpoints(endpoints.pointers());
+    piece_wish large = wish(1, 4);
+    large.resultBytes = 400;
+    queue.onWish(large, start);
+    auto calls = queue.takeCalls(start);
+    REQUIRE(calls.size() == 1);
+    CHECK(calls[0].orders.size() == 2);
+    const auto results = made(calls[0]);
+    queue.onAnswer(calls[0].number, results, start + 220ms);
+    CHECK(queue.takeCalls(start + 220ms).empty());
+
+    SECTION("until results are released")
+    {
+        const std::vector<std::string> handles{results[0].handle, results[1].handle};
+        queue.onReleased(handles);
+        CHECK(queue.takeCalls(start + 221ms).size() == 1);
+    }
+    SECTION("or expire at their maker")
+    {
+        CHECK(queue.takeCalls(start + 4221ms).size() == 1);
+    }
+}
+
+TEST_CASE("The order of the queue")
+{
+    service endpoints(1);
+    batch_queue queue({}, limits());
+    queue.setEndpoints(endpoints.pointers());
+
+    SECTION("urgent requests first")
+    {
+        queue.onWish(wish(1, 4, 2), start);
+        queue.onWish(wish(2, 4, 0), start);
+        CHECK(queue.takeCalls(start)[0].orders[0].requestId == "r2");
+    }
+    SECTION("those that have missed their objective last, however urgent")
+    {
+        piece_wish late = wish(1, 4, 0);
+        late.objective = start + 100ms;
+        queue.onWish(late, start);
+        queue.onWish(wish(2, 4, 2), start);
+        CHECK(queue.takeCalls(start)[0].orders[0].requestId == "r2");
+    }
+    SECTION("those that cannot be made before their deadline are dropped at once")
+    {
+        piece_wish hopeless = wish(1, 4);
+        hopeless.deadline = start + 300ms;
+        hopeless.laterWork = 100ms;
+        queue.onWish(hopeless, start);
+        const auto dropped = queue.takeHopeless(start);
+        REQUIRE(dropped.size() == 4);
+        CHECK(dropped[0].result.failure == protocol::piece_failure::late);
+        CHECK(queue.waitingPieces() == 0);
+    }
+}
+
+TEST_CASE("Endpoints are chosen by data centre and speed")
+{
+    service endpoints(2);
+    batch_queue queue({}, limits());
+    queue.setEndpoints(endpoints.pointers());
+
+    SECTION("a piece waits a little for the data centre where its result is wanted")
+    {
+        queue.onWish(wish(1, 4), start); // fills e0 or e1
+        REQUIRE(queue.takeCalls(start).size() == 1);
+        piece_wish near = wish(2, 2);
+        near.dataCentre = "west";
+        queue.onWish(near, start);
+        CHECK(queue.takeCalls(start).empty());
+        CHECK(queue.takeCalls(start + 150ms).size() == 1);
+    }
+    SECTION("not while there is more than one call's work")
+    {
+        piece_wish near = wish(1, 8);
+        near.dataCentre = "west";
+        queue.onWish(near, start);
+        CHECK(queue.takeCalls(start).size() == 2);
+    }
+    SECTION("one much slower than the fastest is left out, and tried again later")
+    {
+        common::instant now = start;
+        for (int i = 0; i < 20; ++i) {
+            queue.onWish(wish(static_cast<std::uint64_t>(i), 8), now);
+            for (const batch_call &call : queue.takeCalls(now)) {
+                const auto time = call.endpointId == "e0" ? 240ms : 1200ms;
+                queue.onAnswer(call.number, made(call), now + time);
+            }
+            now += 1200ms;
+        }
+        piece_wish last = wish(99, 4);
+        last.deadline = now + 20s;
+        queue.onWish(last, now);
+        const auto calls = queue.takeCalls(now);
+        REQUIRE_FALSE(calls.empty());
+        CHECK(calls[0].endpointId == "e0");
+        queue.onWish(wish(100, 8), now + 20s);
+        CHECK(queue.takeCalls(now + 20s).size() == 1); // e0 is still busy; e1 gets another chance
+    }
+    SECTION("one that has left takes no call, and its calls under way still count")
+    {
+        queue.onWish(wish(1, 8), start);
+        const auto calls = queue.takeCalls(start);
+        REQUIRE(calls.size() == 2);
+        queue.setEndpoints({});
+        CHECK(queue.onAnswer(calls[0].number, made(calls[0]), start + 240ms).size() == 4);
+        queue.onWish(wish(2, 4), start + 240ms);
+        CHECK(queue.takeCalls(start + 240ms).empty());
+    }
+}
+
+TEST_CASE("The expected delay grows with the queue and tells urgent requests less")
+{
+    service endpoints(1);
+    batch_queue queue({}, limits());
+    queue.setEndpoints(endpoints.pointers());
+    const auto idle = queue.expectedDelay(0, start);
+    for (std::uint64_t i = 0; i < 10; ++i) {
+        queue.onWish(wish(i, 4, 2), start);
+    }
+    queue.takeCalls(start);
+    CHECK(queue.expectedDelay(2, start) > idle + 1s);
+    CHECK(queue.expectedDelay(0, start) < queue.expectedDelay(2, start));
+}
--- /dev/null
+++ b/packages/stages/test/home-choice-test.cpp
@@ -0,0 +1,66 @@
+#include <masticlever/common/digest.h>
+#include <masticlever/stages/home-choice.h>
+
+#include <catch2/catch.hpp>
+
+#include <map>
+#include <vector>
+
+using namespace masticlever;
+using namespace masticlever::stages;
+
+namespace
+{
+
+std::vector<home_candidate> fleet(std::size_t count)
+{
+    std::vector<home_candidate> candidates;
+    for (std::size_t i = 0; i < count; ++i) {
+        const std::string name = "instance-" + std::to_string(i);
+        candidates.push_back({name, name + ":1", common::stableHash(name), false});
+    }
+    return candidates;
+}
+
+} // namespace
+
+TEST_CASE("Every instance chooses the same home for a service")
+{
+    auto candidates = fleet(12);
+    const std::string home = chooseHome("board", candidates)->incarnation;
+    std::vector<home_candidate> reversed(candidates.rbegin(), candidates.rend());
+    CHECK(chooseHome("board", reversed)->incarnation == home);
+
+    SECTION("another one while it is avoided")
+    {
+        for (home_candidate &candidate : candidates) {
+            candidate.isAvoided = candidate.incarnation == home;
+        }
+        CHECK(chooseHome("board", candidates)->incarnation != home);
+    }
+    SECTION("none when all are avoided or there are none")
+    {
+        for (home_candidate &candidate : candidates) {
+            candidate.isAvoided = true;
+        }
+        CHECK(chooseHome("board", candidates) == nullptr);
+        CHECK(chooseHome("board", {}) == nullptr);
+    }
+}
+
+TEST_CASE("Services are spread, and a change of the fleet moves few of them")
+{
+    const auto before = fleet(12);
+    const auto after = fleet(11);
+    std::map<std::string, int> counts;
+    int moved = 0;
+    constexpr int services = 1200;
+    for (int i = 0; i < services; ++i) {
+        const std::string service = "s" + std::to_string(i);
+        const std::string home = chooseHome(service, before)->incarnation;
+        ++counts[home];
+        moved += chooseHome(service, after)->incarnation == home ? 0 : 1;
+    }
+    CHECK(counts.size() == 12);
+    CHECK(moved == counts["instance-11"]);
+}
--- /dev/null
+++ b/packages/stages/test/stage-graph-test.cpp
@@ -0,0 +1,123 @@
+#include <masticlever/stages/stage-graph.h>
+
+#include <catch2/catch.hpp>
+
+using namespace masticlever;
+using namespace masticlever::stages;
+using refs = std::vector<piece_ref>;
+
+namespace
+{
+
+/// 0 stands alone; 1, 2 and 3 follow each other.
+const std::vector<catalog::stage_spec> chain{{"a", {}, 0}, {"a", {}, 0}, {"b", {1}, 0}, {"c", {2}, 0}};
+
+const auto allGone = [](std::string_view) { return true; };
+const auto noneGone = [](std::string_view) { return false; };
+
+} // namespace
+
+TEST_CASE("Pieces become ready when all results before them are there")
+{
+    const std::vector<std::size_t> counts{1, 1, 2, 1};
+    stage_graph graph(chain, counts);
+    CHECK(graph.takeReady() == refs{{0, 0}, {1, 0}});
+    CHECK(graph.takeReady().empty());
+
+    CHECK(graph.onResult({1, 0}, "h1").empty());
+    CHECK(graph.takeReady() == refs{{2, 0}, {2, 1}});
+    CHECK(graph.inputsOf(2) == std::vector<std::string>{"h1"});
+
+    SECTION("a stage waits for all pieces before it")
+    {
+        graph.onResult({2, 1}, "h21");
+        CHECK(graph.takeReady().empty());
+        SECTION("and inputs are released when no stage needs them any more")
+        {
+            CHECK(graph.onResult({2, 0}, "h20") == std::vector<std::string>{"h1"});
+            CHECK(graph.takeReady() == refs{{3, 0}});
+            CHECK(graph.inputsOf(3) == std::vector<std::string>{"h20", "h21"});
+            CHECK(graph.onResult({3, 0}, "h3") == std::vector<std::string>{"h20", "h21"});
+            CHECK_FALSE(graph.isComplete());
+            graph.onResult({0, 0}, "h0");
+            CHECK(graph.isComplete());
+            CHECK(graph.finalInputs() == std::vector<std::string>{"h0", "h3"});
+        }
+    }
+    SECTION("a piece that failed is ready again")
+    {
+        graph.onFailed({2, 0});
+        CHECK(graph.takeReady() == refs{{2, 0}});
+    }
+    SECTION("a second copy of a result is released")
+    {
+        CHECK(graph.onResult({1, 0}, "h1b") == std::vector<std::string>{"h1b"});
+    }
+    SECTION("the same result told twice stays")
+    {
+        CHECK(graph.onResult({1, 0}, "h1").empty());
+    }
+}
+
+TEST_CASE("Stages with no pieces are left out")
+{
+    const std::vector<std::size_t> counts{0, 1};
+    stage_graph graph(chain, counts);
+    CHECK(graph.takeReady() == refs{{1, 0}});
+    graph.onResult({1, 0}, "h");
+    CHECK(graph.isComplete());
+    CHECK(graph.finalInputs().empty());
+}
+
+TEST_CASE("Lost inputs are made again")
+{
+    const std::vector<std::size_t> counts{0, 2, 1, 1};
+    stage_graph graph(chain, counts);
+    graph.takeReady();
+    graph.onResult({1, 0}, "h10");
+    graph.onResult({1, 1}, "h11");
+    graph.takeReady();
+
+    SECTION("those whose maker is gone")
+    {
+        graph.onInputGone({2, 0}, [](std::string_view handle) { return handle == "h11"; });
+        CHECK(graph.takeReady() == refs{{1, 1}});
+        graph.onResult({1, 1}, "h11b");
+        CHECK(graph.takeReady() == refs{{2, 0}});
+    }
+    SECTION("all of them when it is not known which")
+    {
+        graph.onInputGone({2, 0}, noneGone);
+        CHECK(graph.takeReady() == refs{{1, 0}, {1, 1}});
+    }
+    SECTION("with everything before them that was released")
+    {
+        graph.onResult({2, 0}, "h2");
+        graph.takeReady();
+        graph.onInputGone({3, 0}, allGone);
+        CHECK(graph.takeReady() == refs{{1, 0}, {1, 1}});
+    }
+    SECTION("so are those of the request itself")
+    {
+        graph.onResult({2, 0}, "h2");
+        graph.takeReady();
+        graph.onResult({3, 0}, "h3");
+        CHECK(graph.isComplete());
+        graph.onFinalInputGone(allGone);
+        CHECK_FALSE(graph.isComplete());
+        CHECK(graph.takeReady() == refs{{1, 0}, {1, 1}});
+    }
+}
+
+TEST_CASE("Inputs that the request has read are released, and made again for another call")
+{
+    const std::vector<std::size_t> counts{1};
+    stage_graph graph(std::span<const catalog::stage_spec>(chain).first(1), counts);
+    graph.takeReady();
+    graph.onResult({0, 0}, "h0");
+    CHECK(graph.releaseFinal() == std::vector<std::string>{"h0"});
+    CHECK(graph.heldHandles().empty());
+    CHECK(graph.isComplete());
+    graph.reopenFinal();
+    CHECK(graph.takeReady() == refs{{0, 0}});
+}
