Meet the daemons with stand-ins of the platform; release results that are made anew

The stand-ins (store, endpoints with their faults) found that results made anew for a lost input were never released, and that a body over the limit was answered 431. Change: tests/site with store, endpoints and callers on real sockets; dropped results are released; 413 for bodies.

--- a/packages/forwarding/src/request-flow.cpp
+++ b/packages/forwarding/src/request-flow.cpp
@@ -1,5 +1,7 @@
 #include <masticlever/forwarding/request-flow.h>
 
+#include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace masticlever::forwarding
@@ -111,12 +113,15 @@
     if (failure == piece_failure::late) {
         return end(gatewayTimeout, "stages_late");
     }
+    std::vector<std::string> dropped;
     if (failure == piece_failure::input_gone) {
-        m_graph.onInputGone(piece, m_isMakerGone);
+        dropped = m_graph.onInputGone(piece, m_isMakerGone);
     } else {
         m_graph.onFailed(piece);
     }
-    return proceed(now);
+    flow_step step = proceed(now);
+    std::ranges::move(dropped, std::back_inserter(step.release));
+    return step;
 }
 
 flow_step request_flow::onNoEndpoint(instant /*now*/)
@@ -158,12 +163,15 @@
     if (!isProvenNotRun) {
         m_state = ended == call_end::failure_answer ? run_state::has_run : run_state::may_have_run;
     }
-    if (ended == call_end::input_gone) {
-        m_graph.onFinalInputGone(m_isMakerGone);
-    }
     if (mayCallAgain(ended, now, takeRetry)) {
+        std::vector<std::string> dropped;
+        if (ended == call_end::input_gone) {
+            dropped = m_graph.onFinalInputGone(m_isMakerGone);
+        }
         m_graph.reopenFinal();
-        return proceed(now);
+        flow_step step = proceed(now);
+        std::ranges::move(dropped, std::back_inserter(step.release));
+        return step;
     }
     if (ended == call_end::failure_answer && !m_hasHead) {
         flow_step step;
--- a/packages/forwarding/test/endpoint-choice-test.cpp
+++ b/packages/forwarding/test/endpoint-choice-test.cpp
@@ -114,9 +114,8 @@
     service desk(3);
     endpoint_choice choice({});
     counting_random random;
-    const auto choose = [&](std::string_view from) {
-        return choice.choose(desk.pointers, {}, {}, from, {}, start, random);
-    };
+    const auto choose
+        = [&](std::string_view from) { return choice.choose(desk.pointers, {}, {}, from, {}, start, random); };
     CHECK(choose("north") == "e1");
     choice.onCallBegins("e1");
     CHECK(choose("north") != "e1");
--- a/packages/frontend/src/caller-connection.cpp
+++ b/packages/frontend/src/caller-connection.cpp
@@ -51,7 +51,7 @@
         return;
     }
     if (failure == common::error::too_large) {
-        refuse(m_reader.hasHead() ? contentTooLarge : headTooLarge);
+        refuse(m_reader.isBodyTooLarge() ? contentTooLarge : headTooLarge);
     } else {
         refuse(badRequest);
     }
--- a/packages/frontend/src/daemon-core.cpp
+++ b/packages/frontend/src/daemon-core.cpp
@@ -83,8 +83,8 @@
 
 daemon_core::daemon_core(frontend_settings settings, const protocol::site_protocol &protocol,
                          common::random_source &random, std::string incarnation)
-    : m_settings(std::move(settings)), m_protocol(protocol), m_random(random), m_incarnation(std::move(incarnation)),
-      m_directory({}), m_choice({}),
+    : m_settings(std::move(settings)), m_protocol(protocol), m_incarnation(std::move(incarnation)), m_directory({}),
+      m_choice({}),
       m_retries({.ratio = m_settings.retryRatio, .slack = m_settings.retrySlack, .window = m_settings.retryWindow}),
       m_pool({}), m_pace({}),
       m_pieces({}, protocol, m_pool, m_directory,
--- a/packages/frontend/src/daemon-core.h
+++ b/packages/frontend/src/daemon-core.h
@@ -66,7 +66,6 @@
 
     frontend_settings m_settings;
     const protocol::site_protocol &m_protocol;
-    common::random_source &m_random;
     std::string m_incarnation;
     telemetry::metric_registry m_metrics;
     std::shared_ptr<const catalog::service_configuration> m_configuration;
@@ -95,7 +94,6 @@
     std::optional<common::instant> m_stoppingSince;
     std::optional<common::instant> m_storeLostAt;
     bool m_isStoreReported = true; ///< the last state that was logged
-    std::size_t m_storeFailures = 0;
     bool m_hasPublished = false;
     common::instant m_instancesDueAt;
     std::int64_t m_bootTime = 0; ///< of the last tick, microseconds
--- a/packages/frontend/src/fleet-host.cpp
+++ b/packages/frontend/src/fleet-host.cpp
@@ -138,6 +138,7 @@
 void fleet_host::logChanges(const std::vector<membership::instance_notice> &live)
 {
     std::vector<std::string> present;
+    present.reserve(live.size());
     for (const membership::instance_notice &notice : live) {
         present.push_back(notice.incarnation);
     }
--- a/packages/frontend/src/request-session.cpp
+++ b/packages/frontend/src/request-session.cpp
@@ -117,7 +117,8 @@
     for (const catalog::endpoint_record *endpoint : m_context.directory.usable(m_service)) {
         shares[endpoint->dataCentre] += 1;
     }
-    for (const auto &[dataCentre, count] : shares) {
+    for (const auto &share : shares) {
+        const std::string &dataCentre = share.first;
         double scarcest = 1;
         for (const catalog::stage_spec &stage : m_request.route->stages) {
             const auto makers = m_context.directory.usable(stage.service);
@@ -126,7 +127,7 @@
             const auto all = static_cast<double>(std::max<std::size_t>(1, makers.size()));
             scarcest = std::min(scarcest, static_cast<double>(near) / all);
         }
-        m_weights[dataCentre] = std::max(leastWeight, scarcest / count);
+        m_weights[dataCentre] = std::max(leastWeight, scarcest / share.second);
     }
 }
 
--- /dev/null
+++ b/packages/frontend/test/frontend-settings-test.cpp
@@ -0,0 +1,77 @@
+#include <masticlever/frontend/frontend-settings.h>
+
+#include <catch2/catch.hpp>
+
+#include <QTemporaryDir>
+
+#include <fstream>
+
+using namespace masticlever::frontend;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const std::string whole = "[instance]\nname=front-1\ndata_centre=west\nmemory_mb=182\n"
+                          "[listen]\nfront=127.0.0.1:1\nready=127.0.0.1:2\nmetrics=127.0.0.1:3\ngossip=127.0.0.1:4\n"
+                          "homes=127.0.0.1:5\n"
+                          "[fleet]\ncontacts=127.0.0.2:3,127.0.0.3:3\nport=4\nkey=0123456789abcdef\n"
+                          "[store]\naddress=127.0.0.1:6\n[retries]\nratio=0.3\nslack=126\nwindow_s=10\n"
+                          "[stop]\nlimit_s=8\n";
+
+class settings_folder
+{
+public:
+    std::variant<frontend_settings, frontend_settings_error> read(const std::string &text)
+    {
+        const std::string file = m_folder.filePath(QStringLiteral("front.ini")).toStdString();
+        std::ofstream(file) << text;
+        return readFrontendSettings(file);
+    }
+
+private:
+    QTemporaryDir m_folder;
+};
+
+std::string without(std::string text, const std::string &line)
+{
+    text.erase(text.find(line), line.size());
+    return text;
+}
+
+} // namespace
+
+TEST_CASE("Settings of a front end")
+{
+    settings_folder folder;
+    const auto read = folder.read(whole);
+    REQUIRE(std::holds_alternative<frontend_settings>(read));
+    const auto &settings = std::get<frontend_settings>(read);
+    CHECK(settings.name == "front-1");
+    CHECK(settings.memoryBytes == 182000000);
+    CHECK(settings.retryRatio == 0.3);
+    CHECK(settings.retryWindow == 10s);
+    CHECK(settings.stopLimit == 8s);
+
+    SECTION("contacts are found at the gossip's port")
+    {
+        CHECK(settings.contacts == std::vector<std::string>{"127.0.0.2:4", "127.0.0.3:4"});
+    }
+    SECTION("no contact is one that may be missing")
+    {
+        CHECK(std::holds_alternative<frontend_settings>(folder.read(without(whole, "127.0.0.2:3,127.0.0.3:3"))));
+    }
+    SECTION("fields that are not known are ignored")
+    {
+        CHECK(std::holds_alternative<frontend_settings>(folder.read(whole + "[new]\nfield=1\n")));
+    }
+    SECTION("a fault names its key")
+    {
+        const auto fault = folder.read(without(whole, "data_centre=west\n"));
+        REQUIRE(std::holds_alternative<frontend_settings_error>(fault));
+        CHECK(std::get<frontend_settings_error>(fault).message.find("data_centre") != std::string::npos);
+        CHECK(std::holds_alternative<frontend_settings_error>(folder.read(without(whole, "127.0.0.1:6"))));
+        CHECK(std::holds_alternative<frontend_settings_error>(folder.read(without(whole, "456789abcdef"))));
+        CHECK(std::holds_alternative<frontend_settings_error>(readFrontendSettings("/nowhere/front.ini")));
+    }
+}
--- /dev/null
+++ b/packages/frontend/test/topic-follower-test.cpp
@@ -0,0 +1,94 @@
+#include <masticlever/frontend/topic-follower.h>
+
+#include <catch2/catch.hpp>
+
+using namespace masticlever;
+using namespace masticlever::frontend;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const common::instant start{1000s};
+
+protocol::store_record record(const std::string &key, std::uint64_t offset)
+{
+    return {offset, key, "v"};
+}
+
+} // namespace
+
+TEST_CASE("A topic is listed, then followed from where the list began")
+{
+    topic_follower follower({});
+    const auto listing = follower.next(start);
+    REQUIRE(listing);
+    CHECK(listing->isListing);
+    CHECK_FALSE(follower.next(start).has_value()); // one call at a time
+
+    const auto first = follower.onListing({10, true, {record("a", 3)}}, start);
+    CHECK(first.records.size() == 1);
+    CHECK_FALSE(first.isWholeListing);
+    CHECK(follower.next(start)->afterKey == "a");
+    const auto second = follower.onListing({14, false, {record("b", 12)}}, start);
+    CHECK(second.isWholeListing);
+    CHECK(second.listedKeys == std::vector<std::string>{"a", "b"});
+    CHECK(follower.hasListed());
+
+    CHECK_FALSE(follower.next(start + 499ms).has_value());
+    const auto read = follower.next(start + 500ms);
+    REQUIRE(read);
+    CHECK_FALSE(read->isListing);
+    CHECK(read->from == 10); // pages are not a snapshot: what was written between them is read again
+
+    SECTION("and goes on after what was read")
+    {
+        follower.onRecords({15, {record("c", 14)}}, start + 500ms);
+        CHECK(follower.next(start + 1s)->from == 15);
+    }
+    SECTION("a store that answers with an older end does not move the position back")
+    {
+        follower.onRecords({4, {}}, start + 500ms);
+        CHECK(follower.next(start + 1s)->from == 10);
+    }
+    SECTION("failures are tried again after growing pauses")
+    {
+        follower.onFailure(start + 500ms);
+        CHECK_FALSE(follower.isReachable());
+        CHECK_FALSE(follower.next(start + 599ms).has_value());
+        REQUIRE(follower.next(start + 600ms).has_value());
+        follower.onFailure(start + 600ms);
+        CHECK_FALSE(follower.next(start + 799ms).has_value());
+        CHECK(follower.next(start + 800ms).has_value());
+        for (int i = 0; i < 10; ++i) {
+            follower.onFailure(start + 1s);
+            follower.next(start + 1s + 800ms);
+        }
+    }
+    SECTION("records that are no longer kept are listed anew")
+    {
+        follower.onTruncated(start + 500ms);
+        CHECK(follower.next(start + 500ms)->isListing);
+    }
+    SECTION("news of something newer hurries the next read")
+    {
+        follower.onRecords({10, {}}, start + 500ms);
+        follower.hurry(start + 510ms);
+        CHECK(follower.next(start + 510ms).has_value());
+    }
+}
+
+TEST_CASE("A read that waits at the store is repeated at once and given more time")
+{
+    topic_follower_options options;
+    options.wait = 8s;
+    topic_follower follower(options);
+    follower.next(start);
+    follower.onListing({1, false, {}}, start);
+    const auto read = follower.next(start);
+    REQUIRE(read);
+    CHECK(read->wait == 8s);
+    CHECK(read->timeout > 8s);
+    follower.onRecords({1, {}}, start + 8s);
+    CHECK(follower.next(start + 8s).has_value());
+}
--- a/packages/http1/include/masticlever/http1/message-reader.h
+++ b/packages/http1/include/masticlever/http1/message-reader.h
@@ -57,6 +57,7 @@
     bool isEnded() const { return m_isEnded; } ///< a whole message was read and next() not called yet
     bool isUntouched() const; ///< no byte of the present message has arrived
     bool hasHead() const { return m_hasHead; }
+    bool isBodyTooLarge() const { return m_isBodyTooLarge; } ///< after error::too_large
     std::size_t pendingBytes() const { return m_pending.size(); } ///< read but not parsed
 
 private:
@@ -75,6 +76,7 @@
     bool m_hasHead = false;
     bool m_isStarted = false;
     bool m_isBodyExpected = true;
+    bool m_isBodyTooLarge = false;
 };
 
 } // namespace masticlever::http1
--- a/packages/http1/src/message-reader.cpp
+++ b/packages/http1/src/message-reader.cpp
@@ -233,8 +233,8 @@
         const std::size_t used = m_parser->put(m_pending, failure);
         m_pending.erase(0, used);
         if (failure && failure != beast::http::error::need_more) {
-            const bool isTooLarge
-                = failure == beast::http::error::header_limit || failure == beast::http::error::body_limit;
+            m_isBodyTooLarge = failure == beast::http::error::body_limit;
+            const bool isTooLarge = failure == beast::http::error::header_limit || m_isBodyTooLarge;
             return make_error_code(isTooLarge ? common::error::too_large : common::error::malformed);
         }
         if (m_parser->isDone()) {
--- a/packages/http1/test/message-reader-test.cpp
+++ b/packages/http1/test/message-reader-test.cpp
@@ -44,8 +44,8 @@
     }
     SECTION("in chunks, with extensions and trailers, which are not passed on")
     {
-        REQUIRE_FALSE(reader.feed(plainHead
-                                  + "Transfer-Encoding: chunked\r\n\r\n3;a=b\r\nabc\r\n2\r\nde\r\n0\r\nX: y\r\n\r\n"));
+        REQUIRE_FALSE(
+            reader.feed(plainHead + "Transfer-Encoding: chunked\r\n\r\n3;a=b\r\nabc\r\n2\r\nde\r\n0\r\nX: y\r\n\r\n"));
         CHECK(seen.body == "abcde");
         CHECK(seen.ends == 1);
         CHECK(seen.heads[0].framing == body_framing::chunked);
@@ -75,20 +75,38 @@
     recorder seen;
     message_reader reader(message_kind::request, {}, seen);
 
-    SECTION("two lengths") { CHECK(reader.feed(plainHead + "Content-Length: 5\r\nContent-Length: 6\r\n\r\n")); }
-    SECTION("two equal lengths") { CHECK(reader.feed(plainHead + "Content-Length: 5\r\nContent-Length: 5\r\n\r\n")); }
-    SECTION("a length that is no number") { CHECK(reader.feed(plainHead + "Content-Length: 5, 5\r\n\r\n")); }
+    SECTION("two lengths")
+    {
+        CHECK(reader.feed(plainHead + "Content-Length: 5\r\nContent-Length: 6\r\n\r\n"));
+    }
+    SECTION("two equal lengths")
+    {
+        CHECK(reader.feed(plainHead + "Content-Length: 5\r\nContent-Length: 5\r\n\r\n"));
+    }
+    SECTION("a length that is no number")
+    {
+        CHECK(reader.feed(plainHead + "Content-Length: 5, 5\r\n\r\n"));
+    }
     SECTION("a length beside chunks")
     {
         CHECK(reader.feed(plainHead + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n"));
     }
-    SECTION("another coding than chunked") { CHECK(reader.feed(plainHead + "Transfer-Encoding: xchunked\r\n\r\n")); }
+    SECTION("another coding than chunked")
+    {
+        CHECK(reader.feed(plainHead + "Transfer-Encoding: xchunked\r\n\r\n"));
+    }
     SECTION("chunked twice")
     {
         CHECK(reader.feed(plainHead + "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n"));
     }
-    SECTION("codings in a list") { CHECK(reader.feed(plainHead + "Transfer-Encoding: gzip, chunked\r\n\r\n")); }
-    SECTION("a blank before the colon") { CHECK(reader.feed("GET / HTTP/1.1\r\nHost : h\r\n\r\n")); }
+    SECTION("codings in a list")
+    {
+        CHECK(reader.feed(plainHead + "Transfer-Encoding: gzip, chunked\r\n\r\n"));
+    }
+    SECTION("a blank before the colon")
+    {
+        CHECK(reader.feed("GET / HTTP/1.1\r\nHost : h\r\n\r\n"));
+    }
     SECTION("a chunk size that is no number")
     {
         CHECK(reader.feed(plainHead + "Transfer-Encoding: chunked\r\n\r\nzz\r\n"));
@@ -114,7 +132,8 @@
     SECTION("of a body in chunks")
     {
         const std::string chunk = "6\r\nabcdef\r\n";
-        CHECK(reader.feed(plainHead + "Transfer-Encoding: chunked\r\n\r\n" + chunk + chunk) == common::error::too_large);
+        CHECK(reader.feed(plainHead + "Transfer-Encoding: chunked\r\n\r\n" + chunk + chunk)
+              == common::error::too_large);
     }
 }
 
@@ -158,5 +177,8 @@
         REQUIRE_FALSE(reader.feed("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n"));
         CHECK(seen.ends == 1);
     }
-    SECTION("but not bytes that are none") { CHECK(reader.feed("SSH-2.0-x\r\n\r\n")); }
+    SECTION("but not bytes that are none")
+    {
+        CHECK(reader.feed("SSH-2.0-x\r\n\r\n"));
+    }
 }
--- a/packages/stages/include/masticlever/stages/stage-graph.h
+++ b/packages/stages/include/masticlever/stages/stage-graph.h
@@ -36,9 +36,11 @@
     /// The piece was not made; it becomes ready again.
     void onFailed(piece_ref piece);
     /// An input of \p piece is gone. Results whose maker \p isMakerGone are made again; all inputs when none is known.
-    void onInputGone(piece_ref piece, const std::function<bool(std::string_view handle)> &isMakerGone);
+    /// Returns the handles of the former results, which may still be held.
+    std::vector<std::string> onInputGone(piece_ref piece,
+                                         const std::function<bool(std::string_view handle)> &isMakerGone);
     /// As onInputGone(), for the inputs of the request itself.
-    void onFinalInputGone(const std::function<bool(std::string_view handle)> &isMakerGone);
+    std::vector<std::string> onFinalInputGone(const std::function<bool(std::string_view handle)> &isMakerGone);
 
     /// The request itself has read its inputs: nothing needs them unless it is called again. Returns their handles.
     std::vector<std::string> releaseFinal();
@@ -76,7 +78,8 @@
     bool areInputsComplete(std::size_t index) const;
     bool isStageNeeded(std::size_t index) const;
     std::vector<std::string> releaseUnneeded();
-    void redo(std::span<const std::size_t> stages, const std::function<bool(std::string_view)> &isMakerGone);
+    std::vector<std::string> redo(std::span<const std::size_t> stages,
+                                  const std::function<bool(std::string_view)> &isMakerGone);
     void reopen(std::size_t index);
     void reopenReleasedInputs();
     std::vector<std::string> releaseStage(stage_entry &stage);
--- a/packages/stages/src/stage-graph.cpp
+++ b/packages/stages/src/stage-graph.cpp
@@ -144,13 +144,15 @@
     }
 }
 
-void stage_graph::redo(std::span<const std::size_t> stages, const std::function<bool(std::string_view)> &isMakerGone)
+std::vector<std::string> stage_graph::redo(std::span<const std::size_t> stages,
+                                           const std::function<bool(std::string_view)> &isMakerGone)
 {
+    std::vector<std::string> dropped;
     bool isAnyKnown = false;
     for (const std::size_t index : stages) {
         for (piece_entry &piece : m_stages[index].pieces) {
             if (piece.state == piece_state::made && isMakerGone(piece.handle)) {
-                piece = {};
+                dropped.push_back(std::exchange(piece, {}).handle);
                 isAnyKnown = true;
             }
         }
@@ -158,11 +160,12 @@
     for (const std::size_t index : stages) {
         for (piece_entry &piece : m_stages[index].pieces) {
             if (!isAnyKnown && piece.state == piece_state::made) {
-                piece = {};
+                dropped.push_back(std::exchange(piece, {}).handle);
             }
         }
     }
     reopenReleasedInputs();
+    return dropped;
 }
 
 /// Pieces that wait need the results before them, back to the stages that come first.
@@ -184,13 +187,14 @@
     }
 }
 
-void stage_graph::onInputGone(piece_ref ref, const std::function<bool(std::string_view)> &isMakerGone)
+std::vector<std::string> stage_graph::onInputGone(piece_ref ref,
+                                                  const std::function<bool(std::string_view)> &isMakerGone)
 {
     onFailed(ref);
-    redo(m_stages[ref.stage].spec->after, isMakerGone);
+    return redo(m_stages[ref.stage].spec->after, isMakerGone);
 }
 
-void stage_graph::onFinalInputGone(const std::function<bool(std::string_view)> &isMakerGone)
+std::vector<std::string> stage_graph::onFinalInputGone(const std::function<bool(std::string_view)> &isMakerGone)
 {
     std::vector<std::size_t> last;
     for (std::size_t i = 0; i < m_stages.size(); ++i) {
@@ -198,7 +202,7 @@
             last.push_back(i);
         }
     }
-    redo(last, isMakerGone);
+    return redo(last, isMakerGone);
 }
 
 bool stage_graph::isComplete() const
--- /dev/null
+++ b/tests/site/site-fixture.h
@@ -0,0 +1,104 @@
+#pragma once
+
+#include "site-endpoint.h"
+#include "site-store.h"
+
+#include <masticlever/common/random-source.h>
+#include <masticlever/frontend/frontend-daemon.h>
+#include <masticlever/net/stream-socket.h>
+#include <platform/platform-protocol.h>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+/// \file
+/// A site in one process: a store, endpoints and daemons on real sockets, and callers.
+
+namespace masticlever::site
+{
+
+/// Runs the event loop until \p condition holds; false after ten seconds.
+bool waitFor(const std::function<bool()> &condition);
+
+class seeded_random : public common::random_source
+{
+public:
+    std::uint64_t next() override { return m_state = m_state * 6364136223846793005ULL + 1442695040888963407ULL; }
+
+private:
+    std::uint64_t m_state = 42;
+};
+
+/// A raw connection of a caller.
+class site_caller final : private net::socket_handler, private http1::message_sink
+{
+public:
+    explicit site_caller(const std::string &address);
+
+    void send(std::string_view bytes) { m_socket->write(bytes); }
+    void leave() { m_socket->abort(); }
+
+    std::vector<http1::message_head> heads;
+    std::vector<std::string> bodies; ///< one for each head
+    std::size_t whole = 0; ///< answers that have ended
+    bool isClosed = false;
+    bool isCut = false; ///< closed in the middle of an answer
+
+private:
+    void onBytes(std::string_view bytes) override;
+    void onClosed(net::close_reason reason) override;
+    void onHead(http1::message_head head) override;
+    void onBody(std::string_view bytes) override { bodies.back() += bytes; }
+    void onEnd() override { ++whole; }
+
+    net::stream_socket::pointer m_socket;
+    http1::message_reader m_reader;
+};
+
+struct site_answer {
+    int status = 0; ///< 0: none
+    std::string body;
+    bool isWhole = false;
+    http1::message_head head;
+};
+
+class site_fixture
+{
+public:
+    explicit site_fixture(std::size_t daemons);
+    ~site_fixture();
+
+    void addEndpoint(std::unique_ptr<site_endpoint> endpoint);
+    site_endpoint &endpoint(std::size_t index) { return *m_endpoints[index]; }
+    /// Writes a configuration with the routes of the tests; \p extra is added to its routes.
+    void configure(std::uint64_t version, const std::string &extra = {});
+    std::size_t startDaemon();
+    void killDaemon(std::size_t index) { m_daemons[index].reset(); }
+    frontend::frontend_daemon &daemon(std::size_t index) { return *m_daemons[index]; }
+    const std::string &frontOf(std::size_t index) const { return m_fronts[index]; }
+    int readinessOf(std::size_t index);
+    bool waitReady(std::size_t index);
+
+    /// Text of a request on a route of the tests, with a length.
+    static std::string request(const std::string &method, const std::string &path, const std::string &id,
+                               const std::string &body = {}, const std::string &fields = {});
+    /// Sends \p text on a connection of its own and waits for the end.
+    site_answer ask(std::size_t daemon, const std::string &text);
+
+    site_store store;
+
+private:
+    std::string m_storeAddress;
+    seeded_random m_random;
+    platform::platform_protocol m_protocol;
+    std::vector<std::unique_ptr<site_endpoint>> m_endpoints;
+    std::vector<std::unique_ptr<frontend::frontend_daemon>> m_daemons;
+    std::vector<std::string> m_fronts;
+    std::vector<std::string> m_readies;
+    std::uint8_t m_network = 0; ///< third number of the daemons' addresses
+};
+
+} // namespace masticlever::site
--- /dev/null
+++ b/tests/site/site-server.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <masticlever/http1/message-reader.h>
+#include <masticlever/net/stream-socket.h>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+
+/// \file
+/// Base of the stand-ins for the users' platform: reads requests, and writes whatever bytes a test wants as answers.
+
+namespace masticlever::site
+{
+
+/// One request and the connection it came on; answers may be written at any later time.
+class site_exchange
+{
+public:
+    virtual ~site_exchange() = default;
+    virtual const http1::message_head &head() const = 0;
+    virtual const std::string &body() const = 0;
+    virtual void write(std::string_view bytes) = 0;
+    virtual void reset() = 0; ///< ends the connection at once
+    virtual void closeWhenSent() = 0;
+    virtual bool isOpen() const = 0;
+
+    void answer(int status, std::string_view body, const std::vector<http1::header_field> &fields = {});
+    /// Value of a query's parameter; empty when there is none.
+    std::string query(std::string_view name) const;
+    std::string path() const;
+    std::string field(std::string_view name) const;
+};
+
+using exchange_pointer = std::shared_ptr<site_exchange>;
+
+class site_server
+{
+public:
+    using request_handler = std::function<void(exchange_pointer exchange)>;
+
+    explicit site_server(request_handler handler);
+    ~site_server();
+
+    /// Listens on 127.0.0.1; port 0 takes any free one. Returns "IP:port".
+    std::string listen(std::uint16_t port = 0);
+    /// Ends all connections and takes no more until listen() is called again.
+    void stop();
+    std::size_t accepted() const { return m_accepted; }
+
+private:
+    class connection;
+
+    request_handler m_handler;
+    std::unique_ptr<net::listener> m_listener;
+    std::map<connection *, std::shared_ptr<connection>> m_connections;
+    std::size_t m_accepted = 0;
+};
+
+} // namespace masticlever::site
