Plan the queue of a stage service, and keep a request's pieces in one call

Change: the queue finds out what can be made in time behind what comes first; the rest has what is left and is told at once when that is nothing. A request's pieces share a call where they fit. Retry-After follows the queue's drain time.

--- a/packages/frontend/src/home-server.cpp
+++ b/packages/frontend/src/home-server.cpp
@@ -151,18 +151,26 @@
         target.queue.onLost(number, presentInstant());
         return;
     }
-    target.calls.emplace(number, running_call{std::move(sent), call.giveUpAt});
+    target.calls.emplace(number, running_call{std::move(sent), call.giveUpAt, presentInstant(), call.orders.size()});
 }
 
 void home_server::onDone(const std::string &service, std::uint64_t call, const std::string &endpointId,
                          piece_call::outcome outcome, std::string_view body)
 {
     service_queue &target = m_queues.find(service)->second;
-    m_ended.push_back(std::move(target.calls.extract(call).mapped().call));
+    running_call ended = std::move(target.calls.extract(call).mapped());
     const instant now = presentInstant();
+    const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(now - ended.sentAt);
+    m_ended.push_back(std::move(ended.call));
     if (outcome == piece_call::outcome::answered) {
         const auto results = m_protocol.readPieceAnswer(body);
         if (results) {
+            logEvent(event::piece_call_answered,
+                     {{"service", std::string_view(service)},
+                      {"endpoint", std::string_view(endpointId)},
+                      {"pieces", static_cast<std::uint64_t>(ended.pieces)},
+                      {"call_ms", std::int64_t{milliseconds.count()}},
+                      {"waiting", static_cast<std::uint64_t>(target.queue.waitingPieces())}});
             deliver(target.queue.onAnswer(call, results.value(), now));
             pump(service, target, now);
             return;
--- a/packages/frontend/src/home-server.h
+++ b/packages/frontend/src/home-server.h
@@ -49,6 +49,8 @@
     struct running_call {
         std::unique_ptr<piece_call> call;
         common::instant giveUpAt;
+        common::instant sentAt;
+        std::size_t pieces = 0;
     };
 
     struct service_queue {
--- a/packages/frontend/src/request-session.cpp
+++ b/packages/frontend/src/request-session.cpp
@@ -23,6 +23,7 @@
 constexpr int firstFailureStatus = 500;
 constexpr int conflict = 409;
 constexpr int misdirected = 421;
+constexpr int leastUrgent = 9;
 constexpr double leastWeight = 0.01; ///< of a data centre without stage endpoints
 constexpr std::size_t slowReaderBytes = 262144; ///< unsent to a caller before the endpoint is no longer read
 constexpr std::array<double, 14> latencyBuckets{0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5,
@@ -247,13 +248,31 @@
         wish.priority = m_request.priority;
         wish.resultBytes = spec.resultBytes;
         wish.effort = m_flow.graph().missingPieces();
-        wish.laterWork = m_context.pace.afterStage(*m_request.configuration, *m_request.route, stage);
+        wish.laterWork = m_context.pace.afterStage(*m_request.route, stage,
+                                                   [this](const std::string &service) { return delayOf(service); });
         wish.objective = m_flow.objective();
         wish.deadline = m_flow.deadline();
         m_context.pieces.submit(spec.service, std::move(wish), now);
     }
 }
 
+/// How long a piece of the service takes now: what its home said, or the time of a typical call.
+duration request_session::delayOf(const std::string &service) const
+{
+    const duration typical = typicalCall(*m_request.configuration, service);
+    return std::max(typical, m_context.pieces.expectedDelay(service, m_request.priority).value_or(typical));
+}
+
+/// When the stage services that refused the request are expected to have worked off what they have.
+duration request_session::timeToDrain() const
+{
+    duration longest{};
+    for (const catalog::stage_spec &stage : m_request.route->stages) {
+        longest = std::max(longest, m_context.pieces.expectedDelay(stage.service, leastUrgent).value_or(duration{}));
+    }
+    return longest;
+}
+
 void request_session::call()
 {
     const instant now = presentInstant();
@@ -473,6 +492,7 @@
     }
     std::optional<duration> retryAfter = answer.retryAfter;
     if (retryAfter) {
+        *retryAfter = std::max(*retryAfter, timeToDrain());
         // Callers that are refused together are spread, so that they do not come back together.
         constexpr std::uint64_t steps = 1024;
         *retryAfter += *retryAfter * static_cast<duration::rep>(m_context.random.next() % steps) / steps;
--- a/packages/frontend/src/request-session.h
+++ b/packages/frontend/src/request-session.h
@@ -68,6 +68,8 @@
     std::string chooseService();
     std::string chooseEndpoint(common::instant now);
     void weighDataCentres();
+    common::duration delayOf(const std::string &service) const;
+    common::duration timeToDrain() const;
 
     frontend_context &m_context;
     std::uint64_t m_number;
--- a/packages/frontend/src/service-pace.cpp
+++ b/packages/frontend/src/service-pace.cpp
@@ -21,8 +21,8 @@
     return found == m_routes.end() ? m_options.firstGuess : found->second;
 }
 
-common::duration service_pace::afterStage(const catalog::service_configuration &configuration,
-                                          const catalog::route &route, std::size_t index) const
+common::duration service_pace::afterStage(const catalog::route &route, std::size_t index,
+                                          const delay_function &delayOf) const
 {
     common::duration longest{};
     bool isFollowed = false;
@@ -30,8 +30,7 @@
         const auto &after = route.stages[i].after;
         if (std::ranges::find(after, index) != after.end()) {
             isFollowed = true;
-            longest = std::max(
-                longest, typicalCall(configuration, route.stages[i].service) + afterStage(configuration, route, i));
+            longest = std::max(longest, delayOf(route.stages[i].service) + afterStage(route, i, delayOf));
         }
     }
     return isFollowed ? longest : firstAnswer(route.name);
--- a/packages/frontend/src/service-pace.h
+++ b/packages/frontend/src/service-pace.h
@@ -4,6 +4,7 @@
 #include <masticlever/common/time.h>
 
 #include <cstddef>
+#include <functional>
 #include <map>
 #include <string>
 #include <string_view>
@@ -28,9 +29,11 @@
     void onFirstAnswer(std::string_view route, common::duration time);
     common::duration firstAnswer(std::string_view route) const;
 
-    /// Expected time from the end of stage \p index to the first answer.
-    common::duration afterStage(const catalog::service_configuration &configuration, const catalog::route &route,
-                                std::size_t index) const;
+    using delay_function = std::function<common::duration(const std::string &service)>;
+
+    /// Expected time from the end of stage \p index to the first answer; \p delayOf tells how long a piece of a
+    /// service takes now.
+    common::duration afterStage(const catalog::route &route, std::size_t index, const delay_function &delayOf) const;
 
 private:
     service_pace_options m_options;
--- a/packages/stages/include/masticlever/stages/batch-queue.h
+++ b/packages/stages/include/masticlever/stages/batch-queue.h
@@ -7,11 +7,13 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <span>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 /// \file
@@ -69,6 +71,9 @@
     common::duration forgetSlowness = std::chrono::seconds(2); ///< half-life while an endpoint is not used
     /// For so long pieces wait for an endpoint in the data centre where they are wanted, if their objective allows.
     common::duration dataCentrePatience = std::chrono::milliseconds(150);
+    common::duration arrivalWindow = std::chrono::milliseconds(1000); ///< over which the load is measured
+    /// Least part of the endpoints' time that is expected to be left for requests that miss their objective.
+    double leastLeftover = 0.1;
 };
 
 class batch_queue
@@ -121,6 +126,7 @@
     struct wish_entry {
         piece_wish wish;
         common::instant since;
+        bool isLate = false; ///< cannot make its objective behind those before it
         std::vector<std::size_t> waiting; ///< pieces in the queue
         std::size_t underWay = 0; ///< pieces in calls
     };
@@ -146,7 +152,10 @@
     double freeBytes(const endpoint_entry &endpoint) const;
     double piecesPerMicrosecond(common::instant now) const;
     std::vector<wish_map::iterator> orderedWishes(const endpoint_entry &endpoint, common::instant now);
-    bool canMakeObjective(const wish_entry &entry, common::instant now) const;
+    std::vector<wish_map::iterator> waitingByUrgency();
+    common::instant startBehind(double pieces, double rate, common::instant now) const;
+    double leftover(double rate, common::instant now) const;
+    std::vector<wish_map::iterator> plan(common::instant now);
     std::optional<batch_call> fill(endpoint_entry &endpoint, common::instant now);
     std::optional<call_entry> endCall(std::uint64_t call);
     void requeue(const call_entry &call);
@@ -162,6 +171,7 @@
     std::uint64_t m_lastWish = 0;
     std::uint64_t m_lastCall = 0;
     std::size_t m_waitingPieces = 0;
+    std::deque<std::pair<common::instant, std::size_t>> m_arrivals; ///< pieces, within the window
 };
 
 } // namespace masticlever::stages
--- a/packages/stages/src/batch-queue.cpp
+++ b/packages/stages/src/batch-queue.cpp
@@ -67,6 +67,10 @@
     entry.waiting = wish.pieces;
     entry.wish = std::move(wish);
     m_waitingPieces += entry.waiting.size();
+    m_arrivals.emplace_back(now, entry.waiting.size());
+    while (now - m_arrivals.front().first > m_options.arrivalWindow) {
+        m_arrivals.pop_front();
+    }
     m_wishes.emplace(++m_lastWish, std::move(entry));
 }
 
@@ -168,9 +172,85 @@
     return now - entry.since >= m_options.dataCentrePatience || now >= latest;
 }
 
-bool batch_queue::canMakeObjective(const wish_entry &entry, instant now) const
+/// Requests with waiting pieces, the most urgent class first, then in the order of their arrival.
+std::vector<batch_queue::wish_map::iterator> batch_queue::waitingByUrgency()
+{
+    std::vector<wish_map::iterator> waiting;
+    for (auto it = m_wishes.begin(); it != m_wishes.end(); ++it) {
+        if (!it->second.waiting.empty()) {
+            waiting.push_back(it);
+        }
+    }
+    std::ranges::stable_sort(waiting, [](const auto &left, const auto &right) {
+        return left->second.wish.priority < right->second.wish.priority;
+    });
+    return waiting;
+}
+
+/// When a piece with \p pieces before it would be taken.
+instant batch_queue::startBehind(double pieces, double rate, instant now) const
+{
+    duration busy{};
+    std::size_t places = 0;
+    std::size_t idle = 0;
+    for (const auto &[id, endpoint] : m_endpoints) {
+        if (endpoint.isListed) {
+            places += m_limits.parallelCalls;
+            idle += m_limits.parallelCalls - std::min(endpoint.calls, m_limits.parallelCalls);
+        }
+    }
+    const double atOnce = static_cast<double>(idle * m_limits.batchSize);
+    if (pieces < atOnce || places == 0) {
+        return now;
+    }
+    for (const auto &[number, call] : m_calls) {
+        busy += std::max(duration{}, call.sentAt + call.expected - now);
+    }
+    return now + busy / static_cast<duration::rep>(places) + duration(std::llround((pieces - atOnce) / rate));
+}
+
+/// Part of the endpoints' time that new requests are expected to leave.
+double batch_queue::leftover(double rate, instant now) const
+{
+    std::size_t arrived = 0;
+    for (const auto &[at, pieces] : m_arrivals) {
+        arrived += now - at <= m_options.arrivalWindow ? pieces : 0;
+    }
+    const double load = static_cast<double>(arrived) / static_cast<double>(m_options.arrivalWindow.count()) / rate;
+    return std::max(m_options.leastLeftover, 1 - load);
+}
+
+/// Finds out which requests can meet their objective behind those before them; the others have what is left of the
+/// endpoints' time. Returns those that cannot even make their deadline. Answers an overload: what is admitted is
+/// made in time, and the rest learns at once that it is not.
+std::vector<batch_queue::wish_map::iterator> batch_queue::plan(instant now)
 {
-    return now + plainCall(entry.waiting.size()) + entry.wish.laterWork <= entry.wish.objective;
+    std::vector<wish_map::iterator> hopeless;
+    const std::vector<wish_map::iterator> waiting = waitingByUrgency();
+    const double rate = piecesPerMicrosecond(now);
+    double before = 0;
+    for (const auto found : waiting) {
+        wish_entry &entry = found->second;
+        const duration rest = plainCall(std::min(entry.waiting.size(), m_limits.batchSize)) + entry.wish.laterWork;
+        const instant begin = rate > 0 ? startBehind(before, rate, now) : now;
+        entry.isLate = begin + rest > std::min(entry.wish.objective, entry.wish.deadline);
+        before += entry.isLate ? 0 : static_cast<double>(entry.waiting.size());
+    }
+    const double leftRate = rate > 0 ? rate * leftover(rate, now) : 0;
+    for (const auto found : waiting) {
+        wish_entry &entry = found->second;
+        if (!entry.isLate) {
+            continue;
+        }
+        const duration rest = plainCall(1) + entry.wish.laterWork;
+        const instant begin = leftRate > 0 ? startBehind(before, leftRate, now) : now;
+        if (begin + rest > entry.wish.deadline) {
+            hopeless.push_back(found);
+        } else {
+            before += static_cast<double>(entry.waiting.size());
+        }
+    }
+    return hopeless;
 }
 
 /// Requests that can still meet their objective go first, the most urgent class before the others, and within a
@@ -183,7 +263,7 @@
         const wish_entry &entry = it->second;
         if (!entry.waiting.empty() && isWantedAt(entry, endpoint, now)) {
             const bool isForeign = entry.wish.dataCentre != endpoint.record.dataCentre;
-            ranked.emplace_back(rank(!canMakeObjective(entry, now), entry.wish.priority, isForeign, it->first), it);
+            ranked.emplace_back(rank(entry.isLate, entry.wish.priority, isForeign, it->first), it);
         }
     }
     std::ranges::sort(ranked, [](const auto &left, const auto &right) { return left.first < right.first; });
@@ -203,17 +283,27 @@
     double room = freeBytes(endpoint);
     for (const auto found : orderedWishes(endpoint, now)) {
         wish_entry &source = found->second;
-        while (!source.waiting.empty() && call.orders.size() < m_limits.batchSize && source.wish.resultBytes <= room) {
-            const std::size_t piece = source.waiting.front();
-            source.waiting.erase(source.waiting.begin());
-            ++source.underWay;
-            room -= source.wish.resultBytes;
-            entry.reserved += source.wish.resultBytes;
+        std::size_t places = m_limits.batchSize - call.orders.size();
+        if (source.wish.resultBytes > 0) {
+            places = std::min(places, static_cast<std::size_t>(std::max(0.0, room / source.wish.resultBytes)));
+        }
+        // A request waits for the last of its pieces and holds the others' results meanwhile: they stay together.
+        const bool isSplit = places < source.waiting.size();
+        if (isSplit && (!call.orders.empty() || places < std::min(source.waiting.size(), m_limits.batchSize) / 2)) {
+            continue;
+        }
+        places = std::min(places, source.waiting.size());
+        for (std::size_t i = 0; i < places; ++i) {
+            const std::size_t piece = source.waiting[i];
             entry.pieces.push_back({source.wish.owner, source.wish.job, piece, source.wish.stage});
             entry.wishes.push_back(found->first);
             call.orders.push_back({source.wish.requestId, source.wish.stage, piece, source.wish.deadline - now,
                                    source.wish.key, source.wish.inputs});
         }
+        source.waiting.erase(source.waiting.begin(), source.waiting.begin() + static_cast<std::ptrdiff_t>(places));
+        source.underWay += places;
+        room -= source.wish.resultBytes * static_cast<double>(places);
+        entry.reserved += source.wish.resultBytes * static_cast<double>(places);
         if (call.orders.size() >= m_limits.batchSize) {
             break;
         }
@@ -239,6 +329,9 @@
 std::vector<batch_call> batch_queue::takeCalls(instant now)
 {
     std::vector<batch_call> calls;
+    if (m_waitingPieces > 0) {
+        plan(now);
+    }
     for (endpoint_entry *endpoint : idleEndpoints(now)) {
         while (m_waitingPieces > 0 && endpoint->calls < m_limits.parallelCalls) {
             auto call = fill(*endpoint, now);
@@ -353,19 +446,13 @@
 std::vector<finished_piece> batch_queue::takeHopeless(instant now)
 {
     std::vector<finished_piece> hopeless;
-    for (auto it = m_wishes.begin(); it != m_wishes.end();) {
-        const auto current = it++;
-        wish_entry &entry = current->second;
-        const bool isHopeless
-            = now + plainCall(1) + entry.wish.laterWork > entry.wish.deadline && !entry.waiting.empty();
-        if (!isHopeless) {
-            continue;
-        }
+    for (const auto found : plan(now)) {
+        const wish_entry &entry = found->second;
         for (const std::size_t piece : entry.waiting) {
             hopeless.push_back(
                 {{entry.wish.owner, entry.wish.job, piece, entry.wish.stage}, {{}, protocol::piece_failure::late}});
         }
-        dropWish(current);
+        dropWish(found);
     }
     return hopeless;
 }
--- a/packages/telemetry/include/masticlever/telemetry/events.h
+++ b/packages/telemetry/include/masticlever/telemetry/events.h
@@ -77,6 +77,7 @@
 
     piece_call_failed = 820,
     home_lost = 821,
+    piece_call_answered = 822,
 
     stop_began = 830,
     stopped = 831,
--- a/packages/telemetry/src/event-catalogue.cpp
+++ b/packages/telemetry/src/event-catalogue.cpp
@@ -63,6 +63,7 @@
     {store_reachable, "store_reachable", info},
     {piece_call_failed, "piece_call_failed", warning},
     {home_lost, "home_lost", warning},
+    {piece_call_answered, "piece_call_answered", debug},
     {stop_began, "stop_began", info},
     {stopped, "stopped", info},
     {settings_reloaded, "settings_reloaded", info},
