Make stages where their inputs are, and run requests where heavy inputs are

Change: a stage is wanted where most of its inputs are; the model endpoint is the one with the least cost of prompt tokens read again and megabytes moved, 330 tokens a megabyte by the operators' prices.

--- a/packages/forwarding/include/masticlever/forwarding/endpoint-choice.h
+++ b/packages/forwarding/include/masticlever/forwarding/endpoint-choice.h
@@ -30,6 +30,9 @@
     common::duration longestRest = std::chrono::seconds(8);
     double learningRate = 0.1; ///< weight of one outcome in the share of failures
     double failureShareToAvoid = 0.25; ///< endpoints above it come after the others
+    /// Prompt tokens that may as well be read again as a megabyte of inputs moved between data centres; from the
+    /// prices that the operators put on both.
+    double tokensPerMegabyte = 330;
 };
 
 enum class call_outcome { answered, failed, unreachable, rejected };
@@ -37,6 +40,16 @@
 /// Shares of the requests that the data centres should get; those not named get a weight of 1.
 using data_centre_weights = std::map<std::string, double, std::less<>>;
 
+/// Bytes of a request's inputs by the data centre that holds them.
+using data_centre_bytes = std::map<std::string, double, std::less<>>;
+
+/// What a choice depends on beside the request's prompt.
+struct placement {
+    std::string_view dataCentre; ///< of this instance
+    const data_centre_weights &weights;
+    const data_centre_bytes &inputs;
+};
+
 class endpoint_choice
 {
 public:
@@ -45,8 +58,7 @@
     /// \p excluded are endpoints that this request has been to. Empty when there is none.
     std::string choose(std::span<const catalog::endpoint_record *const> endpoints,
                        std::span<const std::string> excluded, const protocol::request_attributes &request,
-                       std::string_view dataCentre, const data_centre_weights &weights, common::instant now,
-                       common::random_source &random);
+                       const placement &place, common::instant now, common::random_source &random);
 
     void onCallBegins(const std::string &id) { ++m_endpoints[id].inFlight; }
     void onCallEnds(const std::string &id, call_outcome outcome, common::instant now);
@@ -68,10 +80,13 @@
         std::size_t inFlight = 0;
         bool isAvoided = false;
         double rank = 0; ///< for the prompt's shared parts, least first
+        double cost = 0; ///< tokens to be read again, or their equal in bytes to be moved
         std::uint64_t tieBreak = 0;
     };
 
     const endpoint_state *find(std::string_view id) const;
+    void addCosts(std::vector<candidate> &candidates, const protocol::request_attributes &request,
+                  const placement &place) const;
 
     endpoint_choice_options m_options;
     std::map<std::string, endpoint_state, std::less<>> m_endpoints;
--- a/packages/forwarding/src/endpoint-choice.cpp
+++ b/packages/forwarding/src/endpoint-choice.cpp
@@ -50,10 +50,28 @@
     return state != nullptr && now < state->restsUntil;
 }
 
+/// The endpoint with the least rank has the shared parts; any other one reads them again.
+void endpoint_choice::addCosts(std::vector<candidate> &candidates, const protocol::request_attributes &request,
+                               const placement &place) const
+{
+    constexpr double bytesPerMegabyte = 1e6;
+    double shared = 0;
+    for (std::size_t i = 0; i + 1 < request.prompt.size(); ++i) {
+        shared += static_cast<double>(request.prompt[i].tokens);
+    }
+    const auto home = std::ranges::min_element(candidates, {}, &candidate::rank);
+    for (auto it = candidates.begin(); it != candidates.end(); ++it) {
+        it->cost = it == home ? 0 : shared;
+        for (const auto &[dataCentre, bytes] : place.inputs) {
+            it->cost
+                += dataCentre == it->record->dataCentre ? 0 : bytes / bytesPerMegabyte * m_options.tokensPerMegabyte;
+        }
+    }
+}
+
 std::string endpoint_choice::choose(std::span<const catalog::endpoint_record *const> endpoints,
                                     std::span<const std::string> excluded, const protocol::request_attributes &request,
-                                    std::string_view dataCentre, const data_centre_weights &weights,
-                                    common::instant now, common::random_source &random)
+                                    const placement &place, common::instant now, common::random_source &random)
 {
     const std::string_view part = affinityPart(request);
     const std::uint64_t key = part.empty() ? 0 : common::stableHash(part);
@@ -64,23 +82,27 @@
             continue;
         }
         const endpoint_state *state = find(record->id);
-        candidate added{record, state == nullptr ? 0 : state->inFlight, false, 0, random.next()};
+        candidate added;
+        added.record = record;
+        added.inFlight = state == nullptr ? 0 : state->inFlight;
+        added.tieBreak = random.next();
         added.isAvoided
             = state != nullptr && (now < state->restsUntil || state->failureShare > m_options.failureShareToAvoid);
-        added.rank = part.empty() ? 0 : weightedRank(key, *record, weights);
+        added.rank = part.empty() ? 0 : weightedRank(key, *record, place.weights);
         total += added.inFlight;
         candidates.push_back(added);
     }
     if (candidates.empty()) {
         return {};
     }
+    addCosts(candidates, request, place);
     const double mean = static_cast<double>(total) / static_cast<double>(candidates.size());
     const double bound = mean * m_options.boundFactor + static_cast<double>(m_options.freeRequests);
     const auto order = [&](const candidate &c) {
         const bool isOver = part.empty() || static_cast<double>(c.inFlight) > bound;
-        const bool isRemote = c.record->dataCentre != dataCentre;
+        const bool isRemote = c.record->dataCentre != place.dataCentre;
         // Above the bound the least busy one wins, a near one among equals.
-        return std::tuple(c.isAvoided, isOver, isOver ? c.inFlight : 0, isOver && isRemote, c.rank, c.tieBreak);
+        return std::tuple(c.isAvoided, isOver, isOver ? c.inFlight : 0, isOver && isRemote, c.cost, c.rank, c.tieBreak);
     };
     const auto best = std::ranges::min_element(
         candidates, [&](const candidate &left, const candidate &right) { return order(left) < order(right); });
--- a/packages/forwarding/test/endpoint-choice-test.cpp
+++ b/packages/forwarding/test/endpoint-choice-test.cpp
@@ -41,6 +41,14 @@
     }
 };
 
+const data_centre_weights noWeights;
+const data_centre_bytes noInputs;
+
+placement nowhere(std::string_view dataCentre)
+{
+    return {dataCentre, noWeights, noInputs};
+}
+
 protocol::request_attributes prompt(const std::string &shared, const std::string &own)
 {
     protocol::request_attributes attributes;
@@ -56,7 +64,7 @@
     endpoint_choice choice({});
     counting_random random;
     const auto choose = [&](const protocol::request_attributes &request) {
-        return choice.choose(models.pointers, {}, request, "west", {}, start, random);
+        return choice.choose(models.pointers, {}, request, nowhere("west"), start, random);
     };
     const std::string home = choose(prompt("p1", "own1"));
     CHECK(choose(prompt("p1", "own2")) == home);
@@ -79,7 +87,7 @@
     SECTION("not to one that this request has been to")
     {
         const std::vector<std::string> excluded{home};
-        CHECK(choice.choose(models.pointers, excluded, prompt("p1", "own"), "west", {}, start, random) != home);
+        CHECK(choice.choose(models.pointers, excluded, prompt("p1", "own"), nowhere("west"), start, random) != home);
     }
     SECTION("not to one that cannot be reached, for a while")
     {
@@ -91,6 +99,26 @@
     }
 }
 
+TEST_CASE("Inputs draw a request to their data centre when they weigh more than the shared prompt")
+{
+    service models(9);
+    endpoint_choice choice({});
+    counting_random random;
+    const auto dataCentreOf = [&](const std::string &id) {
+        return std::ranges::find(models.records, id, &catalog::endpoint_record::id)->dataCentre;
+    };
+    for (int i = 0; i < 30; ++i) {
+        protocol::request_attributes request = prompt("part" + std::to_string(i), "own");
+        const std::string home = choice.choose(models.pointers, {}, request, nowhere("west"), start, random);
+        const data_centre_bytes inputs{{"east", 2e6}};
+        const placement place{"west", noWeights, inputs};
+        request.prompt[0].tokens = 100;
+        CHECK(dataCentreOf(choice.choose(models.pointers, {}, request, place, start, random)) == "east");
+        request.prompt[0].tokens = 6000;
+        CHECK(choice.choose(models.pointers, {}, request, place, start, random) == home);
+    }
+}
+
 TEST_CASE("Data centres get requests by their weights")
 {
     service models(9);
@@ -100,8 +128,8 @@
     std::map<std::string, int> counts;
     constexpr int requests = 3000;
     for (int i = 0; i < requests; ++i) {
-        const std::string chosen = choice.choose(models.pointers, {}, prompt("part" + std::to_string(i), "own"), "west",
-                                                 weights, start, random);
+        const std::string chosen = choice.choose(models.pointers, {}, prompt("part" + std::to_string(i), "own"),
+                                                 placement{"west", weights, noInputs}, start, random);
         const auto record = std::ranges::find(models.records, chosen, &catalog::endpoint_record::id);
         ++counts[record->dataCentre];
     }
@@ -115,7 +143,7 @@
     endpoint_choice choice({});
     counting_random random;
     const auto choose
-        = [&](std::string_view from) { return choice.choose(desk.pointers, {}, {}, from, {}, start, random); };
+        = [&](std::string_view from) { return choice.choose(desk.pointers, {}, {}, nowhere(from), start, random); };
     CHECK(choose("north") == "e1");
     choice.onCallBegins("e1");
     CHECK(choose("north") != "e1");
@@ -134,7 +162,7 @@
     {
         service lone(1);
         choice.onCallEnds("e0", call_outcome::unreachable, start);
-        CHECK(choice.choose(lone.pointers, {}, {}, "west", {}, start, random) == "e0");
+        CHECK(choice.choose(lone.pointers, {}, {}, nowhere("west"), start, random) == "e0");
     }
 }
 
--- a/packages/frontend/src/piece-service.cpp
+++ b/packages/frontend/src/piece-service.cpp
@@ -283,15 +283,26 @@
     }
 }
 
-bool piece_service::isMakerGone(std::string_view handle) const
+const catalog::endpoint_record *piece_service::findMaker(std::string_view handle) const
 {
     const auto service = m_services.find(handle);
     if (service == m_services.end()) {
-        return true;
+        return nullptr;
     }
-    const std::string_view maker = makerOf(handle);
     const auto endpoints = m_directory.usable(service->second);
-    return std::ranges::none_of(endpoints, [&](const auto *record) { return record->address == maker; });
+    const auto found = std::ranges::find(endpoints, makerOf(handle), &catalog::endpoint_record::address);
+    return found == endpoints.end() ? nullptr : *found;
+}
+
+bool piece_service::isMakerGone(std::string_view handle) const
+{
+    return findMaker(handle) == nullptr;
+}
+
+std::string piece_service::dataCentreOf(std::string_view handle) const
+{
+    const catalog::endpoint_record *maker = findMaker(handle);
+    return maker == nullptr ? std::string() : maker->dataCentre;
 }
 
 std::optional<duration> piece_service::expectedDelay(const std::string &service, int priority) const
--- a/packages/frontend/src/piece-service.h
+++ b/packages/frontend/src/piece-service.h
@@ -50,6 +50,8 @@
     void cancel(std::uint64_t job);
     void release(const std::vector<std::string> &handles);
     bool isMakerGone(std::string_view handle) const;
+    /// Where a result is held; empty when its maker is not known.
+    std::string dataCentreOf(std::string_view handle) const;
     /// Expected time until a new piece would be made, from what its home last said; nothing when it has not.
     std::optional<common::duration> expectedDelay(const std::string &service, int priority) const;
     void onTick(common::instant now);
@@ -79,6 +81,7 @@
     void onResults(std::uint64_t owner, stages::results_message message);
     void takeResults(const stages::results_message &message);
     void sendStatus(common::instant now);
+    const catalog::endpoint_record *findMaker(std::string_view handle) const;
     std::size_t awaitedFrom(const std::string &address) const;
 
     piece_service_options m_options;
--- a/packages/frontend/src/request-session.cpp
+++ b/packages/frontend/src/request-session.cpp
@@ -134,8 +134,32 @@
 
 std::string request_session::chooseEndpoint(instant now)
 {
+    const forwarding::data_centre_bytes inputs = finalInputBytes();
+    const forwarding::placement place{m_context.settings.dataCentre, m_weights, inputs};
     return m_context.choice.choose(m_context.directory.usable(m_service), m_flow.excluded(), m_request.attributes,
-                                   m_context.settings.dataCentre, m_weights, now, m_context.random);
+                                   place, now, m_context.random);
+}
+
+/// Where most of the inputs of a stage are; where the request is expected to run when there are none.
+std::string request_session::dataCentreOfInputs(std::size_t stage) const
+{
+    std::map<std::string, std::size_t> counts;
+    for (const std::string &handle : m_flow.graph().inputsOf(stage)) {
+        ++counts[m_context.pieces.dataCentreOf(handle)];
+    }
+    const auto most = std::ranges::max_element(counts, {}, &std::pair<const std::string, std::size_t>::second);
+    return most == counts.end() || most->first.empty() ? m_dataCentre : most->first;
+}
+
+forwarding::data_centre_bytes request_session::finalInputBytes() const
+{
+    forwarding::data_centre_bytes bytes;
+    for (const std::size_t stage : m_request.route->finalStages()) {
+        for (const std::string &handle : m_flow.graph().handlesOf(stage)) {
+            bytes[m_context.pieces.dataCentreOf(handle)] += m_request.route->stages[stage].resultBytes;
+        }
+    }
+    return bytes;
 }
 
 void request_session::begin()
@@ -244,7 +268,7 @@
         wish.stage = stage;
         wish.inputs = m_flow.graph().inputsOf(stage);
         wish.key = wish.inputs.empty() ? m_request.attributes.pieceKey : std::string();
-        wish.dataCentre = m_dataCentre;
+        wish.dataCentre = dataCentreOfInputs(stage);
         wish.priority = m_request.priority;
         wish.resultBytes = spec.resultBytes;
         wish.effort = m_flow.graph().missingPieces();
--- a/packages/frontend/src/request-session.h
+++ b/packages/frontend/src/request-session.h
@@ -67,6 +67,8 @@
     void finish(std::string_view outcome, int status, std::string_view reason);
     std::string chooseService();
     std::string chooseEndpoint(common::instant now);
+    std::string dataCentreOfInputs(std::size_t stage) const;
+    forwarding::data_centre_bytes finalInputBytes() const;
     void weighDataCentres();
     common::duration delayOf(const std::string &service) const;
     common::duration timeToDrain() const;
--- a/packages/stages/include/masticlever/stages/stage-graph.h
+++ b/packages/stages/include/masticlever/stages/stage-graph.h
@@ -50,6 +50,8 @@
     bool isComplete() const;
     /// Handles of all results that stage \p index reads, in the order of stages and pieces.
     std::vector<std::string> inputsOf(std::size_t index) const;
+    /// Handles of the results of stage \p index that are there.
+    std::vector<std::string> handlesOf(std::size_t index) const;
     /// Handles that the request itself reads.
     std::vector<std::string> finalInputs() const;
     /// All handles that are still held.
--- a/packages/stages/src/stage-graph.cpp
+++ b/packages/stages/src/stage-graph.cpp
@@ -250,17 +250,24 @@
     return handles;
 }
 
-std::vector<std::string> stage_graph::heldHandles() const
+std::vector<std::string> stage_graph::handlesOf(std::size_t index) const
 {
     std::vector<std::string> handles;
-    for (const stage_entry &entry : m_stages) {
-        for (const piece_entry &piece : entry.pieces) {
-            if (piece.state == piece_state::made) {
-                handles.push_back(piece.handle);
-            }
+    for (const piece_entry &piece : m_stages[index].pieces) {
+        if (piece.state == piece_state::made) {
+            handles.push_back(piece.handle);
         }
     }
     return handles;
 }
 
+std::vector<std::string> stage_graph::heldHandles() const
+{
+    std::vector<std::string> handles;
+    for (std::size_t i = 0; i < m_stages.size(); ++i) {
+        std::ranges::move(handlesOf(i), std::back_inserter(handles));
+    }
+    return handles;
+}
+
 } // namespace masticlever::stages
