Read the endpoints' registrations once a second

While the store is away callers were told to come back after half a second, into the same outage. Change: one second between reads; without a configuration and a store the time to come back is a third of the deadline.

--- a/packages/frontend/include/masticlever/frontend/topic-follower.h
+++ b/packages/frontend/include/masticlever/frontend/topic-follower.h
@@ -15,7 +15,8 @@
 {
 
 struct topic_follower_options {
-    common::duration pollInterval = std::chrono::milliseconds(500); ///< between reads that do not wait
+    /// Between reads that do not wait: half of the time in which a leaving endpoint must get no new work.
+    common::duration pollInterval = std::chrono::milliseconds(1000);
     common::duration wait{}; ///< for how long a read waits at the store for a record
     common::duration firstRetry = std::chrono::milliseconds(100); ///< after a failed call; doubles
     common::duration longestRetry = std::chrono::milliseconds(800);
--- a/packages/frontend/src/daemon-core.cpp
+++ b/packages/frontend/src/daemon-core.cpp
@@ -251,7 +251,12 @@
               {"status", std::int64_t{status}},
               {"reason", reason},
               {"configuration", m_configuration ? m_configuration->version() : 0}});
-    const auto retryAfter = status == unavailable ? std::optional(startRetryAfter) : std::nullopt;
+    std::optional<duration> retryAfter;
+    if (status == unavailable) {
+        // Without a configuration it is not known when the store is back: as late as the caller can still be served.
+        const duration latest = attributes.deadline.value_or(startRetryAfter) / 3;
+        retryAfter = m_storeLostAt ? std::max(startRetryAfter, latest) : startRetryAfter;
+    }
     caller.beginAnswer(m_protocol.ownAnswer(status, attributes.requestId, retryAfter), 0);
     caller.endAnswer();
 }
