Let one instance read the endpoints' registrations for the fleet

Configurations stay on each instance's own long poll. Removed endpoints are now remembered for two minutes.

--- a/packages/catalog/include/masticlever/catalog/endpoint-directory.h
+++ b/packages/catalog/include/masticlever/catalog/endpoint-directory.h
@@ -47,6 +47,8 @@
 struct directory_options {
     /// An entry that lapsed during an outage of the store may come back for so long after its return.
     common::duration lapseGrace = std::chrono::milliseconds(2000);
+    /// For so long a removed endpoint is remembered, so that an older record of it does not bring it back.
+    common::duration rememberRemoved = std::chrono::minutes(2);
 };
 
 class endpoint_directory
@@ -71,6 +73,8 @@
     std::vector<const endpoint_record *> usable(std::string_view service) const;
     /// The endpoint if it may be given work.
     const endpoint_record *findUsable(std::string_view id) const;
+    /// All known registrations, those of leaving endpoints too, by id.
+    std::vector<endpoint_record> records() const;
     std::size_t size() const { return m_entries.size(); }
 
 private:
@@ -80,14 +84,22 @@
         std::optional<common::instant> lapsedAt; ///< removed while the store was away
     };
 
+    struct removed_entry {
+        std::uint64_t bornMs = 0;
+        std::uint64_t sequence = 0;
+        common::instant at;
+    };
+
+    bool isOutdated(const endpoint_record &record) const;
     bool isStoreSuspect(common::instant now) const;
-    std::vector<directory_change> erase(std::map<std::string, entry, std::less<>>::iterator found);
+    std::vector<directory_change> erase(std::map<std::string, entry, std::less<>>::iterator found, common::instant now);
     void indexService(const endpoint_record &record);
     void unindexService(const endpoint_record &record);
 
     directory_options m_options;
     std::map<std::string, entry, std::less<>> m_entries; ///< by id
     std::map<std::string, std::vector<std::string>, std::less<>> m_byService; ///< ids, sorted
+    std::map<std::string, removed_entry, std::less<>> m_removed; ///< by id
     bool m_isStoreReachable = false;
     std::optional<common::instant> m_storeBackAt;
 };
--- a/packages/catalog/src/endpoint-directory.cpp
+++ b/packages/catalog/src/endpoint-directory.cpp
@@ -28,6 +28,14 @@
     std::erase(m_byService[record.service], record.id);
 }
 
+/// A record that is no newer than the one that was removed; one of another start is not older.
+bool endpoint_directory::isOutdated(const endpoint_record &record) const
+{
+    const auto removed = m_removed.find(record.id);
+    return removed != m_removed.end()
+        && std::tuple(record.bornMs, record.sequence) <= std::tuple(removed->second.bornMs, removed->second.sequence);
+}
+
 bool endpoint_directory::isStoreSuspect(common::instant now) const
 {
     return !m_isStoreReachable || (m_storeBackAt && now - *m_storeBackAt < m_options.lapseGrace);
@@ -36,6 +44,10 @@
 std::vector<directory_change> endpoint_directory::onRecord(const endpoint_record &record, common::instant /*now*/)
 {
     using what = directory_change::what;
+    if (isOutdated(record)) {
+        return {};
+    }
+    m_removed.erase(record.id);
     const auto found = m_entries.find(record.id);
     if (found == m_entries.end()) {
         m_entries.emplace(record.id, entry{record, record.state == endpoint_state::draining, std::nullopt});
@@ -66,10 +78,13 @@
     return {};
 }
 
-std::vector<directory_change> endpoint_directory::erase(std::map<std::string, entry, std::less<>>::iterator found)
+std::vector<directory_change> endpoint_directory::erase(std::map<std::string, entry, std::less<>>::iterator found,
+                                                        common::instant now)
 {
     std::vector<directory_change> changes{change(directory_change::what::removed, found->second.record)};
-    unindexService(found->second.record);
+    const endpoint_record &record = found->second.record;
+    m_removed[record.id] = {record.bornMs, record.sequence, now};
+    unindexService(record);
     m_entries.erase(found);
     return changes;
 }
@@ -84,7 +99,7 @@
         found->second.lapsedAt = found->second.lapsedAt.value_or(now);
         return {};
     }
-    return erase(found);
+    return erase(found, now);
 }
 
 std::vector<directory_change> endpoint_directory::onListing(std::span<const std::string> ids, common::instant now)
@@ -122,6 +137,7 @@
 
 std::vector<directory_change> endpoint_directory::advance(common::instant now)
 {
+    std::erase_if(m_removed, [&](const auto &item) { return now - item.second.at > m_options.rememberRemoved; });
     if (isStoreSuspect(now)) {
         return {};
     }
@@ -133,7 +149,7 @@
     }
     std::vector<directory_change> changes;
     for (const std::string &id : ended) {
-        std::ranges::move(erase(m_entries.find(id)), std::back_inserter(changes));
+        std::ranges::move(erase(m_entries.find(id), now), std::back_inserter(changes));
     }
     return changes;
 }
@@ -153,6 +169,16 @@
     return found;
 }
 
+std::vector<endpoint_record> endpoint_directory::records() const
+{
+    std::vector<endpoint_record> all;
+    all.reserve(m_entries.size());
+    for (const auto &[id, known] : m_entries) {
+        all.push_back(known.record);
+    }
+    return all;
+}
+
 const endpoint_record *endpoint_directory::findUsable(std::string_view id) const
 {
     const auto found = m_entries.find(id);
--- a/packages/catalog/test/endpoint-directory-test.cpp
+++ b/packages/catalog/test/endpoint-directory-test.cpp
@@ -78,6 +78,13 @@
         REQUIRE(changes.size() == 1);
         CHECK(changes[0].kind == what::removed);
         CHECK(directory.findUsable("a") == nullptr);
+
+        SECTION("and an old record does not bring it back, a newer one does")
+        {
+            CHECK(directory.onRecord(record("a", 1, 1), start + 1s).empty());
+            CHECK(directory.findUsable("a") == nullptr);
+            CHECK(directory.onRecord(record("a", 1, 2), start + 1s).size() == 1);
+        }
     }
     SECTION("one that a whole listing lacks is gone, the others stay")
     {
--- a/packages/frontend/include/masticlever/frontend/topic-follower.h
+++ b/packages/frontend/include/masticlever/frontend/topic-follower.h
@@ -21,6 +21,7 @@
     common::duration firstRetry = std::chrono::milliseconds(100); ///< after a failed call; doubles
     common::duration longestRetry = std::chrono::milliseconds(800);
     common::duration timeout = std::chrono::milliseconds(1500); ///< of a call, besides its wait
+    common::duration hurryGap = std::chrono::milliseconds(200); ///< between reads that were hurried
 };
 
 struct follow_call {
@@ -49,8 +50,10 @@
     /// The records that follow are no longer kept.
     void onTruncated(common::instant now);
     void onFailure(common::instant now);
-    /// Reads at once, as something new is known to be there.
+    /// Reads at once, as something new is known to be there; not more often than every hurryGap.
     void hurry(common::instant now);
+    /// Another instance has just read the topic: nothing has to be read here until \p until.
+    void defer(common::instant until);
     /// Forgets the position: what was read may be out of date.
     void restart(common::instant now);
 
@@ -69,6 +72,8 @@
     std::uint64_t m_from = 0;
     std::optional<std::uint64_t> m_listedEnd; ///< of the first page, as pages are not a snapshot
     common::instant m_dueAt;
+    common::instant m_calledAt;
+    bool m_isDeferred = false;
     common::instant m_heardAt;
     common::duration m_retry{};
 };
--- a/packages/frontend/src/daemon-core.cpp
+++ b/packages/frontend/src/daemon-core.cpp
@@ -4,8 +4,11 @@
 
 #include <QCoreApplication>
 
+#include <algorithm>
 #include <ctime>
+#include <iterator>
 #include <utility>
+#include <variant>
 
 namespace masticlever::frontend
 {
@@ -42,7 +45,7 @@
 topic_follower_options configurationFollowing()
 {
     topic_follower_options options;
-    options.wait = std::chrono::seconds(8);
+    options.wait = std::chrono::seconds(15); // a call that waits is one call to the store's budget
     return options;
 }
 
@@ -104,9 +107,13 @@
           [this](const follow_news &news) { onEndpointNews(news); },
           [this](bool isReachable) { onStoreReach(isReachable); }),
       m_instanceLane(m_settings.storeAddress),
+      m_feed({},
+             {[this](std::uint64_t subscriber, const stages::home_message &message) {
+                  m_pieces.sendToOwner(subscriber, message);
+              },
+              [this](const stages::directory_message &news) { onDirectoryNews(news); }}),
       m_fleet(m_settings, m_incarnation,
-              {[this] { return m_configurationText; },
-               [this] { return m_configuration ? m_configuration->version() : 0; },
+              {[this] { return m_configurationText; }, [this] { return version(); },
                [this](const std::string &text) { followConfiguration(text, "peer"); },
                [this](std::uint64_t) { m_configurationWatch.hurry(m_now); }}),
       m_status([this](const http1::message_head &head) {
@@ -121,6 +128,13 @@
       m_front([this](int descriptor) { onCaller(descriptor); }),
       m_homes([this](int descriptor) { m_pieces.onConnection(descriptor); })
 {
+    m_pieces.setOwnerHandlers(
+        [this](std::uint64_t owner, const stages::home_message &message) {
+            if (std::holds_alternative<stages::subscribe_message>(message)) {
+                m_feed.onSubscriber(owner);
+            }
+        },
+        [this](std::uint64_t owner) { m_feed.onSubscriberGone(owner); });
     QObject::connect(&m_timer, &QTimer::timeout, &m_timer, [this] { onTick(); });
 }
 
@@ -181,6 +195,11 @@
     m_fleet.setContacts(settings.contacts);
 }
 
+std::uint64_t daemon_core::version() const
+{
+    return m_configuration ? m_configuration->version() : 0;
+}
+
 bool daemon_core::isReady() const
 {
     return m_configuration && !m_stoppingSince && m_endpointWatch.follower().hasListed();
@@ -250,7 +269,7 @@
              {{"request", std::string_view(attributes.requestId)},
               {"status", std::int64_t{status}},
               {"reason", reason},
-              {"configuration", m_configuration ? m_configuration->version() : 0}});
+              {"configuration", version()}});
     std::optional<duration> retryAfter;
     if (status == unavailable) {
         // Without a configuration it is not known when the store is back: as late as the caller can still be served.
@@ -343,7 +362,7 @@
         logEvent(event::record_ignored, {{"topic", "configuration"}, {"source", source}, {"reason", "malformed"}});
         return;
     }
-    const std::uint64_t former = m_configuration ? m_configuration->version() : 0;
+    const std::uint64_t former = version();
     if (m_configuration && read.value().version() <= former) {
         return;
     }
@@ -383,6 +402,31 @@
         take(m_directory.onListing(news.listedKeys, now));
     }
     applyChanges(changes);
+    m_feed.onRead(m_directory.records(), version());
+}
+
+/// What another instance has read from the store a moment ago.
+void daemon_core::onDirectoryNews(const stages::directory_message &news)
+{
+    const instant now = presentInstant();
+    std::vector<catalog::directory_change> changes;
+    const auto take
+        = [&](std::vector<catalog::directory_change> more) { std::ranges::move(more, std::back_inserter(changes)); };
+    std::vector<std::string> ids;
+    for (const catalog::endpoint_record &record : news.changed) {
+        take(m_directory.onRecord(record, now));
+        ids.push_back(record.id);
+    }
+    for (const std::string &id : news.removed) {
+        take(m_directory.onRemoved(id, now));
+    }
+    if (news.isWhole) {
+        take(m_directory.onListing(ids, now));
+    }
+    applyChanges(changes);
+    if (news.configurationVersion > version()) {
+        m_configurationWatch.hurry(now);
+    }
 }
 
 void daemon_core::applyChanges(const std::vector<catalog::directory_change> &changes)
@@ -482,11 +526,16 @@
     const instant now = presentInstant();
     noticePause(now);
     m_now = now;
+    m_feed.setMembers(m_fleet.homes(now), m_incarnation, version(), now);
+    m_feed.onTick(now);
+    if (now < m_feed.freshUntil()) {
+        m_endpointWatch.defer(m_feed.freshUntil());
+    }
     m_configurationWatch.onTick(now);
     m_endpointWatch.onTick(now);
     tendInstances(now);
     applyChanges(m_directory.advance(now));
-    m_fleet.setState(!m_storeLostAt, m_configuration ? m_configuration->version() : 0);
+    m_fleet.setState(!m_storeLostAt, version());
     m_fleet.onTick(now);
     m_retries.onFleetSize(m_fleet.liveCount());
     m_pieces.setMembers(m_fleet.homes(now), m_incarnation);
--- a/packages/frontend/src/daemon-core.h
+++ b/packages/frontend/src/daemon-core.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "caller-connection.h"
+#include "directory-feed.h"
 #include "fleet-host.h"
 #include "frontend-context.h"
 #include "request-session.h"
@@ -52,6 +53,7 @@
     void onConfigurationNews(const follow_news &news);
     void followConfiguration(const std::string &text, std::string_view source);
     void onEndpointNews(const follow_news &news);
+    void onDirectoryNews(const stages::directory_message &news);
     void onStoreReach(bool isReachable);
     void onInstanceListing(common::result<store_lane::store_answer> answer);
     void applyChanges(const std::vector<catalog::directory_change> &changes);
@@ -62,6 +64,7 @@
     void sweep(common::instant now);
     void advanceStop(common::instant now);
     bool isReady() const;
+    std::uint64_t version() const; ///< of the configuration in force; 0: none
     request_session *findSession(std::uint64_t number);
 
     frontend_settings m_settings;
@@ -80,6 +83,7 @@
     store_watch m_configurationWatch;
     store_watch m_endpointWatch;
     store_lane m_instanceLane;
+    directory_feed m_feed;
     fleet_host m_fleet;
     status_server m_status;
     net::listener m_front;
--- /dev/null
+++ b/packages/frontend/src/directory-feed.cpp
@@ -0,0 +1,120 @@
+#include "directory-feed.h"
+
+#include "frontend-context.h"
+
+#include <utility>
+#include <variant>
+
+namespace masticlever::frontend
+{
+
+using common::instant;
+
+namespace
+{
+
+constexpr std::string_view duty = "endpoint registrations"; ///< what the reader is chosen for
+
+/// Whether a subscriber has to be told: heartbeats only raise the sequence.
+bool isNews(const catalog::endpoint_record &known, catalog::endpoint_record now)
+{
+    now.sequence = known.sequence;
+    now.warmUpLeft = known.warmUpLeft;
+    return now != known;
+}
+
+} // namespace
+
+directory_feed::directory_feed(directory_feed_options options, event_handlers handlers)
+    : m_options(options), m_handlers(std::move(handlers))
+{ }
+
+directory_feed::~directory_feed() = default;
+
+void directory_feed::setMembers(const std::vector<stages::home_candidate> &members, const std::string &self,
+                                std::uint64_t configurationVersion, instant now)
+{
+    std::vector<stages::home_candidate> candidates = members;
+    for (stages::home_candidate &candidate : candidates) {
+        const auto avoided = m_avoided.find(candidate.address);
+        candidate.isAvoided = candidate.incarnation != self && avoided != m_avoided.end() && now < avoided->second;
+    }
+    const stages::home_candidate *reader = stages::chooseHome(duty, candidates);
+    const bool isSelf = reader == nullptr || reader->incarnation == self;
+    const std::string address = isSelf ? std::string() : reader->address;
+    if (address != m_reader) {
+        follow(address, configurationVersion, now);
+    }
+}
+
+void directory_feed::unfollow()
+{
+    if (m_link) {
+        m_link->close();
+        m_ended = std::move(m_link);
+    }
+    m_reader.clear();
+}
+
+void directory_feed::follow(const std::string &address, std::uint64_t configurationVersion, instant now)
+{
+    unfollow();
+    const auto target = net::parseAddress(address);
+    if (!target) {
+        return;
+    }
+    m_reader = address;
+    m_followedAt = now;
+    home_link::event_handlers handlers;
+    handlers.onMessage = [this](home_link &, stages::home_message message) {
+        if (auto *news = std::get_if<stages::directory_message>(&message)) {
+            m_freshUntil = presentInstant() + m_options.freshFor;
+            m_handlers.onNews(std::move(*news));
+        }
+    };
+    handlers.onClosed = [this](home_link &) {
+        m_avoided[m_reader] = presentInstant() + m_options.avoidFor;
+        unfollow();
+    };
+    m_link = std::make_unique<home_link>(target.value(), std::move(handlers), now);
+    m_link->send(stages::subscribe_message{configurationVersion});
+}
+
+void directory_feed::onRead(const std::vector<catalog::endpoint_record> &records, std::uint64_t configurationVersion)
+{
+    if (m_subscribers.empty()) {
+        m_told.clear();
+        return;
+    }
+    stages::directory_message news;
+    news.configurationVersion = configurationVersion;
+    std::map<std::string, catalog::endpoint_record> present;
+    for (const catalog::endpoint_record &record : records) {
+        const auto known = m_told.find(record.id);
+        if (known == m_told.end() || isNews(known->second, record)) {
+            news.changed.push_back(record);
+        }
+        present.emplace(record.id, record);
+    }
+    for (const auto &[id, record] : m_told) {
+        if (!present.contains(id)) {
+            news.removed.push_back(id);
+        }
+    }
+    m_told = std::move(present);
+    const stages::directory_message whole{configurationVersion, true, records, {}};
+    for (auto &[subscriber, isTold] : m_subscribers) {
+        m_handlers.send(subscriber, std::exchange(isTold, true) ? news : whole);
+    }
+}
+
+void directory_feed::onTick(instant now)
+{
+    m_ended.reset();
+    if (m_link && now > std::max(m_freshUntil, m_followedAt + m_options.freshFor)) {
+        m_avoided[m_reader] = now + m_options.avoidFor;
+        unfollow();
+    }
+}
+
+} // namespace masticlever::frontend
--- a/packages/frontend/src/piece-service.cpp
+++ b/packages/frontend/src/piece-service.cpp
@@ -161,6 +161,20 @@
                                     presentInstant()));
 }
 
+void piece_service::setOwnerHandlers(owner_handler onMessage, std::function<void(std::uint64_t owner)> onGone)
+{
+    m_onOtherMessage = std::move(onMessage);
+    m_onOwnerGone = std::move(onGone);
+}
+
+void piece_service::sendToOwner(std::uint64_t owner, const stages::home_message &message)
+{
+    const auto found = m_owners.find(owner);
+    if (found != m_owners.end()) {
+        found->second->send(message);
+    }
+}
+
 void piece_service::onOwnerMessage(std::uint64_t owner, stages::home_message message)
 {
     const instant now = presentInstant();
@@ -173,12 +187,17 @@
         m_server.onCancel(owner, cancelled->job);
     } else if (const auto *released = std::get_if<stages::release_message>(&message)) {
         m_server.onRelease(released->service, released->handles);
+    } else if (m_onOtherMessage) {
+        m_onOtherMessage(owner, std::move(message));
     }
 }
 
 void piece_service::onOwnerClosed(std::uint64_t owner)
 {
     m_server.onOwnerGone(owner);
+    if (m_onOwnerGone) {
+        m_onOwnerGone(owner);
+    }
     if (auto node = m_owners.extract(owner)) {
         m_ended.push_back(std::move(node.mapped()));
     }
--- a/packages/frontend/src/piece-service.h
+++ b/packages/frontend/src/piece-service.h
@@ -35,6 +35,8 @@
     using result_handler
         = std::function<void(std::uint64_t job, stages::piece_ref piece, const protocol::piece_result &result)>;
 
+    using owner_handler = std::function<void(std::uint64_t owner, stages::home_message message)>;
+
     piece_service(piece_service_options options, const protocol::site_protocol &protocol, endpoint_pool &pool,
                   catalog::endpoint_directory &directory, result_handler onResult);
     ~piece_service();
@@ -45,6 +47,9 @@
     void setMembers(std::vector<stages::home_candidate> members, const std::string &self);
     /// Another instance has connected to this home.
     void onConnection(int descriptor);
+    /// Messages of connected instances that do not concern stage results, and their end.
+    void setOwnerHandlers(owner_handler onMessage, std::function<void(std::uint64_t owner)> onGone);
+    void sendToOwner(std::uint64_t owner, const stages::home_message &message);
 
     void submit(const std::string &service, stages::piece_wish wish, common::instant now);
     void cancel(std::uint64_t job);
@@ -97,6 +102,8 @@
     std::vector<std::unique_ptr<home_link>> m_ended; ///< deleted outside of their own calls
     std::map<std::string, std::string, std::less<>> m_services; ///< service that made a result, by handle
     std::map<std::string, std::vector<std::int64_t>, std::less<>> m_delays; ///< by service
+    owner_handler m_onOtherMessage;
+    std::function<void(std::uint64_t owner)> m_onOwnerGone;
     std::uint64_t m_lastOwner = 0;
     common::instant m_statusAt;
 };
--- a/packages/frontend/src/store-watch.h
+++ b/packages/frontend/src/store-watch.h
@@ -25,6 +25,7 @@
 
     void onTick(common::instant now);
     void hurry(common::instant now) { m_follower.hurry(now); }
+    void defer(common::instant until) { m_follower.defer(until); }
     /// After a pause of the process.
     void restart(common::instant now);
     const topic_follower &follower() const { return m_follower; }
--- a/packages/frontend/src/topic-follower.cpp
+++ b/packages/frontend/src/topic-follower.cpp
@@ -12,10 +12,12 @@
         return std::nullopt;
     }
     m_isUnderWay = true;
+    m_calledAt = now;
     if (m_isListing) {
         return follow_call{true, m_afterKey, 0, {}, m_options.timeout};
     }
-    return follow_call{false, {}, m_from, m_options.wait, m_options.wait + m_options.timeout};
+    const common::duration wait = std::exchange(m_isDeferred, false) ? common::duration{} : m_options.wait;
+    return follow_call{false, {}, m_from, wait, wait + m_options.timeout};
 }
 
 follow_news topic_follower::onListing(protocol::listing_page page, common::instant now)
@@ -77,7 +79,15 @@
 
 void topic_follower::hurry(common::instant now)
 {
-    m_dueAt = std::min(m_dueAt, now);
+    m_dueAt = std::min(m_dueAt, std::max(now, m_calledAt + m_options.hurryGap));
+}
+
+void topic_follower::defer(common::instant until)
+{
+    if (m_hasListed && !m_isListing) {
+        m_dueAt = std::max(m_dueAt, until);
+        m_isDeferred = true;
+    }
 }
 
 void topic_follower::restart(common::instant now)
--- a/packages/stages/include/masticlever/stages/home-messages.h
+++ b/packages/stages/include/masticlever/stages/home-messages.h
@@ -12,8 +12,9 @@
 #include <vector>
 
 /// \file
-/// Messages between an instance that needs stage results and the home of the stage's service, and their wire form:
-/// length of what follows (4 bytes, big endian), then cereal's portable binary form.
+/// Messages between an instance that needs stage results and the home of the stage's service, or that follows the
+/// endpoints and the one that reads them for the fleet. Wire form: length of what follows (4 bytes, big endian), then
+/// cereal's portable binary form.
 
 namespace masticlever::stages
 {
@@ -58,7 +59,21 @@
     std::vector<service_delay> services;
 };
 
-using home_message = std::variant<wish_message, cancel_message, release_message, results_message, status_message>;
+/// Asks an instance to pass on what it reads of the endpoints' registrations.
+struct subscribe_message {
+    std::uint64_t configurationVersion = 0; ///< in force at the subscriber
+};
+
+/// What an instance has just read from the store.
+struct directory_message {
+    std::uint64_t configurationVersion = 0;
+    bool isWhole = false; ///< endpoints that \c changed lacks are gone
+    std::vector<catalog::endpoint_record> changed;
+    std::vector<std::string> removed; ///< ids
+};
+
+using home_message = std::variant<wish_message, cancel_message, release_message, results_message, status_message,
+                                  subscribe_message, directory_message>;
 
 constexpr std::size_t maximumHomeMessageBytes = std::size_t{1024} * 1024;
 
--- a/packages/stages/src/home-messages.cpp
+++ b/packages/stages/src/home-messages.cpp
@@ -18,6 +18,34 @@
 
 } // namespace
 
+template <typename Archive> void serializeRecord(Archive &archive, catalog::endpoint_record &record)
+{
+    std::uint64_t slots = record.slots;
+    auto state = static_cast<std::uint8_t>(record.state);
+    std::int64_t warmUpLeft = record.warmUpLeft.count();
+    archive(record.id, record.bornMs, record.sequence, record.service, record.address, record.dataCentre, slots, state,
+            warmUpLeft);
+    record.slots = slots;
+    record.state = state == 0 ? catalog::endpoint_state::ready : catalog::endpoint_state::draining;
+    record.warmUpLeft = common::duration(warmUpLeft);
+}
+
+} // namespace masticlever::stages
+
+namespace masticlever::catalog
+{
+
+// Found by argument-dependent lookup, hence in the namespace of the type.
+template <typename Archive> void serialize(Archive &archive, endpoint_record &record)
+{
+    stages::serializeRecord(archive, record);
+}
+
+} // namespace masticlever::catalog
+
+namespace masticlever::stages
+{
+
 template <typename Archive> void serialize(Archive &archive, wish_message &message)
 {
     piece_wish &wish = message.wish;
@@ -65,6 +93,16 @@
     archive(message.services);
 }
 
+template <typename Archive> void serialize(Archive &archive, subscribe_message &message)
+{
+    archive(message.configurationVersion);
+}
+
+template <typename Archive> void serialize(Archive &archive, directory_message &message)
+{
+    archive(message.configurationVersion, message.isWhole, message.changed, message.removed);
+}
+
 std::string encodeHomeMessage(const home_message &message)
 {
     std::ostringstream stream;
--- a/packages/stages/test/home-messages-test.cpp
+++ b/packages/stages/test/home-messages-test.cpp
@@ -44,6 +44,20 @@
         CHECK(got.deadlineLeft == 99);
         CHECK(bytes.empty());
     }
+    SECTION("registrations of endpoints")
+    {
+        catalog::endpoint_record record{
+            "i-1", 5, 6, "desk", "10.0.0.1:80", "west", 8, catalog::endpoint_state::draining, common::duration(7)};
+        std::string bytes = encodeHomeMessage(directory_message{9, true, {record}, {"i-2"}});
+        const auto taken = takeHomeMessage(bytes);
+        REQUIRE(taken);
+        const auto &got = std::get<directory_message>(*taken.value());
+        CHECK(got.configurationVersion == 9);
+        CHECK(got.isWhole);
+        REQUIRE(got.changed.size() == 1);
+        CHECK(got.changed[0] == record);
+        CHECK(got.removed == std::vector<std::string>{"i-2"});
+    }
     SECTION("the others, one after the other from one stream")
     {
         std::string bytes = encodeHomeMessage(cancel_message{3}) + encodeHomeMessage(release_message{"b", {"h"}})
