--- a/tests/site/site-endpoint.cpp
+++ b/tests/site/site-endpoint.cpp
@@ -43,7 +43,7 @@
 std::string site_endpoint::registration(const std::string &state) const
 {
     return compact({{QStringLiteral("service"), QString::fromStdString(m_service)},
-                    {QStringLiteral("addr"), QString::fromStdString(m_address)},
+                    {QStringLiteral("addr"), QString::fromStdString(publicAddress())},
                     {QStringLiteral("zone"), QString::fromStdString(m_dataCentre)},
                     {QStringLiteral("version"), QStringLiteral("v1")},
                     {QStringLiteral("slots"), 8},
@@ -224,7 +224,7 @@
             answered.append(QJsonObject{{QStringLiteral("reason"), QStringLiteral("gone")}});
             continue;
         }
-        const std::string handle = m_address + "/" + std::to_string(++m_lastResult);
+        const std::string handle = publicAddress() + "/" + std::to_string(++m_lastResult);
         results.insert(handle);
         answered.append(QJsonObject{{QStringLiteral("handle"), QString::fromStdString(handle)}});
     }
--- a/tests/site/site-endpoint.h
+++ b/tests/site/site-endpoint.h
@@ -55,6 +55,8 @@
     /// Returns "IP:port".
     std::string start(std::uint16_t port = 0);
     void stop() { m_server.stop(); }
+    /// Address by which it is known, when it is not its own.
+    void setPublicAddress(std::string address) { m_publicAddress = std::move(address); }
     /// Value of its registration in the store.
     std::string registration(const std::string &state = "ready") const;
 
@@ -73,6 +75,7 @@
     std::size_t connections() const { return m_server.accepted(); }
 
 private:
+    const std::string &publicAddress() const { return m_publicAddress.empty() ? m_address : m_publicAddress; }
     void onRequest(const exchange_pointer &exchange);
     void onStageRun(const exchange_pointer &exchange);
     void onStageFree(const exchange_pointer &exchange);
@@ -88,6 +91,7 @@
     std::string m_service;
     std::string m_dataCentre;
     std::string m_address;
+    std::string m_publicAddress;
     site_server m_server;
     QObject m_timers; ///< context of the timers, which end with it
     std::uint64_t m_lastResult = 0;
--- a/tests/site/site-fixture.h
+++ b/tests/site/site-fixture.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "site-caller.h"
 #include "site-endpoint.h"
 #include "site-store.h"
 
@@ -32,32 +33,6 @@
     std::uint64_t m_state = 42;
 };
 
-/// A raw connection of a caller.
-class site_caller final : private net::socket_handler, private http1::message_sink
-{
-public:
-    explicit site_caller(const std::string &address);
-
-    void send(std::string_view bytes) { m_socket->write(bytes); }
-    void leave() { m_socket->abort(); }
-
-    std::vector<http1::message_head> heads;
-    std::vector<std::string> bodies; ///< one for each head
-    std::size_t whole = 0; ///< answers that have ended
-    bool isClosed = false;
-    bool isCut = false; ///< closed in the middle of an answer
-
-private:
-    void onBytes(std::string_view bytes) override;
-    void onClosed(net::close_reason reason) override;
-    void onHead(http1::message_head head) override;
-    void onBody(std::string_view bytes) override { bodies.back() += bytes; }
-    void onEnd() override { ++whole; }
-
-    net::stream_socket::pointer m_socket;
-    http1::message_reader m_reader;
-};
-
 struct site_answer {
     int status = 0; ///< 0: none
     std::string body;
