Follow the fleet ten times a second; let a lapsed registration come back as it was

A registration that lapses and is written again unchanged was taken for an old one. Change: the live instances are collected every 100 ms with their hashes kept; only older records than the removed one are ignored; an instance that cannot reach the store asks for the configuration every 1.6 s.

--- a/packages/catalog/src/endpoint-directory.cpp
+++ b/packages/catalog/src/endpoint-directory.cpp
@@ -28,7 +28,7 @@
     std::erase(m_byService[record.service], record.id);
 }
 
-/// A record that is no newer than the one that was removed; one of another start is not older.
+/// A record that is older than the one that was removed. The same one may be written again after a lapse.
 bool endpoint_directory::isOutdated(const endpoint_record &record) const
 {
     const auto removed = m_removed.find(record.id);
--- a/packages/frontend/src/daemon-core.cpp
+++ b/packages/frontend/src/daemon-core.cpp
@@ -23,6 +23,7 @@
 
 constexpr std::chrono::milliseconds tick{25}; ///< deadlines are met to within one tick
 constexpr int backlog = 512;
+constexpr duration fleetInterval = std::chrono::milliseconds(100); ///< half of the time between heartbeats
 constexpr duration pauseLimit = std::chrono::milliseconds(700); ///< a gap between ticks above it is a pause
 constexpr duration storeLossLimit = std::chrono::milliseconds(400); ///< failures for less are not an outage
 constexpr duration badRequestInterval = std::chrono::seconds(1); ///< between log lines
@@ -46,6 +47,7 @@
 {
     topic_follower_options options;
     options.wait = std::chrono::seconds(15); // a call that waits is one call to the store's budget
+    options.longestRetry = std::chrono::milliseconds(1600); // an instance that is cut off must not use up the budget
     return options;
 }
 
@@ -162,7 +164,6 @@
     if (!m_fleet.listen()) {
         return "cannot listen on " + m_settings.gossipAddress;
     }
-    m_pieces.setMembers(m_fleet.homes(m_now), m_incarnation);
     m_timer.start(tick);
     onTick();
     logEvent(event::started,
@@ -521,12 +522,27 @@
     m_endpointWatch.restart(now);
 }
 
+/// Follows who is live; costs time in proportion to the fleet, hence not at every tick.
+void daemon_core::tendFleet(instant now)
+{
+    if (now < m_fleetDueAt) {
+        return;
+    }
+    m_fleetDueAt = now + fleetInterval;
+    m_fleet.setState(!m_storeLostAt, version());
+    m_fleet.onTick(now);
+    m_retries.onFleetSize(m_fleet.liveCount());
+    const std::vector<stages::home_candidate> members = m_fleet.homes();
+    m_pieces.setMembers(members, m_incarnation);
+    m_feed.setMembers(members, m_incarnation, version(), now);
+}
+
 void daemon_core::onTick()
 {
     const instant now = presentInstant();
     noticePause(now);
     m_now = now;
-    m_feed.setMembers(m_fleet.homes(now), m_incarnation, version(), now);
+    tendFleet(now);
     m_feed.onTick(now);
     if (now < m_feed.freshUntil()) {
         m_endpointWatch.defer(m_feed.freshUntil());
@@ -535,10 +551,6 @@
     m_endpointWatch.onTick(now);
     tendInstances(now);
     applyChanges(m_directory.advance(now));
-    m_fleet.setState(!m_storeLostAt, version());
-    m_fleet.onTick(now);
-    m_retries.onFleetSize(m_fleet.liveCount());
-    m_pieces.setMembers(m_fleet.homes(now), m_incarnation);
     m_pieces.onTick(now);
     m_status.onTick(now);
     sweep(now);
--- a/packages/frontend/src/daemon-core.h
+++ b/packages/frontend/src/daemon-core.h
@@ -59,6 +59,7 @@
     void applyChanges(const std::vector<catalog::directory_change> &changes);
 
     void onTick();
+    void tendFleet(common::instant now);
     void noticePause(common::instant now);
     void tendInstances(common::instant now);
     void sweep(common::instant now);
@@ -95,6 +96,7 @@
     std::uint64_t m_lastSession = 0;
     common::instant m_now;
     common::instant m_startedAt;
+    common::instant m_fleetDueAt;
     std::optional<common::instant> m_stoppingSince;
     std::optional<common::instant> m_storeLostAt;
     bool m_isStoreReported = true; ///< the last state that was logged
--- a/packages/frontend/src/fleet-host.cpp
+++ b/packages/frontend/src/fleet-host.cpp
@@ -123,16 +123,20 @@
     return address.value().toString();
 }
 
-std::vector<stages::home_candidate> fleet_host::homes(common::instant now) const
+void fleet_host::collectHomes(const std::vector<membership::instance_notice> &live)
 {
-    std::vector<stages::home_candidate> candidates;
-    for (const membership::instance_notice &notice : m_table.liveInstances(now)) {
+    m_homes.clear();
+    std::map<std::string, std::uint64_t> rankKeys;
+    for (const membership::instance_notice &notice : live) {
+        const auto known = m_rankKeys.find(notice.incarnation);
+        const std::uint64_t key = known == m_rankKeys.end() ? common::stableHash(notice.incarnation) : known->second;
+        rankKeys[notice.incarnation] = key;
         const std::string address = homeAddressOf(notice.peerAddress);
         if (!notice.leaving && !address.empty()) {
-            candidates.push_back({notice.incarnation, address, common::stableHash(notice.incarnation), false});
+            m_homes.push_back({notice.incarnation, address, key, false});
         }
     }
-    return candidates;
+    m_rankKeys = std::move(rankKeys);
 }
 
 void fleet_host::logChanges(const std::vector<membership::instance_notice> &live)
@@ -160,6 +164,7 @@
 {
     const auto live = m_table.liveInstances(now);
     m_liveCount = live.size();
+    collectHomes(live);
     logChanges(live);
     std::uint64_t newest = 0;
     for (const membership::instance_notice &notice : live) {
--- a/packages/frontend/src/fleet-host.h
+++ b/packages/frontend/src/fleet-host.h
@@ -6,7 +6,9 @@
 #include <masticlever/peers/peer-service.h>
 #include <masticlever/stages/home-choice.h>
 
+#include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -38,14 +40,15 @@
     void announceLeaving();
     void onTick(common::instant now);
 
-    /// Live instances that may be homes, this one included unless it is leaving and not alone.
-    std::vector<stages::home_candidate> homes(common::instant now) const;
+    /// Live instances that may be homes, this one included unless it is leaving; as of the last tick.
+    const std::vector<stages::home_candidate> &homes() const { return m_homes; }
     std::size_t liveCount() const { return m_liveCount; }
     /// Gossip addresses of the live instances.
     const std::string &gossipAddress() const { return m_gossipAddress; }
 
 private:
     std::string homeAddressOf(const std::string &gossipAddress) const;
+    void collectHomes(const std::vector<membership::instance_notice> &live);
     void logChanges(const std::vector<membership::instance_notice> &live);
 
     event_handlers m_handlers;
@@ -54,6 +57,8 @@
     membership::membership_table m_table;
     std::unique_ptr<peers::peer_service> m_service;
     std::vector<std::string> m_known; ///< live incarnations that were logged
+    std::vector<stages::home_candidate> m_homes;
+    std::map<std::string, std::uint64_t> m_rankKeys; ///< by incarnation
     std::size_t m_liveCount = 1;
 };
 
