Hand the queue of a leaving home back

Change: 300 ms after SIGTERM, when the others know, waiting pieces are handed back as failed, and their owners order them at the next home. Calls under way are finished. Ruled out: engine faults (no E803 of those seconds names a stage endpoint's loss).

--- a/packages/catalog/src/endpoint-directory.cpp
+++ b/packages/catalog/src/endpoint-directory.cpp
@@ -33,7 +33,7 @@
 {
     const auto removed = m_removed.find(record.id);
     return removed != m_removed.end()
-        && std::tuple(record.bornMs, record.sequence) <= std::tuple(removed->second.bornMs, removed->second.sequence);
+        && std::tuple(record.bornMs, record.sequence) < std::tuple(removed->second.bornMs, removed->second.sequence);
 }
 
 bool endpoint_directory::isStoreSuspect(common::instant now) const
--- a/packages/frontend/src/daemon-core.cpp
+++ b/packages/frontend/src/daemon-core.cpp
@@ -33,6 +33,7 @@
     = std::chrono::milliseconds(500); ///< for callers of an instance that has no configuration
 /// After SIGTERM: the balancer's two misses, one second each, and the connections opened meanwhile.
 constexpr duration lameDuck = std::chrono::milliseconds(2600);
+constexpr duration leavingKnownAfter = std::chrono::milliseconds(300); ///< a round of gossip and a half
 constexpr duration stopMargin = std::chrono::milliseconds(400); ///< before the process would be killed
 constexpr double bodyMemoryShare = 0.35; ///< of the process's memory, for bodies of requests and answers
 constexpr std::size_t defaultMemory = 256u << 20;
@@ -575,6 +576,9 @@
 void daemon_core::advanceStop(instant now)
 {
     const duration stopping = now - *m_stoppingSince;
+    if (stopping >= leavingKnownAfter && !std::exchange(m_hasHandedBack, true)) {
+        m_pieces.handBack();
+    }
     if (stopping < lameDuck) {
         return;
     }
--- a/packages/frontend/src/daemon-core.h
+++ b/packages/frontend/src/daemon-core.h
@@ -98,6 +98,7 @@
     common::instant m_startedAt;
     common::instant m_fleetDueAt;
     std::optional<common::instant> m_stoppingSince;
+    bool m_hasHandedBack = false;
     std::optional<common::instant> m_storeLostAt;
     bool m_isStoreReported = true; ///< the last state that was logged
     bool m_hasPublished = false;
--- a/packages/frontend/src/home-server.cpp
+++ b/packages/frontend/src/home-server.cpp
@@ -229,6 +229,13 @@
     }
 }
 
+void home_server::handBack()
+{
+    for (auto &[service, target] : m_queues) {
+        deliver(target.queue.handBack());
+    }
+}
+
 stages::status_message home_server::status(instant now) const
 {
     stages::status_message message;
--- a/packages/frontend/src/home-server.h
+++ b/packages/frontend/src/home-server.h
@@ -41,6 +41,8 @@
     void onOwnerGone(std::uint64_t owner);
     void onRelease(const std::string &service, const std::vector<std::string> &handles);
     void onTick(common::instant now);
+    /// This instance is leaving: what waits here is to be made by the next home.
+    void handBack();
 
     /// Delays of all services that have a queue here.
     stages::status_message status(common::instant now) const;
--- a/packages/frontend/src/piece-service.h
+++ b/packages/frontend/src/piece-service.h
@@ -60,6 +60,8 @@
     /// Expected time until a new piece would be made, from what its home last said; nothing when it has not.
     std::optional<common::duration> expectedDelay(const std::string &service, int priority) const;
     void onTick(common::instant now);
+    /// This instance is leaving, and the others know it.
+    void handBack() { m_server.handBack(); }
     /// After a pause of the process: what the links say is out of date.
     void onPause();
 
--- a/packages/stages/include/masticlever/stages/batch-queue.h
+++ b/packages/stages/include/masticlever/stages/batch-queue.h
@@ -101,6 +101,9 @@
     /// Pieces that can no longer be made in time; they are dropped.
     std::vector<finished_piece> takeHopeless(common::instant now);
 
+    /// All pieces that wait, as failed ones: another home is to make them.
+    std::vector<finished_piece> handBack();
+
     std::size_t waitingPieces() const { return m_waitingPieces; }
     std::size_t callsUnderWay() const { return m_calls.size(); }
     /// Time until a piece of that priority that is ordered now would be made.
@@ -161,6 +164,7 @@
     void requeue(const call_entry &call);
     void rest(const std::string &endpointId, common::instant until);
     void dropWish(wish_map::iterator found);
+    std::vector<finished_piece> drop(std::span<const wish_map::iterator> wishes, protocol::piece_failure reason);
     void expireResults(endpoint_entry &endpoint, common::instant now);
 
     batch_queue_options m_options;
--- a/packages/stages/src/batch-queue.cpp
+++ b/packages/stages/src/batch-queue.cpp
@@ -443,18 +443,28 @@
     }
 }
 
-std::vector<finished_piece> batch_queue::takeHopeless(instant now)
+std::vector<finished_piece> batch_queue::drop(std::span<const wish_map::iterator> wishes,
+                                              protocol::piece_failure reason)
 {
-    std::vector<finished_piece> hopeless;
-    for (const auto found : plan(now)) {
+    std::vector<finished_piece> dropped;
+    for (const auto found : wishes) {
         const wish_entry &entry = found->second;
         for (const std::size_t piece : entry.waiting) {
-            hopeless.push_back(
-                {{entry.wish.owner, entry.wish.job, piece, entry.wish.stage}, {{}, protocol::piece_failure::late}});
+            dropped.push_back({{entry.wish.owner, entry.wish.job, piece, entry.wish.stage}, {{}, reason}});
         }
         dropWish(found);
     }
-    return hopeless;
+    return dropped;
+}
+
+std::vector<finished_piece> batch_queue::takeHopeless(instant now)
+{
+    return drop(plan(now), protocol::piece_failure::late);
+}
+
+std::vector<finished_piece> batch_queue::handBack()
+{
+    return drop(waitingByUrgency(), protocol::piece_failure::failed);
 }
 
 double batch_queue::piecesPerMicrosecond(instant now) const
--- a/packages/stages/test/batch-queue-test.cpp
+++ b/packages/stages/test/batch-queue-test.cpp
@@ -226,6 +226,22 @@
     }
 }
 
+TEST_CASE("A home that leaves hands its queue back and finishes the calls under way")
+{
+    service endpoints(1);
+    batch_queue queue({}, limits());
+    queue.setEndpoints(endpoints.pointers());
+    queue.onWish(wish(1, 4), start);
+    const auto calls = queue.takeCalls(start);
+    queue.onWish(wish(2, 3), start);
+    const auto back = queue.handBack();
+    REQUIRE(back.size() == 3);
+    CHECK(back[0].piece.job == 2);
+    CHECK(back[0].result.failure == protocol::piece_failure::failed);
+    CHECK(queue.waitingPieces() == 0);
+    CHECK(queue.onAnswer(calls[0].number, made(calls[0]), start + 240ms).size() == 4);
+}
+
 TEST_CASE("An overload is told at once")
 {
     service endpoints(2);
