--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -2,6 +2,7 @@
 #include "soak-fleet.h"
 
 #include "site-caller.h"
+#include "site-configuration.h"
 #include "site-endpoint.h"
 #include "site-store.h"
 
@@ -38,26 +39,6 @@
 constexpr int settleLimit = 9000; ///< ms for requests under way to end: more than their deadline
 constexpr std::size_t streamEvents = 6;
 
-std::string configuration()
-{
-    const auto route = [](const std::string &name, const std::string &kind, const std::string &more) {
-        return R"({"name":")" + name + R"(","host":"site.example","path_prefix":"/)" + name + R"(/","kind":")" + kind
-            + R"(","timeout_ms":4000,"target_latency_ms":1000,"priority":1,)" + more + "}";
-    };
-    const std::string stage
-        = R"("health_path":"/h","max_conns":64,"pieces":{"slots":1,"queue":2,"batch":4,"call_ms":20,"item_ms":1,)"
-          R"("headroom_mb":20,"handle_s":4}})";
-    return R"({"version":1,"routes":[)" + route("safe", "safe", R"("service":"desk","max_attempts":2)") + ","
-        + route("order", "unsafe", R"("service":"desk","max_attempts":2)") + ","
-        + route("chat", "streaming",
-                R"("service":"model","max_attempts":3,"resumable":true,"sticky":true,"stages":[)"
-                R"({"service":"encode","bytes":100},{"service":"rank","after":[0],"bytes":50}])")
-        + R"(],"services":[{"name":"desk","health_path":"/h","max_conns":64},)"
-          R"({"name":"model","health_path":"/h","max_conns":64,"engine":{"slots":8,"stride":1}},{"name":"encode",)"
-        + stage + R"(,{"name":"rank",)" + stage + R"(],"limits":{"max_header_bytes":4096,"max_body_bytes":65536,)"
-        + R"("header_timeout_ms":3000,"idle_timeout_ms":15000},"tenants":[{"name":"t","api_keys":["key-1"]}]})";
-}
-
 /// One request and what its caller has seen of it.
 struct observed_request {
     std::string id;
@@ -74,7 +55,7 @@
         : m_random(seed), m_planted(std::move(planted)), m_storeProxy(m_store.start()),
           m_fleet(program, daemons, m_storeProxy.listen())
     {
-        m_store.put("keyed.op", "config", configuration());
+        m_store.put("keyed.op", "config", site::demoConfiguration());
         using kind = site_endpoint::kind;
         for (int i = 0; i < 3; ++i) {
             addEndpoint("d" + std::to_string(i), kind::plain, "desk");
