Take a lost connection for no outage of the store

After connections fell silent an instance lost its store connection for one time-out (1.6 s); what it then read as removed was kept two seconds as a possible lapse. Change: the grace for lapsed entries needs an outage of 2.5 s or more. Figures: the new test fails before and passes after.

--- a/packages/catalog/include/masticlever/catalog/endpoint-directory.h
+++ b/packages/catalog/include/masticlever/catalog/endpoint-directory.h
@@ -47,6 +47,8 @@
 struct directory_options {
     /// An entry that lapsed during an outage of the store may come back for so long after its return.
     common::duration lapseGrace = std::chrono::milliseconds(2000);
+    /// Shorter absences make no entry lapse: endpoints register more than twice in that time.
+    common::duration shortestOutage = std::chrono::milliseconds(2500);
     /// For so long a removed endpoint is remembered, so that an older record of it does not bring it back.
     common::duration rememberRemoved = std::chrono::minutes(2);
 };
@@ -101,7 +103,8 @@
     std::map<std::string, std::vector<std::string>, std::less<>> m_byService; ///< ids, sorted
     std::map<std::string, removed_entry, std::less<>> m_removed; ///< by id
     bool m_isStoreReachable = false;
-    std::optional<common::instant> m_storeBackAt;
+    std::optional<common::instant> m_storeLostAt;
+    std::optional<common::instant> m_storeBackAt; ///< after an outage in which entries may have lapsed
 };
 
 } // namespace masticlever::catalog
--- a/packages/catalog/src/endpoint-directory.cpp
+++ b/packages/catalog/src/endpoint-directory.cpp
@@ -129,8 +129,11 @@
 
 void endpoint_directory::onStoreReachable(bool isReachable, common::instant now)
 {
-    if (isReachable && !m_isStoreReachable) {
-        m_storeBackAt = now;
+    if (!isReachable) {
+        m_storeLostAt = m_storeLostAt.value_or(now);
+    } else if (const auto lostAt = std::exchange(m_storeLostAt, std::nullopt)) {
+        // One lost connection is no outage: what is removed then has left, and gets no more work.
+        m_storeBackAt = now - *lostAt >= m_options.shortestOutage ? std::optional(now) : m_storeBackAt;
     }
     m_isStoreReachable = isReachable;
 }
--- a/packages/catalog/test/endpoint-directory-test.cpp
+++ b/packages/catalog/test/endpoint-directory-test.cpp
@@ -108,6 +108,18 @@
     }
 }
 
+TEST_CASE("A store that could not be reached for a moment makes nothing lapse")
+{
+    // A connection that fell silent costs one time-out; an endpoint that left meanwhile gets no more work.
+    endpoint_directory directory({});
+    directory.onStoreReachable(true, start - 10s);
+    directory.onRecord(record("a"), start);
+    directory.onStoreReachable(false, start);
+    directory.onStoreReachable(true, start + 1600ms);
+    CHECK(directory.onRemoved("a", start + 1600ms).size() == 1);
+    CHECK(directory.findUsable("a") == nullptr);
+}
+
 TEST_CASE("Entries that lapse while the store is away may come back")
 {
     endpoint_directory directory({});
