Wait for a registration by what was written after it, not by eight lucky requests

The test took eight requests in a row at the other endpoint as the sign that a drained registration was followed. Ruled out: the daemon; the log shows endpoint_changed neither before nor after the eight requests. Change: a third endpoint is registered after the change, and its first request is the sign; registrations are followed in order. The check itself is the same: no request reaches the drained endpoint.

--- a/tests/site/forwarding-test.cpp
+++ b/tests/site/forwarding-test.cpp
@@ -214,13 +214,13 @@
     SECTION("after its registration says so")
     {
         site.store.put("keyed.servers", "d1", site.desk().registration("draining"));
+        // Registrations are followed in order: who is sent requests has been followed after what was written before.
+        site.addEndpoint(std::make_unique<site_endpoint>("d3", kind::plain, "desk", "west"));
         REQUIRE(waitFor([&] {
-            site.desk().runs.clear();
-            for (int i = 0; i < 8; ++i) {
-                site.ask(0, site.request("GET", "/safe/", "p"));
-            }
-            return site.desk().runs.empty();
+            site.ask(0, site.request("GET", "/safe/", "p"));
+            return site.endpoint(2).runs["p"] > 0;
         }));
+        site.desk().runs.clear();
         for (int i = 0; i < 10; ++i) {
             CHECK(site.ask(0, site.request("GET", "/safe/", "n" + std::to_string(i))).status == 200);
         }
