Take an operator's result for a run in doubt also while its endpoints are being asked

Cause: an instance asks the endpoints again every second for each run in doubt. A result that an operator records while such a query is under way was read and left alone: the table saw that the run had a machine already, and the machine went on asking, gave up, and ended. Nobody went on with the run, which stayed between two stages for good. Ruled out: the settling itself (exit 10, the entry is in the log), the drained instance (the run's owner is another). Change: a run that is asking takes the recorded result, drops the query and goes on with its next stage. A dropped query is no longer reported to the router as a call that ended, as it never began there. Test: run-table-test, an operator settles while a later query is under way; failed first (state 2 in place of 3, one machine left).

--- a/packages/runs/include/masticlever/runs/run.h
+++ b/packages/runs/include/masticlever/runs/run.h
@@ -151,10 +151,12 @@
     void onLedgerView(common::moment at);
     void beginQueries(common::moment at);
     void sendQuery(common::moment at);
+    bool cancelQuery();
     void onQueryEnded(const call_end &ended, common::moment at);
     void giveUpAsUnknown(common::moment at);
     void refuseClaim(std::string detail, common::duration retryAfter, common::moment at);
     void onLedgerChange(common::moment at);
+    bool takeSettledResult(common::moment at);
     std::string idempotencyKey() const;
 
     run_environment m_environment;
--- a/packages/runs/src/run-once.cpp
+++ b/packages/runs/src/run-once.cpp
@@ -199,12 +199,19 @@
         onLedgerView(at);
         return;
     }
+    if (m_phase == phase::querying && takeSettledResult(at)) {
+        return;
+    }
     const bool isIdle = m_phase == phase::calling || m_phase == phase::waiting || m_phase == phase::querying;
     if (!m_claimed || !isIdle || ownsRun(at)) {
         return;
     }
     // Another instance has taken the run and goes on with it.
-    cancelAttempts(at);
+    if (m_phase == phase::querying) {
+        cancelQuery();
+    } else {
+        cancelAttempts(at);
+    }
     m_phase = phase::joining;
     onLedgerView(at);
     if (m_replied) {
@@ -212,6 +219,21 @@
     }
 }
 
+/// An operator has recorded the result that this run was still asking the endpoints for.
+bool run::takeSettledResult(common::moment at)
+{
+    const ledger::run_view view = m_environment.ledger.find(m_request.key, at.wall);
+    const bool isSettled = view.standing == ledger::run_standing::between_stages && view.stage == m_stage;
+    if (!isSettled || view.owner != m_environment.incarnation) {
+        return false;
+    }
+    cancelQuery();
+    m_wakeUp = common::instant::max();
+    m_ranOnce = true;
+    completeStage(view.stageResult, at);
+    return true;
+}
+
 void run::sendOnce(common::moment at)
 {
     const auto target = choose(at);
@@ -278,11 +300,20 @@
     sendQuery(at);
 }
 
+/// Status queries are not the router's calls: they count for no endpoint's load.
+bool run::cancelQuery()
+{
+    if (m_attempts.empty()) {
+        return false;
+    }
+    m_actions.emplace_back(cancel_call{m_attempts.front().id});
+    m_attempts.clear();
+    return true;
+}
+
 void run::sendQuery(common::moment at)
 {
-    if (!m_attempts.empty()) {
-        m_actions.emplace_back(cancel_call{m_attempts.front().id});
-        m_attempts.clear();
+    if (cancelQuery()) {
         ++m_queries;
     }
     if (m_queryTargets.empty() || m_queries / m_queryTargets.size() >= queryRounds) {
--- a/packages/runs/test/run-table-test.cpp
+++ b/packages/runs/test/run-table-test.cpp
@@ -226,6 +226,20 @@
                 here.exchangeLog();
                 CHECK(here.ledger.find(key, here.at.wall).standing == ledger::run_standing::finished);
             }
+            SECTION("until an operator settles it, also while a later query is under way")
+            {
+                const bool isQueryUnderWay = GENERATE(false, true);
+                if (isQueryUnderWay) {
+                    here.table.retryUnknownRuns(here.configuration, here.at);
+                    CHECK(here.take<query_status>().size() == 1);
+                }
+                here.ledger.settle(key, 0, R"({"n":7})", here.at.now);
+                here.exchangeLog();
+                here.exchangeLog();
+                CHECK(here.ledger.find(key, here.at.wall).standing == ledger::run_standing::finished);
+                CHECK(here.table.size() == 0);
+                CHECK(here.take<cancel_call>().size() == (isQueryUnderWay ? 1 : 0));
+            }
         }
         CHECK(here.take<send_call>().empty());
     }
