Greet every published address at once when an instance starts

Ruled out: the store (configuration and registrations were there 12 ms after the start), readiness. Change: an instance lists the published addresses once after its own publication, page by page, and greets those it does not know with its own notice; a receiver that does not know it answers with its own (a message says which introduction it wants, hence version 2 of the datagrams). A repeated introduction between the same two is no longer sent. Test: gossip-test, 3, 18 and 100 instances that start one after another know each other without a round, at 1.5 messages a pair.

--- a/packages/frontend/src/daemon-core.cpp
+++ b/packages/frontend/src/daemon-core.cpp
@@ -480,17 +480,29 @@
             instanceTimeout,
             [this](const common::result<store_lane::store_answer> &answer) {
                 m_hasPublished = answer && answer.value().status == success;
-                m_instancesDueAt = m_now + (m_hasPublished ? duration{} : instanceInterval);
+                m_instancesDueAt = m_now + instanceInterval;
+                if (m_hasPublished) {
+                    listInstances(m_settings.contacts, {}, m_now);
+                }
             },
             now);
-    } else if (m_fleet.liveCount() <= 1) {
-        m_instanceLane.call(
-            m_protocol.listCall(protocol::store_topic::instances, {}), instanceTimeout,
-            [this](common::result<store_lane::store_answer> answer) { onInstanceListing(std::move(answer)); }, now);
+    } else if (m_fleet.liveCount() <= 1 || !m_hasListedInstances) {
+        listInstances(m_settings.contacts, {}, now);
     }
 }
 
-void daemon_core::onInstanceListing(common::result<store_lane::store_answer> answer)
+/// Collects the published addresses page by page, \p contacts being those so far.
+void daemon_core::listInstances(std::vector<std::string> contacts, const std::string &afterKey, instant now)
+{
+    m_instanceLane.call(
+        m_protocol.listCall(protocol::store_topic::instances, afterKey), instanceTimeout,
+        [this, contacts = std::move(contacts)](common::result<store_lane::store_answer> answer) mutable {
+            onInstanceListing(std::move(contacts), std::move(answer));
+        },
+        now);
+}
+
+void daemon_core::onInstanceListing(std::vector<std::string> contacts, common::result<store_lane::store_answer> answer)
 {
     m_instancesDueAt = m_now + instanceInterval;
     if (!answer) {
@@ -500,12 +512,16 @@
     if (!page) {
         return;
     }
-    std::vector<std::string> contacts = m_settings.contacts;
     for (const protocol::store_record &record : page.value().records) {
         if (record.value && net::parseAddress(*record.value) && *record.value != m_fleet.gossipAddress()) {
             contacts.push_back(*record.value);
         }
     }
+    if (page.value().hasMore && !page.value().records.empty()) {
+        listInstances(std::move(contacts), page.value().records.back().key, m_now);
+        return;
+    }
+    m_hasListedInstances = true;
     m_fleet.setContacts(std::move(contacts));
 }
 
--- a/packages/frontend/src/daemon-core.h
+++ b/packages/frontend/src/daemon-core.h
@@ -55,7 +55,8 @@
     void onEndpointNews(const follow_news &news);
     void onDirectoryNews(const stages::directory_message &news);
     void onStoreReach(bool isReachable);
-    void onInstanceListing(common::result<store_lane::store_answer> answer);
+    void listInstances(std::vector<std::string> contacts, const std::string &afterKey, common::instant now);
+    void onInstanceListing(std::vector<std::string> contacts, common::result<store_lane::store_answer> answer);
     void applyChanges(const std::vector<catalog::directory_change> &changes);
 
     void onTick();
@@ -102,6 +103,7 @@
     std::optional<common::instant> m_storeLostAt;
     bool m_isStoreReported = true; ///< the last state that was logged
     bool m_hasPublished = false;
+    bool m_hasListedInstances = false;
     common::instant m_instancesDueAt;
     std::int64_t m_bootTime = 0; ///< of the last tick, microseconds
     std::uint64_t m_badRequests = 0;
--- a/packages/peers/include/masticlever/peers/gossip.h
+++ b/packages/peers/include/masticlever/peers/gossip.h
@@ -30,6 +30,7 @@
     std::size_t suspectLimit = 8;
     std::size_t contactPeers = 2; ///< addresses that may have an instance, in each round
     std::size_t introductionLimit = 16; ///< messages that acquaint a newcomer with the fleet
+    std::size_t greetingLimit = 128; ///< contacts that are greeted at once, one small datagram each
 };
 
 /// One message for several peers.
@@ -56,9 +57,13 @@
     void suspect(std::vector<std::string> endpoints, common::instant now);
 
     /// Addresses that may have an instance; those that no live instance has are tried in turn.
-    void setContacts(std::vector<std::string> contacts) { m_contacts = std::move(contacts); }
+    void setContacts(std::vector<std::string> contacts);
 
-    /// Messages that acquaint the newcomers heard of since the last call with all live instances.
+    /// A message for contacts that have not been greeted yet, if there are any. Of two instances that start together
+    /// the later one reaches the other, so that all know each other at once.
+    std::optional<gossip_round> takeGreeting(common::instant now);
+
+    /// Messages that acquaint the newcomers heard of since the last call with this instance or all live instances.
     std::vector<gossip_round> takeIntroductions(common::instant now);
 
     /// Takes the news over; false for a repeated or reflected message, which changes nothing.
@@ -66,6 +71,8 @@
 
 private:
     std::vector<std::string> roundPeers(common::instant now);
+    /// A message with nothing but this instance's notice.
+    gossip_round ownNotice(std::vector<std::string> addresses, introduction wanted);
     gossip_message roundMessage(common::instant now);
 
     gossip_options m_options;
@@ -74,7 +81,9 @@
     common::instant m_sentAt;
     std::vector<std::string> m_suspects; ///< for the next round
     std::vector<std::string> m_contacts;
-    std::vector<std::string> m_newcomers; ///< addresses
+    std::vector<std::string> m_toGreet; ///< contacts
+    std::vector<std::string> m_newcomers; ///< addresses, to be told of the fleet
+    std::vector<std::string> m_greeters; ///< addresses, to be told of this instance
     bool m_isUrgent = false;
     std::uint64_t m_rounds = 0;
     std::map<std::string, std::uint64_t, std::less<>> m_lastMessages; ///< heartbeat by sender's incarnation
--- a/packages/peers/include/masticlever/peers/messages.h
+++ b/packages/peers/include/masticlever/peers/messages.h
@@ -13,6 +13,13 @@
 namespace masticlever::peers
 {
 
+/// What a receiver that does not know the sender is to answer at once.
+enum class introduction : std::uint8_t {
+    none,
+    self, ///< its own notice
+    fleet, ///< all live instances that it knows
+};
+
 /// One datagram. The sender's own notice comes with every one; its heartbeat numbers the datagrams.
 struct gossip_message {
     membership::instance_notice sender;
@@ -20,6 +27,7 @@
     std::vector<membership::lost_notice> losses;
     std::vector<membership::endpoint_notice> leavingEndpoints;
     std::vector<std::string> suspects; ///< names of endpoints that the sender finds silent
+    introduction wanted = introduction::fleet;
 
     bool operator==(const gossip_message &) const = default;
 };
--- a/packages/peers/src/detail/bounded-archive.h
+++ b/packages/peers/src/detail/bounded-archive.h
@@ -53,6 +53,13 @@
     flag = transferSize<std::uint8_t>(archive, flag ? 1 : 0, 1) == 1;
 }
 
+/// A value of an enumeration that begins at 0 and ends with \p last.
+template <typename Archive, typename Choice> void transferChoice(Archive &archive, Choice &choice, Choice last)
+{
+    choice = static_cast<Choice>(
+        transferSize<std::uint8_t>(archive, static_cast<std::size_t>(choice), static_cast<std::size_t>(last)));
+}
+
 template <typename Length = std::uint16_t, typename Archive>
 void transferText(Archive &archive, std::string &text, std::size_t maximum)
 {
--- a/packages/peers/src/gossip.cpp
+++ b/packages/peers/src/gossip.cpp
@@ -94,9 +94,47 @@
     m_nextAt = std::min(m_nextAt, std::max(now, m_sentAt + m_options.minimumGap));
 }
 
+void gossip::setContacts(std::vector<std::string> contacts)
+{
+    for (const std::string &contact : contacts) {
+        if (std::ranges::find(m_contacts, contact) == m_contacts.end()) {
+            m_toGreet.push_back(contact);
+        }
+    }
+    m_contacts = std::move(contacts);
+}
+
+gossip_round gossip::ownNotice(std::vector<std::string> addresses, introduction wanted)
+{
+    m_table.beat(); // receivers drop a message whose heartbeat they have heard
+    gossip_round round{std::move(addresses), {}};
+    round.message.sender = m_table.self();
+    round.message.wanted = wanted;
+    return round;
+}
+
+std::optional<gossip_round> gossip::takeGreeting(common::instant now)
+{
+    const std::vector<membership::instance_notice> live = m_table.liveInstances(now);
+    std::erase_if(m_toGreet, [&](const std::string &contact) {
+        return std::ranges::find(live, contact, &membership::instance_notice::peerAddress) != live.end();
+    });
+    if (m_toGreet.empty()) {
+        return std::nullopt;
+    }
+    const std::size_t count = std::min(m_toGreet.size(), m_options.greetingLimit);
+    const auto end = m_toGreet.begin() + static_cast<std::ptrdiff_t>(count);
+    std::vector<std::string> greeted(m_toGreet.begin(), end);
+    m_toGreet.erase(m_toGreet.begin(), end);
+    return ownNotice(std::move(greeted), introduction::self);
+}
+
 std::vector<gossip_round> gossip::takeIntroductions(common::instant now)
 {
     std::vector<gossip_round> rounds;
+    if (!m_greeters.empty()) {
+        rounds.push_back(ownNotice(std::exchange(m_greeters, {}), introduction::none));
+    }
     const std::vector<std::string> newcomers = std::exchange(m_newcomers, {});
     if (newcomers.empty()) {
         return rounds;
@@ -104,9 +142,7 @@
     const std::vector<membership::instance_notice> live = m_table.liveInstances(now);
     for (std::size_t begin = 0; begin < live.size() && rounds.size() < m_options.introductionLimit;
          begin += m_options.noticeLimit) {
-        m_table.beat(); // receivers drop a message whose heartbeat they have heard
-        gossip_round round{newcomers, {}};
-        round.message.sender = m_table.self();
+        gossip_round round = ownNotice(newcomers, introduction::none);
         const std::size_t end = std::min(begin + m_options.noticeLimit, live.size());
         round.message.notices.assign(live.begin() + static_cast<std::ptrdiff_t>(begin),
                                      live.begin() + static_cast<std::ptrdiff_t>(end));
@@ -126,8 +162,9 @@
         return false;
     }
     last = message.sender.heartbeat;
-    if (!m_table.isLive(sender, now)) {
-        m_newcomers.push_back(message.sender.peerAddress);
+    if (!m_table.isLive(sender, now) && message.wanted != introduction::none) {
+        auto &waiting = message.wanted == introduction::fleet ? m_newcomers : m_greeters;
+        waiting.push_back(message.sender.peerAddress);
     }
     m_table.onNotice(message.sender, now);
     for (const membership::instance_notice &notice : message.notices) {
--- a/packages/peers/src/peer-service.cpp
+++ b/packages/peers/src/peer-service.cpp
@@ -43,7 +43,7 @@
     void setState(bool isLogReachable, platform::log_offset configurationOffset);
     void sendEarly();
     void suspect(std::vector<std::string> endpoints);
-    void setContacts(std::vector<std::string> contacts) { m_gossip.setContacts(std::move(contacts)); }
+    void setContacts(std::vector<std::string> contacts);
 
     membership::membership_table &table() { return m_table; }
     const peer_counters &counters();
@@ -51,6 +51,7 @@
 private:
     bool bind(const detail::socket_address &address);
     void onTick();
+    void greet(common::instant now);
     void sendRound(gossip_round round);
     void onDatagrams();
     void onDatagram(std::string_view bytes);
@@ -155,12 +156,28 @@
     if (auto round = m_gossip.onTime(now)) {
         sendRound(std::move(*round));
     }
+    greet(now);
     if (const auto request = m_catchUp.next(now)) {
         ++m_counters.recordRequestsSent;
         m_client.send(*request);
     }
 }
 
+void peer_service::implementation::setContacts(std::vector<std::string> contacts)
+{
+    m_gossip.setContacts(std::move(contacts));
+    if (m_timer.isActive()) {
+        greet(present());
+    }
+}
+
+void peer_service::implementation::greet(common::instant now)
+{
+    if (auto greeting = m_gossip.takeGreeting(now)) {
+        sendRound(std::move(*greeting));
+    }
+}
+
 void peer_service::implementation::sendRound(gossip_round round)
 {
     const auto datagram = encodeDatagram(round.message, m_settings.key);
--- a/packages/peers/test/codec-test.cpp
+++ b/packages/peers/test/codec-test.cpp
@@ -30,6 +30,7 @@
     message.losses = {{"gone", 4}};
     message.leavingEndpoints = {{"10.9.9.9:80", "e-1"}};
     message.suspects = {"desk-2"};
+    message.wanted = introduction::self;
     return message;
 }
 
@@ -113,7 +114,7 @@
     SECTION("so is one of another version, too short or too long")
     {
         std::string other = bytes;
-        other[0] = 2;
+        other[0] = 1;
         CHECK(decodeDatagram(other, key).error() == error::malformed);
         CHECK(decodeDatagram(bytes.substr(0, 20), key).error() == error::malformed);
         CHECK(decodeDatagram("", key).error() == error::malformed);
@@ -139,12 +140,25 @@
         }
     }
 
+    SECTION("an instance wants one of three introductions")
+    {
+        std::string body = bytes.substr(0, bytes.size() - codeBytes);
+        int accepted = 0;
+        for (int value = 0; value < 256; ++value) {
+            body.back() = static_cast<char>(value);
+            accepted += decodeDatagram(authenticated(body), key).has_value() ? 1 : 0;
+        }
+        CHECK(accepted == 3);
+    }
+
     SECTION("a flag is 0 or 1")
     {
+        constexpr std::size_t introductionBytes = 1;
         constexpr std::size_t lossListBytes = 1 + (2 + 4) + 8;
         constexpr std::size_t endpointListBytes = 1 + (2 + 11) + (2 + 3);
         constexpr std::size_t suspectListBytes = 1 + (2 + 6);
-        const auto flag = bytes.size() - codeBytes - suspectListBytes - endpointListBytes - lossListBytes - 1;
+        const auto flag
+            = bytes.size() - codeBytes - introductionBytes - suspectListBytes - endpointListBytes - lossListBytes - 1;
         std::string body = bytes.substr(0, bytes.size() - codeBytes);
         int accepted = 0;
         for (int value = 0; value < 256; ++value) {
--- a/packages/peers/test/gossip-test.cpp
+++ b/packages/peers/test/gossip-test.cpp
@@ -54,6 +54,32 @@
         }
     }
 
+    /// Instances that know the addresses of all but no instance; none of them is running yet.
+    static fleet strangers(int size, std::uint64_t seed)
+    {
+        fleet made(0, seed);
+        for (int i = 0; i < size; ++i) {
+            made.nodes.push_back(std::make_unique<node>(i));
+            made.nodes.back()->isDown = true;
+        }
+        return made;
+    }
+
+    void start(std::size_t number)
+    {
+        nodes[number]->isDown = false;
+        std::vector<std::string> contacts;
+        for (std::size_t i = 0; i < nodes.size(); ++i) {
+            if (i != number) {
+                contacts.push_back(std::to_string(i));
+            }
+        }
+        nodes[number]->news.setContacts(contacts);
+        while (const auto greeting = nodes[number]->news.takeGreeting(now)) {
+            deliver(number, *greeting);
+        }
+    }
+
     void run(masticlever::common::duration time)
     {
         const instant end = now + time;
@@ -77,6 +103,7 @@
 
     std::vector<std::unique_ptr<node>> nodes;
     double lossRate = 0;
+    std::size_t messages = 0;
     instant now = instant{} + 1h;
 
 private:
@@ -89,11 +116,21 @@
         if (!round) {
             return;
         }
-        for (const std::string &address : round->addresses) {
+        deliver(from, *round);
+    }
+
+    void deliver(std::size_t from, const gossip_round &round)
+    {
+        for (const std::string &address : round.addresses) {
             const std::size_t to = std::stoul(address);
             const bool isLost = std::uniform_real_distribution<>(0, 1)(m_random) < lossRate;
-            if (!isLost && !sender.isCut(to) && !nodes[to]->isDown) {
-                nodes[to]->news.onMessage(round->message, now);
+            ++messages;
+            if (isLost || nodes[from]->isCut(to) || nodes[to]->isDown) {
+                continue;
+            }
+            nodes[to]->news.onMessage(round.message, now);
+            for (const gossip_round &answer : nodes[to]->news.takeIntroductions(now)) {
+                deliver(to, answer);
             }
         }
     }
@@ -154,6 +191,21 @@
     }
 }
 
+TEST_CASE("instances that start together know each other at once")
+{
+    const int size = GENERATE(3, 18, 100);
+    fleet instances = fleet::strangers(size, 7);
+    for (int i = 0; i < size; ++i) {
+        instances.start(static_cast<std::size_t>(i));
+    }
+    for (int i = 0; i < size; ++i) {
+        CHECK(instances.believers(i) == size);
+    }
+    // One greeting to each address, and one answer from each instance that was there first.
+    const auto pairs = static_cast<std::size_t>(size * (size - 1));
+    CHECK(instances.messages == pairs + pairs / 2);
+}
+
 TEST_CASE("the halves of a cut fleet meet again")
 {
     fleet instances(20, 4);
