Count a call's time with all that goes along

The queue held a request for in time by the time of a call of its own pieces; the call takes all that waits, up to 64 pieces and 170 ms more. Ruled out: the model (first events 100 ms after the stages), the wait for a near endpoint (not taken by those that are late). Change: the plan and the expected delay take the time of the call that the queue's contents make. Test: batch-queue-test, a call takes as long as all that goes with it; failed first (the tight request went first).

--- a/packages/stages/include/masticlever/stages/batch-queue.h
+++ b/packages/stages/include/masticlever/stages/batch-queue.h
@@ -148,6 +148,7 @@
     using wish_map = std::map<std::uint64_t, wish_entry>;
 
     common::duration plainCall(std::size_t pieces) const;
+    common::duration likelyCall(std::size_t pieces) const;
     common::duration expectedCall(const endpoint_entry &endpoint, std::size_t pieces, common::instant now) const;
     std::vector<endpoint_entry *> idleEndpoints(common::instant now);
     double slownessOf(const endpoint_entry &endpoint, common::instant now) const;
--- a/packages/stages/src/batch-queue.cpp
+++ b/packages/stages/src/batch-queue.cpp
@@ -47,6 +47,12 @@
     return m_limits.callTime + m_limits.pieceTime * static_cast<duration::rep>(pieces);
 }
 
+/// Time of the call that takes \p pieces: whatever else waits goes with them.
+duration batch_queue::likelyCall(std::size_t pieces) const
+{
+    return plainCall(std::min(m_limits.batchSize, std::max(pieces, m_waitingPieces)));
+}
+
 /// What was learnt of an endpoint that is not used fades, so that a slow one is tried again.
 double batch_queue::slownessOf(const endpoint_entry &endpoint, instant now) const
 {
@@ -270,7 +276,7 @@
     double before = 0;
     for (const auto found : waiting) {
         wish_entry &entry = found->second;
-        const duration rest = plainCall(std::min(entry.waiting.size(), m_limits.batchSize)) + entry.wish.laterWork;
+        const duration rest = likelyCall(entry.waiting.size()) + entry.wish.laterWork;
         const instant begin = rate > 0 ? startBehind(before, rate, now) : now;
         entry.isLate = begin + rest > std::min(entry.wish.objective, entry.wish.deadline);
         before += entry.isLate ? 0 : static_cast<double>(entry.waiting.size());
@@ -541,7 +547,7 @@
         untilFree = std::min(untilFree, std::max(duration{}, call.sentAt + call.expected - now));
     }
     const double queueing = static_cast<double>(ahead) / rate;
-    return std::max(untilFree, duration(std::llround(queueing))) + plainCall(m_limits.batchSize / 2);
+    return std::max(untilFree, duration(std::llround(queueing))) + likelyCall(m_limits.batchSize / 2);
 }
 
 } // namespace masticlever::stages
--- a/packages/stages/test/batch-queue-test.cpp
+++ b/packages/stages/test/batch-queue-test.cpp
@@ -226,6 +226,31 @@
     }
 }
 
+TEST_CASE("A call takes as long as all that goes with it")
+{
+    service one(1);
+    batch_queue queue({}, limits());
+    queue.setEndpoints(one.pointers());
+    piece_wish tight = wish(1, 1, 0);
+    tight.objective = start + 230ms; // a call of one piece takes 210 ms, a full one 240 ms
+    queue.onWish(tight, start);
+
+    SECTION("a request that is alone makes its objective")
+    {
+        const auto calls = queue.takeCalls(start);
+        REQUIRE(calls.size() == 1);
+        CHECK(calls[0].orders[0].requestId == "r1");
+    }
+    SECTION("one that a full call makes late goes behind those that are in time")
+    {
+        queue.onWish(wish(2, 4), start);
+        const auto calls = queue.takeCalls(start);
+        REQUIRE(calls.size() == 1);
+        CHECK(calls[0].orders.size() == 4);
+        CHECK(calls[0].orders[0].requestId == "r2");
+    }
+}
+
 TEST_CASE("A home that leaves hands its queue back and finishes the calls under way")
 {
     service endpoints(1);
