Expect what follows a stage as long as four of five requests take

Change: the time from a stage's end to the first answer is compared with what was expected when the stage was ordered; a factor for the route and stage follows the 80th percentile, between 1 and 1.5, so that an overload that makes all late cannot teach that all are hopeless. One copy of the function that scales a duration, in common.

--- a/packages/common/include/masticlever/common/time.h
+++ b/packages/common/include/masticlever/common/time.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cmath>
 
 /// \file
 /// Clock types of the decision objects. They never read a clock: the present time is a parameter.
@@ -16,4 +17,9 @@
 /// A point on the wall clock (Unix epoch); used only for key ages and records meant for people.
 using wall_time = std::chrono::time_point<std::chrono::system_clock, std::chrono::milliseconds>;
 
+inline duration scaled(duration time, double factor)
+{
+    return duration(std::llround(static_cast<double>(time.count()) * factor));
+}
+
 } // namespace masticlever::common
--- a/packages/frontend/src/request-session.cpp
+++ b/packages/frontend/src/request-session.cpp
@@ -83,6 +83,7 @@
 {
     m_flow.setMakerCheck([this](std::string_view handle) { return m_context.pieces.isMakerGone(handle); });
     m_service = chooseService();
+    m_rests.resize(m_request.route->stages.size());
 }
 
 request_session::~request_session()
@@ -196,6 +197,21 @@
         apply(m_flow.onPieceFailed(piece, result.failure, now));
     } else {
         apply(m_flow.onPieceMade(piece, result.handle, now));
+        if (!m_isEnded && m_flow.graph().missingPieces(piece.stage) == 0) {
+            m_rests[piece.stage].beganAt = now;
+        }
+    }
+}
+
+/// The first answer is here: what followed each stage is known now.
+void request_session::noteFirstAnswer(instant now)
+{
+    m_firstAnswer = now - m_flow.receivedAt();
+    m_context.pace.onFirstAnswer(m_request.route->name, now - m_sentAt);
+    for (std::size_t stage = 0; stage < m_rests.size(); ++stage) {
+        if (const auto beganAt = m_rests[stage].beganAt) {
+            m_context.pace.onRest(m_request.route->name, stage, now - *beganAt, m_rests[stage].expected);
+        }
     }
 }
 
@@ -283,8 +299,9 @@
         wish.resultBytes = spec.resultBytes;
         wish.nearBytes
             = wish.inputs.empty() ? spec.resultBytes * static_cast<double>(wish.pieces.size()) : inputBytes(stage);
-        wish.laterWork = m_context.pace.afterStage(*m_request.route, stage,
-                                                   [this](const std::string &service) { return delayOf(service); });
+        m_rests[stage].expected = m_context.pace.afterStage(
+            *m_request.route, stage, [this](const std::string &service) { return delayOf(service); });
+        wish.laterWork = common::scaled(m_rests[stage].expected, m_context.pace.stretch(m_request.route->name, stage));
         wish.objective = m_flow.objective();
         wish.deadline = m_flow.deadline();
         m_context.pieces.submit(spec.service, std::move(wish), now);
@@ -433,9 +450,7 @@
     }
     m_isHeadPassed = true;
     m_flow.onAnswerBegins();
-    const instant now = presentInstant();
-    m_firstAnswer = now - m_flow.receivedAt();
-    m_context.pace.onFirstAnswer(m_request.route->name, now - m_sentAt);
+    noteFirstAnswer(presentInstant());
     m_caller->beginAnswer(m_context.protocol.returned(m_answer), std::nullopt);
 }
 
@@ -487,8 +502,7 @@
             m_caller->endAnswer();
         }
     } else {
-        m_firstAnswer = now - m_flow.receivedAt();
-        m_context.pace.onFirstAnswer(m_request.route->name, now - m_sentAt);
+        noteFirstAnswer(now);
         answerWhole();
     }
     m_caller = nullptr;
--- a/packages/frontend/src/request-session.h
+++ b/packages/frontend/src/request-session.h
@@ -49,6 +49,12 @@
     /// What the head of an endpoint's answer makes of its body.
     enum class answer_use { none, pass_on, buffer, discard };
 
+    /// What follows a stage until the first answer.
+    struct stage_rest {
+        common::duration expected{}; ///< when the stage was ordered
+        std::optional<common::instant> beganAt; ///< the stage's results were all there
+    };
+
     bool onHead(const http1::message_head &head) override;
     void onBody(std::string_view bytes) override;
     void onEnd() override;
@@ -56,6 +62,7 @@
 
     void apply(forwarding::flow_step step);
     void order(const std::vector<stages::piece_ref> &pieces);
+    void noteFirstAnswer(common::instant now);
     void call();
     void send(const catalog::endpoint_record &endpoint);
     void endCall(forwarding::call_end end, forwarding::call_outcome outcome);
@@ -98,6 +105,7 @@
     std::string m_buffered;
     forwarding::event_splitter m_events;
     common::duration m_firstAnswer{};
+    std::vector<stage_rest> m_rests; ///< by stage
     std::size_t m_eventCount = 0;
 };
 
--- a/packages/frontend/src/service-pace.cpp
+++ b/packages/frontend/src/service-pace.cpp
@@ -36,6 +36,23 @@
     return isFollowed ? longest : firstAnswer(route.name);
 }
 
+void service_pace::onRest(std::string_view route, std::size_t index, common::duration actual, common::duration expected)
+{
+    if (expected.count() <= 0) {
+        return;
+    }
+    double &known = m_stretches.try_emplace(stage_key(route, index), 1.0).first->second;
+    const double sample = static_cast<double>(actual.count()) / static_cast<double>(expected.count());
+    const double move = sample > known ? m_options.stretchQuantile : m_options.stretchQuantile - 1;
+    known = std::clamp(known + m_options.stretchStep * move, 1.0, m_options.longestStretch);
+}
+
+double service_pace::stretch(std::string_view route, std::size_t index) const
+{
+    const auto found = m_stretches.find(stage_key(route, index));
+    return found == m_stretches.end() ? 1.0 : found->second;
+}
+
 common::duration typicalCall(const catalog::service_configuration &configuration, std::string_view service)
 {
     const catalog::service *found = configuration.findService(service);
--- a/packages/frontend/src/service-pace.h
+++ b/packages/frontend/src/service-pace.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <string>
 #include <string_view>
+#include <utility>
 
 /// \file
 /// How long the parts of a request are likely to take: learnt from the requests before it.
@@ -18,6 +19,9 @@
 struct service_pace_options {
     common::duration firstGuess = std::chrono::milliseconds(150); ///< before any request of the route was seen
     double learningRate = 0.1; ///< weight of one request
+    double stretchQuantile = 0.8; ///< part of the requests whose rest takes no longer than the stretched expectation
+    double stretchStep = 0.05; ///< by which one request moves the stretch, times the quantile or what is left of it
+    double longestStretch = 1.5; ///< bounds what an overload that makes all late can teach
 };
 
 class service_pace
@@ -35,9 +39,18 @@
     /// service takes now.
     common::duration afterStage(const catalog::route &route, std::size_t index, const delay_function &delayOf) const;
 
+    /// What followed stage \p index took \p actual in place of \p expected. Answers a load at which what is kept as
+    /// just in time comes just too late.
+    void onRest(std::string_view route, std::size_t index, common::duration actual, common::duration expected);
+    /// Factor for what is expected to follow the stage.
+    double stretch(std::string_view route, std::size_t index) const;
+
 private:
+    using stage_key = std::pair<std::string, std::size_t>;
+
     service_pace_options m_options;
     std::map<std::string, common::duration, std::less<>> m_routes;
+    std::map<stage_key, double> m_stretches;
 };
 
 /// Time of a call with half a batch.
--- a/packages/routing/src/stage-estimates.cpp
+++ b/packages/routing/src/stage-estimates.cpp
@@ -25,11 +25,6 @@
 
 using stage_map = std::map<std::string, stage_record, std::less<>>;
 
-common::duration scaled(common::duration value, double factor)
-{
-    return common::duration(std::llround(static_cast<double>(value.count()) * factor));
-}
-
 } // namespace
 
 struct stage_estimates::state {
@@ -130,7 +125,7 @@
         return remaining;
     }
     const auto share = static_cast<double>(own.count()) / static_cast<double>((own + later).count());
-    const common::duration budget = std::max(remaining - later, scaled(remaining, share));
+    const common::duration budget = std::max(remaining - later, common::scaled(remaining, share));
     return std::clamp(budget, common::duration::zero(), std::max(remaining, common::duration::zero()));
 }
 
@@ -154,9 +149,9 @@
 {
     const auto quantile = m_state->sign(pipeline, stage, m_state->options.timeoutQuantile);
     if (!quantile) {
-        return scaled(budget, unknownTimeoutShare);
+        return common::scaled(budget, unknownTimeoutShare);
     }
-    const common::duration timeout = scaled(*quantile, m_state->options.timeoutFactor);
+    const common::duration timeout = common::scaled(*quantile, m_state->options.timeoutFactor);
     return std::min(budget, std::max(timeout, m_state->options.minimumTimeout));
 }
 
--- a/packages/stages/src/batch-queue.cpp
+++ b/packages/stages/src/batch-queue.cpp
@@ -11,16 +11,6 @@
 using common::duration;
 using common::instant;
 
-namespace
-{
-
-duration scaled(duration time, double factor)
-{
-    return duration(std::llround(static_cast<double>(time.count()) * factor));
-}
-
-} // namespace
-
 batch_queue::batch_queue(batch_queue_options options, catalog::batch_limits limits)
     : m_options(options), m_limits(limits)
 { }
@@ -63,7 +53,7 @@
 
 duration batch_queue::expectedCall(const endpoint_entry &endpoint, std::size_t pieces, instant now) const
 {
-    return scaled(plainCall(pieces), slownessOf(endpoint, now));
+    return common::scaled(plainCall(pieces), slownessOf(endpoint, now));
 }
 
 void batch_queue::onWish(piece_wish wish, instant now)
@@ -365,8 +355,8 @@
     entry.endpointId = endpoint.record.id;
     entry.sentAt = now;
     entry.expected = plainCall(call.orders.size());
-    call.giveUpAt
-        = now + scaled(expectedCall(endpoint, call.orders.size(), now), m_options.giveUpFactor) + m_options.giveUpSlack;
+    call.giveUpAt = now + common::scaled(expectedCall(endpoint, call.orders.size(), now), m_options.giveUpFactor)
+        + m_options.giveUpSlack;
     ++endpoint.calls;
     endpoint.reserved += entry.reserved;
     m_calls.emplace(call.number, std::move(entry));
