--- a/packages/frontend/src/daemon-core.cpp
+++ b/packages/frontend/src/daemon-core.cpp
@@ -27,8 +27,6 @@
 constexpr duration pauseLimit = std::chrono::milliseconds(700); ///< a gap between ticks above it is a pause
 constexpr duration storeLossLimit = std::chrono::milliseconds(400); ///< failures for less are not an outage
 constexpr duration badRequestInterval = std::chrono::seconds(1); ///< between log lines
-constexpr duration instanceInterval = std::chrono::seconds(2); ///< between listings while no peer is known
-constexpr duration instanceTimeout = std::chrono::seconds(2);
 constexpr duration startRetryAfter
     = std::chrono::milliseconds(500); ///< for callers of an instance that has no configuration
 /// After SIGTERM: the balancer's two misses, one second each, and the connections opened meanwhile.
@@ -75,6 +73,13 @@
     return "returned";
 }
 
+using changes_list = std::vector<catalog::directory_change>;
+
+void append(changes_list &changes, changes_list more)
+{
+    std::ranges::move(more, std::back_inserter(changes));
+}
+
 std::string pathOf(const std::string &target)
 {
     return target.substr(0, target.find('?'));
@@ -109,10 +114,11 @@
           protocol, protocol::store_topic::endpoints, m_settings.storeAddress, {},
           [this](const follow_news &news) { onEndpointNews(news); },
           [this](bool isReachable) { onStoreReach(isReachable); }),
-      m_instanceLane(m_settings.storeAddress),
+      m_finder(protocol, m_settings,
+               [this](std::vector<std::string> contacts) { m_fleet.setContacts(std::move(contacts)); }),
       m_feed({},
-             {[this](std::uint64_t subscriber, const stages::home_message &message) {
-                  m_pieces.sendToOwner(subscriber, message);
+             {[this](std::span<const std::uint64_t> subscribers, const stages::home_message &message) {
+                  m_pieces.sendToOwners(subscribers, message);
               },
               [this](const stages::directory_message &news) { onDirectoryNews(news); }}),
       m_fleet(m_settings, m_incarnation,
@@ -381,17 +387,15 @@
 void daemon_core::onEndpointNews(const follow_news &news)
 {
     const instant now = presentInstant();
-    std::vector<catalog::directory_change> changes;
-    const auto take
-        = [&](std::vector<catalog::directory_change> more) { std::ranges::move(more, std::back_inserter(changes)); };
+    changes_list changes;
     for (const protocol::store_record &record : news.records) {
         if (!record.value) {
-            take(m_directory.onRemoved(record.key, now));
+            append(changes, m_directory.onRemoved(record.key, now));
             continue;
         }
         const auto read = m_protocol.readEndpoint(record.key, *record.value);
         if (read) {
-            take(m_directory.onRecord(read.value(), now));
+            append(changes, m_directory.onRecord(read.value(), now));
         } else {
             logEvent(event::record_ignored,
                      {{"topic", "endpoints"},
@@ -401,7 +405,7 @@
         }
     }
     if (news.isWholeListing) {
-        take(m_directory.onListing(news.listedKeys, now));
+        append(changes, m_directory.onListing(news.listedKeys, now));
     }
     applyChanges(changes);
     m_feed.onRead(m_directory.records(), version());
@@ -411,19 +415,17 @@
 void daemon_core::onDirectoryNews(const stages::directory_message &news)
 {
     const instant now = presentInstant();
-    std::vector<catalog::directory_change> changes;
-    const auto take
-        = [&](std::vector<catalog::directory_change> more) { std::ranges::move(more, std::back_inserter(changes)); };
+    changes_list changes;
     std::vector<std::string> ids;
     for (const catalog::endpoint_record &record : news.changed) {
-        take(m_directory.onRecord(record, now));
+        append(changes, m_directory.onRecord(record, now));
         ids.push_back(record.id);
     }
     for (const std::string &id : news.removed) {
-        take(m_directory.onRemoved(id, now));
+        append(changes, m_directory.onRemoved(id, now));
     }
     if (news.isWhole) {
-        take(m_directory.onListing(ids, now));
+        append(changes, m_directory.onListing(ids, now));
     }
     applyChanges(changes);
     if (news.configurationVersion > version()) {
@@ -467,64 +469,6 @@
     m_directory.onStoreReachable(!m_storeLostAt, now);
 }
 
-/// Publishes the own address once and looks for other instances while none is known.
-void daemon_core::tendInstances(instant now)
-{
-    m_instanceLane.onTick(now);
-    if (m_instanceLane.isBusy() || now < m_instancesDueAt) {
-        return;
-    }
-    if (!m_hasPublished) {
-        m_instanceLane.call(
-            m_protocol.publishCall(protocol::store_topic::instances, m_settings.name, m_fleet.gossipAddress()),
-            instanceTimeout,
-            [this](const common::result<store_lane::store_answer> &answer) {
-                m_hasPublished = answer && answer.value().status == success;
-                m_instancesDueAt = m_now + instanceInterval;
-                if (m_hasPublished) {
-                    listInstances(m_settings.contacts, {}, m_now);
-                }
-            },
-            now);
-    } else if (m_fleet.liveCount() <= 1 || !m_hasListedInstances) {
-        listInstances(m_settings.contacts, {}, now);
-    }
-}
-
-/// Collects the published addresses page by page, \p contacts being those so far.
-void daemon_core::listInstances(std::vector<std::string> contacts, const std::string &afterKey, instant now)
-{
-    m_instanceLane.call(
-        m_protocol.listCall(protocol::store_topic::instances, afterKey), instanceTimeout,
-        [this, contacts = std::move(contacts)](common::result<store_lane::store_answer> answer) mutable {
-            onInstanceListing(std::move(contacts), std::move(answer));
-        },
-        now);
-}
-
-void daemon_core::onInstanceListing(std::vector<std::string> contacts, common::result<store_lane::store_answer> answer)
-{
-    m_instancesDueAt = m_now + instanceInterval;
-    if (!answer) {
-        return;
-    }
-    const auto page = m_protocol.readListing(answer.value().status, answer.value().body);
-    if (!page) {
-        return;
-    }
-    for (const protocol::store_record &record : page.value().records) {
-        if (record.value && net::parseAddress(*record.value) && *record.value != m_fleet.gossipAddress()) {
-            contacts.push_back(*record.value);
-        }
-    }
-    if (page.value().hasMore && !page.value().records.empty()) {
-        listInstances(std::move(contacts), page.value().records.back().key, m_now);
-        return;
-    }
-    m_hasListedInstances = true;
-    m_fleet.setContacts(std::move(contacts));
-}
-
 /// A process that was stopped or a machine that was suspended has missed what happened meanwhile.
 void daemon_core::noticePause(instant now)
 {
@@ -569,7 +513,7 @@
     }
     m_configurationWatch.onTick(now);
     m_endpointWatch.onTick(now);
-    tendInstances(now);
+    m_finder.onTick(m_fleet.liveCount(), now);
     applyChanges(m_directory.advance(now));
     m_pieces.onTick(now);
     m_status.onTick(now);
--- a/packages/frontend/src/daemon-core.h
+++ b/packages/frontend/src/daemon-core.h
@@ -4,6 +4,7 @@
 #include "directory-feed.h"
 #include "fleet-host.h"
 #include "frontend-context.h"
+#include "instance-finder.h"
 #include "request-session.h"
 #include "status-server.h"
 #include "store-watch.h"
@@ -55,14 +56,11 @@
     void onEndpointNews(const follow_news &news);
     void onDirectoryNews(const stages::directory_message &news);
     void onStoreReach(bool isReachable);
-    void listInstances(std::vector<std::string> contacts, const std::string &afterKey, common::instant now);
-    void onInstanceListing(std::vector<std::string> contacts, common::result<store_lane::store_answer> answer);
     void applyChanges(const std::vector<catalog::directory_change> &changes);
 
     void onTick();
     void tendFleet(common::instant now);
     void noticePause(common::instant now);
-    void tendInstances(common::instant now);
     void sweep(common::instant now);
     void advanceStop(common::instant now);
     bool isReady() const;
@@ -84,7 +82,7 @@
     frontend_context m_context;
     store_watch m_configurationWatch;
     store_watch m_endpointWatch;
-    store_lane m_instanceLane;
+    instance_finder m_finder;
     directory_feed m_feed;
     fleet_host m_fleet;
     status_server m_status;
@@ -102,9 +100,6 @@
     bool m_hasHandedBack = false;
     std::optional<common::instant> m_storeLostAt;
     bool m_isStoreReported = true; ///< the last state that was logged
-    bool m_hasPublished = false;
-    bool m_hasListedInstances = false;
-    common::instant m_instancesDueAt;
     std::int64_t m_bootTime = 0; ///< of the last tick, microseconds
     std::uint64_t m_badRequests = 0;
     std::uint64_t m_badRequestsReported = 0;
--- a/packages/frontend/src/directory-feed.cpp
+++ b/packages/frontend/src/directory-feed.cpp
@@ -102,9 +102,16 @@
         }
     }
     m_told = std::move(present);
-    const stages::directory_message whole{configurationVersion, true, records, {}};
+    std::vector<std::uint64_t> told;
+    std::vector<std::uint64_t> untold;
     for (auto &[subscriber, isTold] : m_subscribers) {
-        m_handlers.send(subscriber, std::exchange(isTold, true) ? news : whole);
+        (std::exchange(isTold, true) ? told : untold).push_back(subscriber);
+    }
+    if (!told.empty()) {
+        m_handlers.send(told, news);
+    }
+    if (!untold.empty()) {
+        m_handlers.send(untold, stages::directory_message{configurationVersion, true, records, {}});
     }
 }
 
--- a/packages/frontend/src/directory-feed.h
+++ b/packages/frontend/src/directory-feed.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -32,7 +33,7 @@
 {
 public:
     struct event_handlers {
-        std::function<void(std::uint64_t subscriber, const stages::home_message &message)> send;
+        std::function<void(std::span<const std::uint64_t> subscribers, const stages::home_message &message)> send;
         std::function<void(stages::directory_message message)> onNews;
     };
 
--- a/packages/frontend/src/endpoint-pool.cpp
+++ b/packages/frontend/src/endpoint-pool.cpp
@@ -29,7 +29,6 @@
     auto opened = std::make_unique<connection>(target.value(), m_options.socket, answerLimits);
     connection *raw = opened.get();
     m_entries.emplace(raw, entry{std::move(opened), endpointId, now, {}, false});
-    ++m_opened;
     return raw;
 }
 
--- a/packages/frontend/src/endpoint-pool.h
+++ b/packages/frontend/src/endpoint-pool.h
@@ -39,7 +39,6 @@
     /// Closes all idle connections.
     void dropIdle();
     std::size_t size() const { return m_entries.size(); }
-    std::size_t opened() const { return m_opened; }
 
 private:
     struct entry {
@@ -53,7 +52,6 @@
     endpoint_pool_options m_options;
     std::map<connection *, entry> m_entries;
     std::vector<std::unique_ptr<connection>> m_ended;
-    std::size_t m_opened = 0;
 };
 
 } // namespace masticlever::frontend
--- a/packages/frontend/src/fleet-host.cpp
+++ b/packages/frontend/src/fleet-host.cpp
@@ -61,8 +61,7 @@
 } // namespace
 
 fleet_host::fleet_host(const frontend_settings &settings, std::string incarnation, event_handlers handlers)
-    : m_handlers(std::move(handlers)), m_gossipAddress(settings.gossipAddress),
-      m_table(membershipOptions(), selfNotice(settings, std::move(incarnation)))
+    : m_handlers(std::move(handlers)), m_table(membershipOptions(), selfNotice(settings, std::move(incarnation)))
 {
     if (const auto home = net::parseAddress(settings.homeAddress)) {
         m_homePort = home.value().port;
--- a/packages/frontend/src/fleet-host.h
+++ b/packages/frontend/src/fleet-host.h
@@ -43,8 +43,6 @@
     /// Live instances that may be homes, this one included unless it is leaving; as of the last tick.
     const std::vector<stages::home_candidate> &homes() const { return m_homes; }
     std::size_t liveCount() const { return m_liveCount; }
-    /// Gossip addresses of the live instances.
-    const std::string &gossipAddress() const { return m_gossipAddress; }
 
 private:
     std::string homeAddressOf(const std::string &gossipAddress) const;
@@ -52,7 +50,6 @@
     void logChanges(const std::vector<membership::instance_notice> &live);
 
     event_handlers m_handlers;
-    std::string m_gossipAddress;
     std::uint16_t m_homePort = 0; ///< the same on all instances
     membership::membership_table m_table;
     std::unique_ptr<peers::peer_service> m_service;
--- a/packages/frontend/src/home-link.cpp
+++ b/packages/frontend/src/home-link.cpp
@@ -28,7 +28,12 @@
 
 void home_link::send(const stages::home_message &message)
 {
-    m_socket->write(stages::encodeHomeMessage(message));
+    sendEncoded(stages::encodeHomeMessage(message));
+}
+
+void home_link::sendEncoded(std::string_view message)
+{
+    m_socket->write(message);
 }
 
 void home_link::close()
--- a/packages/frontend/src/home-link.h
+++ b/packages/frontend/src/home-link.h
@@ -29,8 +29,8 @@
     ~home_link() override;
 
     void send(const stages::home_message &message);
-    bool isOpen() const { return m_isOpen; }
-    bool isConnected() const { return m_socket->isConnected(); }
+    /// A message that goes to several instances is encoded once.
+    void sendEncoded(std::string_view message);
     common::instant heardAt() const { return m_heardAt; }
     void close();
 
--- a/packages/frontend/src/home-server.cpp
+++ b/packages/frontend/src/home-server.cpp
@@ -102,9 +102,8 @@
     }
 }
 
-void home_server::onRelease(const std::string &service, const std::vector<std::string> &handles)
+void home_server::onRelease(const std::vector<std::string> &handles)
 {
-    static_cast<void>(service); // the maker's address is part of the handle
     for (const std::string &handle : handles) {
         m_toRelease[std::string(makerOf(handle))].push_back(handle);
     }
--- a/packages/frontend/src/home-server.h
+++ b/packages/frontend/src/home-server.h
@@ -39,7 +39,7 @@
     void onWish(const std::string &service, stages::piece_wish wish, common::instant now);
     void onCancel(std::uint64_t owner, std::uint64_t job);
     void onOwnerGone(std::uint64_t owner);
-    void onRelease(const std::string &service, const std::vector<std::string> &handles);
+    void onRelease(const std::vector<std::string> &handles);
     void onTick(common::instant now);
     /// This instance is leaving: what waits here is to be made by the next home.
     void handBack();
--- /dev/null
+++ b/packages/frontend/src/instance-finder.cpp
@@ -0,0 +1,90 @@
+#include "instance-finder.h"
+
+#include "frontend-context.h"
+
+#include <masticlever/net/stream-socket.h>
+
+#include <utility>
+
+namespace masticlever::frontend
+{
+
+namespace
+{
+
+constexpr common::duration listingInterval = std::chrono::seconds(2); ///< while no other instance is known
+constexpr common::duration callTimeout = std::chrono::seconds(2);
+constexpr int success = 200;
+
+} // namespace
+
+instance_finder::instance_finder(const protocol::site_protocol &protocol, const frontend_settings &settings,
+                                 contacts_handler onContacts)
+    : m_protocol(protocol), m_settings(settings), m_onContacts(std::move(onContacts)), m_lane(settings.storeAddress)
+{ }
+
+void instance_finder::onTick(std::size_t liveInstances, common::instant now)
+{
+    m_lane.onTick(now);
+    if (m_lane.isBusy() || now < m_dueAt) {
+        return;
+    }
+    if (!m_hasPublished) {
+        publish(now);
+    } else if (liveInstances <= 1 || !m_hasListed) {
+        list(m_settings.contacts, {}, now);
+    }
+}
+
+void instance_finder::publish(common::instant now)
+{
+    const auto call
+        = m_protocol.publishCall(protocol::store_topic::instances, m_settings.name, m_settings.gossipAddress);
+    m_lane.call(
+        call, callTimeout,
+        [this](const common::result<store_lane::store_answer> &answer) {
+            const common::instant answeredAt = presentInstant();
+            m_hasPublished = answer && answer.value().status == success;
+            m_dueAt = answeredAt + listingInterval;
+            if (m_hasPublished) {
+                list(m_settings.contacts, {}, answeredAt);
+            }
+        },
+        now);
+}
+
+void instance_finder::list(std::vector<std::string> contacts, const std::string &afterKey, common::instant now)
+{
+    m_lane.call(
+        m_protocol.listCall(protocol::store_topic::instances, afterKey), callTimeout,
+        [this, contacts = std::move(contacts)](common::result<store_lane::store_answer> answer) mutable {
+            onListing(std::move(contacts), std::move(answer));
+        },
+        now);
+}
+
+void instance_finder::onListing(std::vector<std::string> contacts, common::result<store_lane::store_answer> answer)
+{
+    const common::instant now = presentInstant();
+    m_dueAt = now + listingInterval;
+    if (!answer) {
+        return;
+    }
+    const auto page = m_protocol.readListing(answer.value().status, answer.value().body);
+    if (!page) {
+        return;
+    }
+    for (const protocol::store_record &record : page.value().records) {
+        if (record.value && net::parseAddress(*record.value) && *record.value != m_settings.gossipAddress) {
+            contacts.push_back(*record.value);
+        }
+    }
+    if (page.value().hasMore && !page.value().records.empty()) {
+        list(std::move(contacts), page.value().records.back().key, now);
+        return;
+    }
+    m_hasListed = true;
+    m_onContacts(std::move(contacts));
+}
+
+} // namespace masticlever::frontend
--- a/packages/frontend/src/piece-service.cpp
+++ b/packages/frontend/src/piece-service.cpp
@@ -167,11 +167,14 @@
     m_onOwnerGone = std::move(onGone);
 }
 
-void piece_service::sendToOwner(std::uint64_t owner, const stages::home_message &message)
+void piece_service::sendToOwners(std::span<const std::uint64_t> owners, const stages::home_message &message)
 {
-    const auto found = m_owners.find(owner);
-    if (found != m_owners.end()) {
-        found->second->send(message);
+    const std::string encoded = stages::encodeHomeMessage(message);
+    for (const std::uint64_t owner : owners) {
+        const auto found = m_owners.find(owner);
+        if (found != m_owners.end()) {
+            found->second->sendEncoded(encoded);
+        }
     }
 }
 
@@ -186,7 +189,7 @@
     } else if (const auto *cancelled = std::get_if<stages::cancel_message>(&message)) {
         m_server.onCancel(owner, cancelled->job);
     } else if (const auto *released = std::get_if<stages::release_message>(&message)) {
-        m_server.onRelease(released->service, released->handles);
+        m_server.onRelease(released->handles);
     } else if (m_onOtherMessage) {
         m_onOtherMessage(owner, std::move(message));
     }
@@ -220,7 +223,7 @@
             handles.push_back(std::move(entry.handle));
         }
     }
-    m_server.onRelease({}, handles); // nobody is left to use them
+    m_server.onRelease(handles); // nobody is left to use them
 }
 
 void piece_service::takeResults(const stages::results_message &message)
@@ -297,7 +300,7 @@
         if (!service.empty() && home != nullptr && home->incarnation != m_self && link != m_links.end()) {
             link->second.link->send(stages::release_message{service, std::move(list)});
         } else {
-            m_server.onRelease(service, list);
+            m_server.onRelease(list);
         }
     }
 }
@@ -344,8 +347,9 @@
             m_delays[delay.service] = delay.delays;
         }
     }
+    const std::string encoded = stages::encodeHomeMessage(status);
     for (const auto &[owner, link] : m_owners) {
-        link->send(status);
+        link->sendEncoded(encoded);
     }
 }
 
--- a/packages/frontend/src/piece-service.h
+++ b/packages/frontend/src/piece-service.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -49,7 +50,7 @@
     void onConnection(int descriptor);
     /// Messages of connected instances that do not concern stage results, and their end.
     void setOwnerHandlers(owner_handler onMessage, std::function<void(std::uint64_t owner)> onGone);
-    void sendToOwner(std::uint64_t owner, const stages::home_message &message);
+    void sendToOwners(std::span<const std::uint64_t> owners, const stages::home_message &message);
 
     void submit(const std::string &service, stages::piece_wish wish, common::instant now);
     void cancel(std::uint64_t job);
--- a/packages/frontend/test/directory-feed-test.cpp
+++ b/packages/frontend/test/directory-feed-test.cpp
@@ -28,8 +28,10 @@
 {
     std::vector<std::pair<std::uint64_t, stages::directory_message>> sent;
     directory_feed feed({},
-                        {[&](std::uint64_t subscriber, const stages::home_message &message) {
-                             sent.emplace_back(subscriber, std::get<stages::directory_message>(message));
+                        {[&](std::span<const std::uint64_t> subscribers, const stages::home_message &message) {
+                             for (const std::uint64_t subscriber : subscribers) {
+                                 sent.emplace_back(subscriber, std::get<stages::directory_message>(message));
+                             }
                          },
                          [](const stages::directory_message &) {}});
     feed.setMembers({{"self", "127.0.0.1:1", common::stableHash("self"), false}}, "self", 7, start);
--- a/packages/peers/test/gossip-test.cpp
+++ b/packages/peers/test/gossip-test.cpp
@@ -202,7 +202,8 @@
         CHECK(instances.believers(i) == size);
     }
     // One greeting to each address, and one answer from each instance that was there first.
-    const auto pairs = static_cast<std::size_t>(size * (size - 1));
+    const std::size_t count = instances.nodes.size();
+    const std::size_t pairs = count * (count - 1);
     CHECK(instances.messages == pairs + pairs / 2);
 }
 
