Let a plan of the queue cost one step a request

The plan went over all endpoints and calls under way again for each waiting request, and was made twice for each event, also when no endpoint could take a call. Change: the endpoints' capacity is found once for a plan; without an idle endpoint no second plan is made. What the queue decides is unchanged, its tests pass as they are.

--- a/packages/stages/include/masticlever/stages/batch-queue.h
+++ b/packages/stages/include/masticlever/stages/batch-queue.h
@@ -145,6 +145,11 @@
         std::vector<std::uint64_t> wishes; ///< of each piece
     };
 
+    struct capacity {
+        double piecesAtOnce = 0; ///< that idle endpoints take now
+        common::duration untilFree{}; ///< mean time until an endpoint is
+    };
+
     using wish_map = std::map<std::uint64_t, wish_entry>;
 
     common::duration plainCall(std::size_t pieces) const;
@@ -160,7 +165,8 @@
     double piecesPerMicrosecond(common::instant now) const;
     std::vector<wish_map::iterator> orderedWishes(const endpoint_entry &endpoint);
     std::vector<wish_map::iterator> waitingByUrgency();
-    common::instant startBehind(double pieces, double rate, common::instant now) const;
+    capacity presentCapacity(common::instant now) const;
+    static common::instant startBehind(double pieces, const capacity &present, double rate, common::instant now);
     double leftover(double rate, common::instant now) const;
     std::vector<wish_map::iterator> plan(common::instant now);
     void planNear(const std::vector<wish_map::iterator> &waiting, common::instant now);
--- a/packages/stages/src/batch-queue-plan.cpp
+++ b/packages/stages/src/batch-queue-plan.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <tuple>
 #include <utility>
 
@@ -90,10 +91,9 @@
     return waiting;
 }
 
-/// When a piece with \p pieces before it would be taken.
-instant batch_queue::startBehind(double pieces, double rate, instant now) const
+/// What the endpoints can take, found once for a plan: a plan of n requests is to cost no more than n steps.
+batch_queue::capacity batch_queue::presentCapacity(instant now) const
 {
-    duration busy{};
     std::size_t places = 0;
     std::size_t idle = 0;
     for (const auto &[id, endpoint] : m_endpoints) {
@@ -102,14 +102,26 @@
             idle += m_limits.parallelCalls - std::min(endpoint.calls, m_limits.parallelCalls);
         }
     }
-    const double atOnce = static_cast<double>(idle * m_limits.batchSize);
-    if (pieces < atOnce || places == 0) {
-        return now;
+    capacity found;
+    if (places == 0) {
+        found.piecesAtOnce = std::numeric_limits<double>::infinity(); // nothing is known of the time
+        return found;
     }
+    found.piecesAtOnce = static_cast<double>(idle * m_limits.batchSize);
     for (const auto &[number, call] : m_calls) {
-        busy += std::max(duration{}, call.sentAt + call.expected - now);
+        found.untilFree += std::max(duration{}, call.sentAt + call.expected - now);
+    }
+    found.untilFree /= static_cast<duration::rep>(places);
+    return found;
+}
+
+/// When a piece with \p pieces before it would be taken.
+instant batch_queue::startBehind(double pieces, const capacity &present, double rate, instant now)
+{
+    if (pieces < present.piecesAtOnce) {
+        return now;
     }
-    return now + busy / static_cast<duration::rep>(places) + duration(std::llround((pieces - atOnce) / rate));
+    return now + present.untilFree + duration(std::llround((pieces - present.piecesAtOnce) / rate));
 }
 
 /// Part of the endpoints' time that new requests are expected to leave.
@@ -131,11 +143,12 @@
     std::vector<wish_map::iterator> hopeless;
     const std::vector<wish_map::iterator> waiting = waitingByUrgency();
     const double rate = piecesPerMicrosecond(now);
+    const capacity present = presentCapacity(now);
     double before = 0;
     for (const auto found : waiting) {
         wish_entry &entry = found->second;
         const duration rest = likelyCall(entry.waiting.size()) + entry.wish.laterWork;
-        const instant begin = rate > 0 ? startBehind(before, rate, now) : now;
+        const instant begin = rate > 0 ? startBehind(before, present, rate, now) : now;
         entry.isLate = begin + rest > std::min(entry.wish.objective, entry.wish.deadline);
         before += entry.isLate ? 0 : static_cast<double>(entry.waiting.size());
     }
@@ -147,7 +160,7 @@
             continue;
         }
         const duration rest = plainCall(1) + entry.wish.laterWork;
-        const instant begin = leftRate > 0 ? startBehind(before, leftRate, now) : now;
+        const instant begin = leftRate > 0 ? startBehind(before, present, leftRate, now) : now;
         if (begin + rest > entry.wish.deadline) {
             hopeless.push_back(found);
         } else {
--- a/packages/stages/src/batch-queue.cpp
+++ b/packages/stages/src/batch-queue.cpp
@@ -202,10 +202,12 @@
 std::vector<batch_call> batch_queue::takeCalls(instant now)
 {
     std::vector<batch_call> calls;
-    if (m_waitingPieces > 0) {
-        plan(now);
+    const std::vector<endpoint_entry *> idle = idleEndpoints(now);
+    if (m_waitingPieces == 0 || idle.empty()) {
+        return calls;
     }
-    for (endpoint_entry *endpoint : idleEndpoints(now)) {
+    plan(now);
+    for (endpoint_entry *endpoint : idle) {
         while (m_waitingPieces > 0 && endpoint->calls < m_limits.parallelCalls) {
             auto call = fill(*endpoint, now);
             if (!call) {
