Feed no kept endpoints to others, and read the store oneself while in doubt of it

An instance that came back from an outage of the store was the reader, and told the others the endpoints that it only kept through the outage; they took a removed one back (added at 11.63 s on 12 machines, removed again at 13.68 s). 2. An instance whose connections were reset held the store for lost until its waiting call returned up to 8 s later, as its reads were put off by the reader's news; so it kept an endpoint that the news called gone (removed 6 s after the others). Change: nothing is told to others while entries may be kept; reads are not put off while the store is held for lost.

--- a/packages/catalog/include/masticlever/catalog/endpoint-directory.h
+++ b/packages/catalog/include/masticlever/catalog/endpoint-directory.h
@@ -79,6 +79,9 @@
     std::vector<endpoint_record> records() const;
     std::size_t size() const { return m_entries.size(); }
 
+    /// Whether entries may be kept here although they have left: the store is away, or was a moment ago.
+    bool isStoreSuspect(common::instant now) const;
+
 private:
     struct entry {
         endpoint_record record;
@@ -93,7 +96,6 @@
     };
 
     bool isOutdated(const endpoint_record &record) const;
-    bool isStoreSuspect(common::instant now) const;
     std::vector<directory_change> erase(std::map<std::string, entry, std::less<>>::iterator found, common::instant now);
     void indexService(const endpoint_record &record);
     void unindexService(const endpoint_record &record);
--- a/packages/frontend/src/daemon-core.cpp
+++ b/packages/frontend/src/daemon-core.cpp
@@ -408,7 +408,10 @@
         append(changes, m_directory.onListing(news.listedKeys, now));
     }
     applyChanges(changes);
-    m_feed.onRead(m_directory.records(), version());
+    // What is kept here after an outage may have left meanwhile: the others are not told to take it back.
+    if (!m_directory.isStoreSuspect(now)) {
+        m_feed.onRead(m_directory.records(), version());
+    }
 }
 
 /// What another instance has read from the store a moment ago.
@@ -508,7 +511,8 @@
     m_now = now;
     tendFleet(now);
     m_feed.onTick(now);
-    if (now < m_feed.freshUntil()) {
+    // Only an own read ends the doubt whether the store is away, and with it the keeping of what has left.
+    if (now < m_feed.freshUntil() && !m_storeLostAt) {
         m_endpointWatch.defer(m_feed.freshUntil());
     }
     m_configurationWatch.onTick(now);
