--- a/packages/forwarding/include/masticlever/forwarding/request-flow.h
+++ b/packages/forwarding/include/masticlever/forwarding/request-flow.h
@@ -94,8 +94,6 @@
     /// Tells whether the maker of a result is known to be gone; set once.
     void setMakerCheck(std::function<bool(std::string_view handle)> check) { m_isMakerGone = std::move(check); }
 
-    const catalog::route &route() const { return m_route; }
-    const protocol::request_attributes &attributes() const { return m_attributes; }
     const stages::stage_graph &graph() const { return m_graph; }
     common::instant receivedAt() const { return m_receivedAt; }
     common::instant deadline() const { return m_deadline; }
@@ -104,8 +102,6 @@
     std::size_t attempts() const { return m_attempts; }
     /// Endpoints that are not to be called again.
     const std::vector<std::string> &excluded() const { return m_excluded; }
-    bool hasHead() const { return m_hasHead; }
-    bool isCalling() const { return m_isCalling; }
     bool isEnded() const { return m_isEnded; }
     /// Where a stream goes on: after the last event that was passed on, or that the caller named.
     std::optional<std::uint64_t> resumeAfter() const { return m_lastEvent ? m_lastEvent : m_attributes.resumeAfter; }
--- a/packages/forwarding/src/endpoint-choice.cpp
+++ b/packages/forwarding/src/endpoint-choice.cpp
@@ -124,9 +124,7 @@
     const bool isOut = outcome == call_outcome::unreachable || state.failuresInRow >= m_options.failuresToRest;
     if (isOut) {
         const auto exponent = static_cast<double>(std::min<std::size_t>(state.failuresInRow, 6)) - 1;
-        const auto rest = std::min(
-            m_options.longestRest,
-            common::duration(std::llround(static_cast<double>(m_options.firstRest.count()) * std::pow(2.0, exponent))));
+        const auto rest = std::min(m_options.longestRest, common::scaled(m_options.firstRest, std::pow(2.0, exponent)));
         state.restsUntil = now + rest;
     }
 }
--- a/packages/frontend/include/masticlever/frontend/topic-follower.h
+++ b/packages/frontend/include/masticlever/frontend/topic-follower.h
@@ -26,7 +26,7 @@
 
 struct follow_call {
     bool isListing = false;
-    std::string afterKey; ///< of a listing: the last key of the page before
+    std::string afterKey; ///< of a listing: it continues behind this key
     std::uint64_t from = 0; ///< of a read
     common::duration wait{};
     common::duration timeout{}; ///< the wait included
@@ -66,7 +66,6 @@
 
     bool isReachable() const { return m_isReachable; }
     bool hasListed() const { return m_hasListed; }
-    common::instant heardAt() const { return m_heardAt; }
 
 private:
     topic_follower_options m_options;
@@ -81,7 +80,6 @@
     common::instant m_dueAt;
     common::instant m_calledAt;
     bool m_isDeferred = false;
-    common::instant m_heardAt;
     common::duration m_retry{};
 };
 
--- a/packages/frontend/src/daemon-core.cpp
+++ b/packages/frontend/src/daemon-core.cpp
@@ -152,7 +152,6 @@
 std::string daemon_core::start()
 {
     m_now = presentInstant();
-    m_startedAt = m_now;
     m_bootTime = bootMicroseconds();
     const auto front = net::parseAddress(m_settings.frontAddress);
     const auto homes = net::parseAddress(m_settings.homeAddress);
--- a/packages/frontend/src/daemon-core.h
+++ b/packages/frontend/src/daemon-core.h
@@ -94,7 +94,6 @@
     std::map<std::uint64_t, std::unique_ptr<request_session>> m_sessions;
     std::uint64_t m_lastSession = 0;
     common::instant m_now;
-    common::instant m_startedAt;
     common::instant m_fleetDueAt;
     std::optional<common::instant> m_stoppingSince;
     bool m_hasHandedBack = false;
--- a/packages/frontend/src/directory-feed.cpp
+++ b/packages/frontend/src/directory-feed.cpp
@@ -34,13 +34,8 @@
 void directory_feed::setMembers(const std::vector<stages::home_candidate> &members, const std::string &self,
                                 std::uint64_t configurationVersion, instant now)
 {
-    std::vector<stages::home_candidate> candidates = members;
-    for (stages::home_candidate &candidate : candidates) {
-        const auto avoided = m_avoided.find(candidate.address);
-        candidate.isAvoided = candidate.incarnation != self && avoided != m_avoided.end() && now < avoided->second;
-    }
-    const stages::home_candidate *reader = stages::chooseHome(duty, candidates);
-    const bool isSelf = reader == nullptr || reader->incarnation == self;
+    const auto reader = m_avoided.choose(duty, members, self, now);
+    const bool isSelf = !reader || reader->incarnation == self;
     const std::string address = isSelf ? std::string() : reader->address;
     if (address != m_reader) {
         follow(address, configurationVersion, now);
@@ -73,7 +68,7 @@
         }
     };
     handlers.onClosed = [this](home_link &) {
-        m_avoided[m_reader] = presentInstant() + m_options.avoidFor;
+        m_avoided.avoid(m_reader, presentInstant() + m_options.avoidFor);
         unfollow();
     };
     m_link = std::make_unique<home_link>(target.value(), std::move(handlers), now);
@@ -119,7 +114,7 @@
 {
     m_ended.reset();
     if (m_link && now > std::max(m_freshUntil, m_followedAt + m_options.freshFor)) {
-        m_avoided[m_reader] = now + m_options.avoidFor;
+        m_avoided.avoid(m_reader, now + m_options.avoidFor);
         unfollow();
     }
 }
--- a/packages/frontend/src/directory-feed.h
+++ b/packages/frontend/src/directory-feed.h
@@ -63,7 +63,7 @@
     std::string m_reader; ///< address; empty: this instance reads
     common::instant m_followedAt;
     common::instant m_freshUntil;
-    std::map<std::string, common::instant, std::less<>> m_avoided; ///< by address, until when
+    stages::avoided_homes m_avoided;
     std::map<std::uint64_t, bool> m_subscribers; ///< whether it has been told everything
     std::map<std::string, catalog::endpoint_record> m_told; ///< by id, as the subscribers know it
 };
--- a/packages/frontend/src/endpoint-pool.cpp
+++ b/packages/frontend/src/endpoint-pool.cpp
@@ -1,6 +1,5 @@
 #include "endpoint-pool.h"
 
-#include <cmath>
 #include <utility>
 
 namespace masticlever::frontend
@@ -48,8 +47,7 @@
     found->second.since = now;
     found->second.idleLimit = m_options.idleWithoutLimit;
     if (idleLimit) {
-        found->second.idleLimit
-            = common::duration(std::llround(static_cast<double>(idleLimit->count()) * m_options.idleUse));
+        found->second.idleLimit = common::scaled(*idleLimit, m_options.idleUse);
     }
 }
 
--- a/packages/frontend/src/endpoint-pool.h
+++ b/packages/frontend/src/endpoint-pool.h
@@ -38,7 +38,6 @@
     void sweep(common::instant now);
     /// Closes all idle connections.
     void dropIdle();
-    std::size_t size() const { return m_entries.size(); }
 
 private:
     struct entry {
--- a/packages/frontend/src/piece-service.cpp
+++ b/packages/frontend/src/piece-service.cpp
@@ -21,6 +21,17 @@
 
 constexpr std::uint64_t ownWork = 0; ///< owner of this instance's own wishes
 
+std::vector<std::string> handlesIn(const stages::results_message &message)
+{
+    std::vector<std::string> handles;
+    for (const stages::result_entry &entry : message.results) {
+        if (!entry.handle.empty()) {
+            handles.push_back(entry.handle);
+        }
+    }
+    return handles;
+}
+
 } // namespace
 
 piece_service::piece_service(piece_service_options options, const protocol::site_protocol &protocol,
@@ -46,21 +57,15 @@
 void piece_service::submit(const std::string &service, stages::piece_wish wish, instant now)
 {
     const std::uint64_t job = wish.job;
-    const auto added = m_pending.emplace(job, pending_wish{service, std::move(wish), {}, now});
+    const auto added = m_pending.emplace(job, pending_wish{service, std::move(wish), {}});
     dispatch(added->second, now);
 }
 
 void piece_service::dispatch(pending_wish &pending, instant now)
 {
-    std::vector<stages::home_candidate> candidates = m_members;
-    for (stages::home_candidate &candidate : candidates) {
-        const auto avoided = m_avoided.find(candidate.address);
-        candidate.isAvoided = candidate.incarnation != m_self && avoided != m_avoided.end() && now < avoided->second;
-    }
-    const stages::home_candidate *home = stages::chooseHome(pending.service, candidates);
-    pending.sentAt = now;
+    const auto home = m_avoided.choose(pending.service, m_members, m_self, now);
     pending.home.clear();
-    if (home != nullptr && home->incarnation != m_self) {
+    if (home && home->incarnation != m_self) {
         if (home_link *link = linkTo(home->address, now)) {
             link_entry &entry = m_links.find(home->address)->second;
             if (awaitedFrom(home->address) == 0) {
@@ -129,7 +134,7 @@
     found->second.link->close();
     m_ended.push_back(std::move(found->second.link));
     m_links.erase(found);
-    m_avoided[address] = now + m_options.avoidFor;
+    m_avoided.avoid(address, now + m_options.avoidFor);
     logEvent(event::home_lost,
              {{"home", std::string_view(address)},
               {"reason", reason},
@@ -217,13 +222,7 @@
         found->second->send(std::move(message));
         return;
     }
-    std::vector<std::string> handles;
-    for (stages::result_entry &entry : message.results) {
-        if (!entry.handle.empty()) {
-            handles.push_back(std::move(entry.handle));
-        }
-    }
-    m_server.onRelease(handles); // nobody is left to use them
+    m_server.onRelease(handlesIn(message)); // nobody is left to use them
 }
 
 void piece_service::takeResults(const stages::results_message &message)
@@ -232,13 +231,7 @@
     const auto found
         = std::find_if(begin, end, [&](const auto &item) { return item.second.wish.stage == message.stage; });
     if (found == end) {
-        std::vector<std::string> unused;
-        for (const stages::result_entry &entry : message.results) {
-            if (!entry.handle.empty()) {
-                unused.push_back(entry.handle);
-            }
-        }
-        release(unused);
+        release(handlesIn(message));
         return;
     }
     const std::string service = found->second.service;
--- a/packages/frontend/src/piece-service.h
+++ b/packages/frontend/src/piece-service.h
@@ -71,7 +71,6 @@
         std::string service;
         stages::piece_wish wish; ///< with the pieces that are still awaited
         std::string home; ///< address; empty: this instance
-        common::instant sentAt;
     };
 
     struct link_entry {
@@ -98,7 +97,7 @@
     home_server m_server;
     std::vector<stages::home_candidate> m_members;
     std::string m_self;
-    std::map<std::string, common::instant, std::less<>> m_avoided; ///< homes by address, until when
+    stages::avoided_homes m_avoided;
     std::multimap<std::uint64_t, pending_wish> m_pending; ///< by job
     std::map<std::string, link_entry, std::less<>> m_links; ///< to homes, by address
     std::map<std::uint64_t, std::unique_ptr<home_link>> m_owners; ///< instances whose home this is
--- a/packages/frontend/src/request-session.cpp
+++ b/packages/frontend/src/request-session.cpp
@@ -463,7 +463,6 @@
             continue; // a resumed stream may begin with what the caller has
         }
         whole += entry.bytes;
-        ++m_eventCount;
         if (entry.id) {
             m_flow.onEventPassed(*entry.id);
         }
--- a/packages/frontend/src/request-session.h
+++ b/packages/frontend/src/request-session.h
@@ -106,7 +106,6 @@
     forwarding::event_splitter m_events;
     common::duration m_firstAnswer{};
     std::vector<stage_rest> m_rests; ///< by stage
-    std::size_t m_eventCount = 0;
 };
 
 } // namespace masticlever::frontend
--- a/packages/frontend/src/service-pace.cpp
+++ b/packages/frontend/src/service-pace.cpp
@@ -1,7 +1,6 @@
 #include "service-pace.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace masticlever::frontend
 {
@@ -10,8 +9,7 @@
 {
     const auto [found, isFirst] = m_routes.try_emplace(std::string(route), time);
     if (!isFirst) {
-        const auto difference = static_cast<double>((time - found->second).count());
-        found->second += common::duration(std::llround(m_options.learningRate * difference));
+        found->second += common::scaled(time - found->second, m_options.learningRate);
     }
 }
 
--- a/packages/frontend/src/store-watch.cpp
+++ b/packages/frontend/src/store-watch.cpp
@@ -49,7 +49,6 @@
 
 void store_watch::send(const follow_call &call, common::instant now)
 {
-    ++m_calls;
     const protocol::store_call request = call.isListing ? m_protocol.listCall(m_topic, call.afterKey)
                                                         : m_protocol.readCall(m_topic, call.from, call.wait);
     m_lane.call(
--- a/packages/frontend/src/store-watch.h
+++ b/packages/frontend/src/store-watch.h
@@ -30,7 +30,6 @@
     /// After a pause of the process.
     void restart(common::instant now);
     const topic_follower &follower() const { return m_follower; }
-    std::uint64_t calls() const { return m_calls; }
 
 private:
     void send(const follow_call &call, common::instant now);
@@ -42,7 +41,6 @@
     topic_follower m_follower;
     news_handler m_onNews;
     reach_handler m_onReach;
-    std::uint64_t m_calls = 0;
     bool m_isInterrupting = false;
 };
 
--- a/packages/frontend/src/topic-follower.cpp
+++ b/packages/frontend/src/topic-follower.cpp
@@ -24,7 +24,6 @@
 {
     m_isUnderWay = false;
     m_isReachable = true;
-    m_heardAt = now;
     m_retry = {};
     m_dueAt = now;
     if (!m_listedEnd) {
@@ -54,7 +53,6 @@
 {
     m_isUnderWay = false;
     m_isReachable = true;
-    m_heardAt = now;
     m_retry = {};
     m_from = std::max(m_from, page.end);
     m_dueAt = now + (m_options.wait.count() > 0 ? common::duration{} : m_options.pollInterval);
@@ -64,7 +62,6 @@
 void topic_follower::onTruncated(common::instant now)
 {
     m_isReachable = true;
-    m_heardAt = now;
     restart(now);
     m_isUnderWay = false;
 }
--- a/packages/net/include/masticlever/net/stream-socket.h
+++ b/packages/net/include/masticlever/net/stream-socket.h
@@ -74,7 +74,6 @@
     static pointer adopt(int descriptor, const socket_options &options, socket_handler &handler);
     ~stream_socket() override;
 
-    void setHandler(socket_handler &handler) { m_handler = &handler; }
     void write(std::string_view bytes);
     /// Ends the connection once all bytes are sent; onClosed() follows.
     void closeWhenSent();
--- a/packages/peers/src/gossip.cpp
+++ b/packages/peers/src/gossip.cpp
@@ -24,6 +24,11 @@
     return all;
 }
 
+bool hasAddress(const std::vector<membership::instance_notice> &instances, const std::string &address)
+{
+    return std::ranges::find(instances, address, &membership::instance_notice::peerAddress) != instances.end();
+}
+
 } // namespace
 
 gossip::gossip(gossip_options options, membership::membership_table &table) : m_options(options), m_table(table) { }
@@ -49,13 +54,10 @@
     std::vector<std::string> peers = m_table.watcherPeers(now);
     const std::size_t others = m_isUrgent ? m_options.urgentPeers : m_options.rotatingPeers;
     std::ranges::move(m_table.nextPeers(others, now), std::back_inserter(peers));
-    std::vector<std::string> live;
-    for (const membership::instance_notice &notice : m_table.liveInstances(now)) {
-        live.push_back(notice.peerAddress);
-    }
+    const std::vector<membership::instance_notice> live = m_table.liveInstances(now);
     for (std::size_t i = 0; i < std::min(m_options.contactPeers, m_contacts.size()); ++i) {
         const std::string &contact = m_contacts[(m_rounds * m_options.contactPeers + i) % m_contacts.size()];
-        if (std::ranges::find(live, contact) == live.end()) {
+        if (!hasAddress(live, contact)) {
             peers.push_back(contact);
         }
     }
@@ -115,10 +117,11 @@
 
 std::optional<gossip_round> gossip::takeGreeting(common::instant now)
 {
+    if (m_toGreet.empty()) {
+        return std::nullopt;
+    }
     const std::vector<membership::instance_notice> live = m_table.liveInstances(now);
-    std::erase_if(m_toGreet, [&](const std::string &contact) {
-        return std::ranges::find(live, contact, &membership::instance_notice::peerAddress) != live.end();
-    });
+    std::erase_if(m_toGreet, [&](const std::string &contact) { return hasAddress(live, contact); });
     if (m_toGreet.empty()) {
         return std::nullopt;
     }
--- a/packages/stages/include/masticlever/stages/batch-queue.h
+++ b/packages/stages/include/masticlever/stages/batch-queue.h
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <span>
@@ -107,7 +108,6 @@
     std::vector<finished_piece> handBack();
 
     std::size_t waitingPieces() const { return m_waitingPieces; }
-    std::size_t callsUnderWay() const { return m_calls.size(); }
     /// Time until a piece of that priority that is ordered now would be made.
     common::duration expectedDelay(int priority, common::instant now) const;
 
@@ -157,8 +157,11 @@
     common::duration expectedCall(const endpoint_entry &endpoint, std::size_t pieces, common::instant now) const;
     std::vector<endpoint_entry *> idleEndpoints(common::instant now);
     double slownessOf(const endpoint_entry &endpoint, common::instant now) const;
-    double leastSlowness(common::instant now) const;
+    double slownessLimit(common::instant now) const;
+    std::size_t idlePlaces(const endpoint_entry &endpoint) const;
+    static common::duration timeLeft(const call_entry &call, common::instant now);
     bool isDear(const piece_wish &wish) const;
+    bool isFar(const piece_wish &wish, const endpoint_entry &endpoint) const;
     std::map<std::string_view, std::vector<common::instant>> freeTimes(common::instant now) const;
     static bool isWantedAt(const wish_entry &entry, const endpoint_entry &endpoint);
     double freeBytes(const endpoint_entry &endpoint) const;
@@ -175,6 +178,7 @@
     void requeue(const call_entry &call);
     void rest(const std::string &endpointId, common::instant until);
     void dropWish(wish_map::iterator found);
+    void dropWishes(const std::function<bool(const piece_wish &)> &isMeant);
     std::vector<finished_piece> drop(std::span<const wish_map::iterator> wishes, protocol::piece_failure reason);
     void expireResults(endpoint_entry &endpoint, common::instant now);
 
--- a/packages/stages/include/masticlever/stages/home-choice.h
+++ b/packages/stages/include/masticlever/stages/home-choice.h
@@ -1,9 +1,14 @@
 #pragma once
 
+#include <masticlever/common/time.h>
+
 #include <cstdint>
+#include <map>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 /// \file
 /// Which instance is the home of a service: the one queue in which all of its pieces meet.
@@ -22,4 +27,18 @@
 /// Instances with the same view choose the same one, and a change of the fleet moves few services.
 const home_candidate *chooseHome(std::string_view service, std::span<const home_candidate> candidates);
 
+/// Instances that were lost or silent here, by address; they are taken again after a while.
+class avoided_homes
+{
+public:
+    void avoid(const std::string &address, common::instant until) { m_until[address] = until; }
+    void clear() { m_until.clear(); }
+    /// As the function above, among \p candidates without those that are avoided now; \p self never is.
+    std::optional<home_candidate> choose(std::string_view service, std::vector<home_candidate> candidates,
+                                         std::string_view self, common::instant now) const;
+
+private:
+    std::map<std::string, common::instant, std::less<>> m_until;
+};
+
 } // namespace masticlever::stages
--- a/packages/stages/include/masticlever/stages/stage-graph.h
+++ b/packages/stages/include/masticlever/stages/stage-graph.h
@@ -57,7 +57,6 @@
     /// All handles that are still held.
     std::vector<std::string> heldHandles() const;
 
-    std::size_t stageCount() const { return m_stages.size(); }
     /// Pieces that have no result yet.
     std::size_t missingPieces() const;
     std::size_t missingPieces(std::size_t index) const;
--- a/packages/stages/src/batch-queue-plan.cpp
+++ b/packages/stages/src/batch-queue-plan.cpp
@@ -21,23 +21,28 @@
     return !wish.dataCentre.empty() && wish.nearBytes > m_options.dearBytes;
 }
 
+/// Whether its dear inputs or results would cross to or from the endpoint.
+bool batch_queue::isFar(const piece_wish &wish, const endpoint_entry &endpoint) const
+{
+    return isDear(wish) && wish.dataCentre != endpoint.record.dataCentre;
+}
+
 /// When the endpoints of each data centre can take their next calls, the earliest first.
 std::map<std::string_view, std::vector<instant>> batch_queue::freeTimes(instant now) const
 {
     std::map<std::string_view, std::vector<instant>> times;
-    const double limit = leastSlowness(now) * m_options.slowFactor;
+    const double limit = slownessLimit(now);
     for (const auto &[id, endpoint] : m_endpoints) {
         if (endpoint.isListed && slownessOf(endpoint, now) <= limit) {
-            const std::size_t idle = m_limits.parallelCalls - std::min(endpoint.calls, m_limits.parallelCalls);
             auto &free = times[endpoint.record.dataCentre];
-            free.insert(free.end(), idle, std::max(now, endpoint.restsUntil));
+            free.insert(free.end(), idlePlaces(endpoint), std::max(now, endpoint.restsUntil));
         }
     }
     for (const auto &[number, call] : m_calls) {
         const auto endpoint = m_endpoints.find(call.endpointId);
         const auto known = endpoint == m_endpoints.end() ? times.end() : times.find(endpoint->second.record.dataCentre);
         if (known != times.end()) {
-            known->second.push_back(std::max(now, call.sentAt + call.expected));
+            known->second.push_back(now + timeLeft(call, now));
         }
     }
     for (auto &[dataCentre, free] : times) {
@@ -99,7 +104,7 @@
     for (const auto &[id, endpoint] : m_endpoints) {
         if (endpoint.isListed) {
             places += m_limits.parallelCalls;
-            idle += m_limits.parallelCalls - std::min(endpoint.calls, m_limits.parallelCalls);
+            idle += idlePlaces(endpoint);
         }
     }
     capacity found;
@@ -109,7 +114,7 @@
     }
     found.piecesAtOnce = static_cast<double>(idle * m_limits.batchSize);
     for (const auto &[number, call] : m_calls) {
-        found.untilFree += std::max(duration{}, call.sentAt + call.expected - now);
+        found.untilFree += timeLeft(call, now);
     }
     found.untilFree /= static_cast<duration::rep>(places);
     return found;
@@ -179,8 +184,7 @@
     for (auto it = m_wishes.begin(); it != m_wishes.end(); ++it) {
         const wish_entry &entry = it->second;
         if (!entry.waiting.empty() && isWantedAt(entry, endpoint)) {
-            const bool isForeign = isDear(entry.wish) && entry.wish.dataCentre != endpoint.record.dataCentre;
-            ranked.emplace_back(rank(entry.isLate, entry.wish.priority, isForeign, it->first), it);
+            ranked.emplace_back(rank(entry.isLate, entry.wish.priority, isFar(entry.wish, endpoint), it->first), it);
         }
     }
     std::ranges::sort(ranked, [](const auto &left, const auto &right) { return left.first < right.first; });
--- a/packages/stages/src/batch-queue.cpp
+++ b/packages/stages/src/batch-queue.cpp
@@ -75,24 +75,24 @@
     m_wishes.erase(found);
 }
 
-void batch_queue::onCancel(std::uint64_t owner, std::uint64_t job)
+void batch_queue::dropWishes(const std::function<bool(const piece_wish &)> &isMeant)
 {
     for (auto it = m_wishes.begin(); it != m_wishes.end();) {
         const auto current = it++;
-        if (current->second.wish.owner == owner && current->second.wish.job == job) {
+        if (isMeant(current->second.wish)) {
             dropWish(current);
         }
     }
 }
 
+void batch_queue::onCancel(std::uint64_t owner, std::uint64_t job)
+{
+    dropWishes([&](const piece_wish &wish) { return wish.owner == owner && wish.job == job; });
+}
+
 void batch_queue::onOwnerGone(std::uint64_t owner)
 {
-    for (auto it = m_wishes.begin(); it != m_wishes.end();) {
-        const auto current = it++;
-        if (current->second.wish.owner == owner) {
-            dropWish(current);
-        }
-    }
+    dropWishes([&](const piece_wish &wish) { return wish.owner == owner; });
 }
 
 void batch_queue::onReleased(std::span<const std::string> handles)
@@ -118,7 +118,8 @@
     return m_limits.resultBytes - used;
 }
 
-double batch_queue::leastSlowness(instant now) const
+/// Endpoints that are slower get work only when all are.
+double batch_queue::slownessLimit(instant now) const
 {
     double least = 0;
     for (const auto &[id, endpoint] : m_endpoints) {
@@ -127,16 +128,27 @@
             least = slowness;
         }
     }
-    return least;
+    return least * m_options.slowFactor;
+}
+
+std::size_t batch_queue::idlePlaces(const endpoint_entry &endpoint) const
+{
+    return m_limits.parallelCalls - std::min(endpoint.calls, m_limits.parallelCalls);
+}
+
+/// Expected time until the call is answered.
+duration batch_queue::timeLeft(const call_entry &call, instant now)
+{
+    return std::max(duration{}, call.sentAt + call.expected - now);
 }
 
 /// Endpoints that can take a call now, the fastest first. One that is much slower than the fastest is left out.
 std::vector<batch_queue::endpoint_entry *> batch_queue::idleEndpoints(instant now)
 {
     std::vector<endpoint_entry *> idle;
-    const double limit = leastSlowness(now) * m_options.slowFactor;
+    const double limit = slownessLimit(now);
     for (auto &[id, endpoint] : m_endpoints) {
-        const bool isFree = endpoint.calls < m_limits.parallelCalls && now >= endpoint.restsUntil;
+        const bool isFree = idlePlaces(endpoint) > 0 && now >= endpoint.restsUntil;
         if (endpoint.isListed && isFree && slownessOf(endpoint, now) <= limit) {
             idle.push_back(&endpoint);
         }
@@ -172,7 +184,7 @@
             call.orders.push_back({source.wish.requestId, source.wish.stage, piece, source.wish.deadline - now,
                                    source.wish.key, source.wish.inputs});
         }
-        call.farPieces += isDear(source.wish) && source.wish.dataCentre != endpoint.record.dataCentre ? places : 0;
+        call.farPieces += isFar(source.wish, endpoint) ? places : 0;
         source.waiting.erase(source.waiting.begin(), source.waiting.begin() + static_cast<std::ptrdiff_t>(places));
         source.underWay += places;
         room -= source.wish.resultBytes * static_cast<double>(places);
@@ -208,7 +220,7 @@
     }
     plan(now);
     for (endpoint_entry *endpoint : idle) {
-        while (m_waitingPieces > 0 && endpoint->calls < m_limits.parallelCalls) {
+        while (m_waitingPieces > 0 && idlePlaces(*endpoint) > 0) {
             auto call = fill(*endpoint, now);
             if (!call) {
                 break; // no room for results, or nothing that is wanted there
@@ -345,7 +357,7 @@
 double batch_queue::piecesPerMicrosecond(instant now) const
 {
     double rate = 0;
-    const double limit = leastSlowness(now) * m_options.slowFactor;
+    const double limit = slownessLimit(now);
     for (const auto &[id, endpoint] : m_endpoints) {
         if (endpoint.isListed && slownessOf(endpoint, now) <= limit) {
             const double batch = static_cast<double>(m_limits.batchSize * m_limits.parallelCalls);
@@ -367,12 +379,12 @@
     }
     duration untilFree = duration::max();
     for (const auto &[id, endpoint] : m_endpoints) {
-        if (endpoint.isListed && endpoint.calls < m_limits.parallelCalls) {
+        if (endpoint.isListed && idlePlaces(endpoint) > 0) {
             untilFree = {};
         }
     }
     for (const auto &[number, call] : m_calls) {
-        untilFree = std::min(untilFree, std::max(duration{}, call.sentAt + call.expected - now));
+        untilFree = std::min(untilFree, timeLeft(call, now));
     }
     const double queueing = static_cast<double>(ahead) / rate;
     return std::max(untilFree, duration(std::llround(queueing))) + likelyCall(m_limits.batchSize / 2);
--- a/packages/stages/src/home-choice.cpp
+++ b/packages/stages/src/home-choice.cpp
@@ -20,4 +20,15 @@
     return best;
 }
 
+std::optional<home_candidate> avoided_homes::choose(std::string_view service, std::vector<home_candidate> candidates,
+                                                    std::string_view self, common::instant now) const
+{
+    for (home_candidate &candidate : candidates) {
+        const auto found = m_until.find(candidate.address);
+        candidate.isAvoided = candidate.incarnation != self && found != m_until.end() && now < found->second;
+    }
+    const home_candidate *home = chooseHome(service, candidates);
+    return home == nullptr ? std::nullopt : std::optional(*home);
+}
+
 } // namespace masticlever::stages
--- a/packages/stages/test/home-choice-test.cpp
+++ b/packages/stages/test/home-choice-test.cpp
@@ -8,6 +8,7 @@
 
 using namespace masticlever;
 using namespace masticlever::stages;
+using namespace std::chrono_literals;
 
 namespace
 {
@@ -64,3 +65,29 @@
     CHECK(counts.size() == 12);
     CHECK(moved == counts["instance-11"]);
 }
+
+TEST_CASE("An instance that was lost is left out for a while")
+{
+    const std::vector<home_candidate> all{{"a", "127.0.0.1:1", 1, false}, {"b", "127.0.0.1:2", 2, false}};
+    const common::instant now{1000s};
+    avoided_homes avoided;
+    const auto first = avoided.choose("encode", all, "other", now);
+    REQUIRE(first);
+    avoided.avoid(first->address, now + 1s);
+    const auto second = avoided.choose("encode", all, "other", now);
+    REQUIRE(second);
+    CHECK(second->incarnation != first->incarnation);
+    CHECK(avoided.choose("encode", all, "other", now + 1s)->incarnation == first->incarnation);
+
+    SECTION("by the others, not by itself")
+    {
+        CHECK(avoided.choose("encode", all, first->incarnation, now)->incarnation == first->incarnation);
+    }
+    SECTION("and nothing is left to choose when all were lost")
+    {
+        avoided.avoid(second->address, now + 1s);
+        CHECK_FALSE(avoided.choose("encode", all, "other", now));
+        avoided.clear();
+        CHECK(avoided.choose("encode", all, "other", now)->incarnation == first->incarnation);
+    }
+}
--- a/tests/site/bad-input-test.cpp
+++ b/tests/site/bad-input-test.cpp
@@ -8,7 +8,7 @@
 TEST_CASE("Bytes that are no proper request get a clear status and reach no endpoint", "[site]")
 {
     site_fixture site(1);
-    site.addEndpoint(std::make_unique<site_endpoint>("d1", kind::plain, "desk", "west"));
+    site.addEndpoint("d1", kind::plain, "desk");
     REQUIRE(site.waitReady(0));
     const std::string head = "POST /order/ HTTP/1.1\r\nHost: site.example\r\nAuthorization: Bearer key-1\r\n";
 
--- a/tests/site/forwarding-test.cpp
+++ b/tests/site/forwarding-test.cpp
@@ -14,7 +14,7 @@
 public:
     desk_site() : site_fixture(1)
     {
-        addEndpoint(std::make_unique<site_endpoint>("d1", kind::plain, "desk", "west"));
+        addEndpoint("d1", kind::plain, "desk");
         REQUIRE(waitReady(0));
         REQUIRE(waitFor([&] { return ask(0, request("GET", "/open/", "probe")).status == 200; }));
         desk().runs.clear();
@@ -26,7 +26,7 @@
 
     void addSecond()
     {
-        addEndpoint(std::make_unique<site_endpoint>("d2", kind::plain, "desk", "west"));
+        addEndpoint("d2", kind::plain, "desk");
         REQUIRE(waitFor([&] {
             ask(0, request("GET", "/open/", "probe"));
             return !endpoint(1).runs.empty();
@@ -215,7 +215,7 @@
     {
         site.store.put("keyed.servers", "d1", site.desk().registration("draining"));
         // Registrations are followed in order: who is sent requests has been followed after what was written before.
-        site.addEndpoint(std::make_unique<site_endpoint>("d3", kind::plain, "desk", "west"));
+        site.addEndpoint("d3", kind::plain, "desk");
         REQUIRE(waitFor([&] {
             site.ask(0, site.request("GET", "/safe/", "p"));
             return site.endpoint(2).runs["p"] > 0;
--- a/tests/site/site-fixture.cpp
+++ b/tests/site/site-fixture.cpp
@@ -90,8 +90,9 @@
                     R"("idle_timeout_ms":1500},"tenants":[{"name":"team-1","api_keys":["key-1"]}]})");
 }
 
-void site_fixture::addEndpoint(std::unique_ptr<site_endpoint> endpoint)
+void site_fixture::addEndpoint(const std::string &id, site_endpoint::kind kind, const std::string &service)
 {
+    auto endpoint = std::make_unique<site_endpoint>(id, kind, service, "west");
     endpoint->start();
     store.put("keyed.servers", endpoint->id(), endpoint->registration());
     m_endpoints.push_back(std::move(endpoint));
--- a/tests/site/site-fixture.h
+++ b/tests/site/site-fixture.h
@@ -46,7 +46,8 @@
     explicit site_fixture(std::size_t daemons);
     ~site_fixture();
 
-    void addEndpoint(std::unique_ptr<site_endpoint> endpoint);
+    /// Starts and registers an endpoint beside the daemons.
+    void addEndpoint(const std::string &id, site_endpoint::kind kind, const std::string &service);
     site_endpoint &endpoint(std::size_t index) { return *m_endpoints[index]; }
     /// Writes a configuration with the routes of the tests; \p extra is added to its routes.
     void configure(std::uint64_t version, const std::string &extra = {});
--- a/tests/site/stages-test.cpp
+++ b/tests/site/stages-test.cpp
@@ -19,9 +19,9 @@
 public:
     explicit staged_site(std::size_t daemons) : site_fixture(daemons)
     {
-        addEndpoint(std::make_unique<site_endpoint>("m1", kind::model, "model", "west"));
-        addEndpoint(std::make_unique<site_endpoint>("s1", kind::stage, "encode", "west"));
-        addEndpoint(std::make_unique<site_endpoint>("s2", kind::stage, "rank", "west"));
+        addEndpoint("m1", kind::model, "model");
+        addEndpoint("s1", kind::stage, "encode");
+        addEndpoint("s2", kind::stage, "rank");
         for (std::size_t i = 0; i < daemons; ++i) {
             REQUIRE(waitReady(i));
             REQUIRE(waitFor([&] { return ask(i, chat("probe")).status == 200; }));
--- a/tests/site/stop-test.cpp
+++ b/tests/site/stop-test.cpp
@@ -8,7 +8,7 @@
 TEST_CASE("A planned stop", "[site]")
 {
     site_fixture site(1);
-    site.addEndpoint(std::make_unique<site_endpoint>("d1", kind::plain, "desk", "west"));
+    site.addEndpoint("d1", kind::plain, "desk");
     REQUIRE(site.waitReady(0));
     REQUIRE(waitFor([&] { return site.ask(0, site.request("GET", "/safe/", "r0")).status == 200; }));
     site.endpoint(0).behaviour.work = std::chrono::milliseconds(200);
--- a/tests/site/store-faults-test.cpp
+++ b/tests/site/store-faults-test.cpp
@@ -17,7 +17,7 @@
 TEST_CASE("What is known stays in force while the store misbehaves", "[site]")
 {
     site_fixture site(1);
-    site.addEndpoint(std::make_unique<site_endpoint>("d1", kind::plain, "desk", "west"));
+    site.addEndpoint("d1", kind::plain, "desk");
     REQUIRE(site.waitReady(0));
     REQUIRE(waitFor([&] { return site.ask(0, site.request("GET", "/safe/", "r1")).status == 200; }));
 
@@ -37,7 +37,7 @@
 TEST_CASE("A call that a silent store has taken does not hold up what comes after its return", "[site]")
 {
     site_fixture site(1);
-    site.addEndpoint(std::make_unique<site_endpoint>("d1", kind::plain, "desk", "west"));
+    site.addEndpoint("d1", kind::plain, "desk");
     REQUIRE(site.waitReady(0));
     REQUIRE(waitFor([&] { return site.store.waitingReads() == 1; }));
     // The waiting read ends, and the next one meets a store that takes it and never answers.
@@ -53,7 +53,7 @@
 TEST_CASE("A configuration is followed forwards only", "[site]")
 {
     site_fixture site(1);
-    site.addEndpoint(std::make_unique<site_endpoint>("d1", kind::plain, "desk", "west"));
+    site.addEndpoint("d1", kind::plain, "desk");
     REQUIRE(site.waitReady(0));
     site.configure(5, addedRoute);
     REQUIRE(waitFor([&] { return site.ask(0, site.request("GET", "/new/", "r1")).status == 200; }));
@@ -89,7 +89,7 @@
 TEST_CASE("An instance that starts while the store is away", "[site]")
 {
     site_fixture site(1);
-    site.addEndpoint(std::make_unique<site_endpoint>("d1", kind::plain, "desk", "west"));
+    site.addEndpoint("d1", kind::plain, "desk");
     REQUIRE(site.waitReady(0));
     site.store.setState(GENERATE(state::silent, state::busy));
     const std::size_t fresh = site.startDaemon();
--- a/tests/site/streams-test.cpp
+++ b/tests/site/streams-test.cpp
@@ -14,8 +14,8 @@
 public:
     model_site() : site_fixture(1)
     {
-        addEndpoint(std::make_unique<site_endpoint>("m1", kind::model, "model", "west"));
-        addEndpoint(std::make_unique<site_endpoint>("m2", kind::model, "model", "west"));
+        addEndpoint("m1", kind::model, "model");
+        addEndpoint("m2", kind::model, "model");
         REQUIRE(waitReady(0));
         REQUIRE(waitFor([&] {
             ask(0, request("POST", "/note/", "probe"));
