Send nothing on for a caller whose close is already there

Ruled out: the dropping of work for a caller whose close has been read (its test holds). Change: before anything is sent for a request, the caller's connection is looked at for a close; one system call a step.

--- a/packages/frontend/src/caller-connection.h
+++ b/packages/frontend/src/caller-connection.h
@@ -56,6 +56,8 @@
     void onTick(common::instant now);
 
     bool isGone() const { return m_isGone; }
+    /// Also when the close has arrived and is still to be read, as on an instance that is behind with its work.
+    bool hasLeft() const { return m_isGone || m_socket->hasPeerClosed(); }
     bool isIdle() const { return !m_isBusy && m_reader.isUntouched(); }
     std::size_t unsentBytes() const { return m_socket->unsentBytes(); }
     std::uint64_t session = 0; ///< number of the request under way; 0: none
--- a/packages/frontend/src/request-session.cpp
+++ b/packages/frontend/src/request-session.cpp
@@ -271,6 +271,11 @@
         finish("broken_off", 0, step.reason);
         return;
     }
+    const bool hasWork = step.call || !step.order.empty();
+    if (hasWork && m_caller != nullptr && m_caller->hasLeft()) {
+        onCallerGone();
+        return;
+    }
     if (!step.order.empty()) {
         order(step.order);
     }
--- a/packages/net/include/masticlever/net/stream-socket.h
+++ b/packages/net/include/masticlever/net/stream-socket.h
@@ -82,6 +82,8 @@
     void setReading(bool isReading);
 
     bool isConnected() const { return m_isConnected; }
+    /// The other side has closed or reset the connection, and nothing is left to be read before that.
+    bool hasPeerClosed() const;
     std::size_t unsentBytes() const { return m_unsent.size() - m_sent; }
 
 private:
--- a/packages/net/src/stream-socket.cpp
+++ b/packages/net/src/stream-socket.cpp
@@ -191,6 +191,16 @@
     }
 }
 
+bool stream_socket::hasPeerClosed() const
+{
+    if (m_descriptor < 0) {
+        return true;
+    }
+    char next = 0;
+    const ssize_t size = ::recv(m_descriptor, &next, sizeof(next), MSG_PEEK | MSG_DONTWAIT);
+    return size == 0 || (size < 0 && !isRetryable(errno));
+}
+
 void stream_socket::write(std::string_view bytes)
 {
     if (m_descriptor < 0 || bytes.empty()) {
--- a/tests/site/forwarding-test.cpp
+++ b/tests/site/forwarding-test.cpp
@@ -206,6 +206,24 @@
     CHECK(site.desk().dropped == (isRepeatable ? 1 : 0));
 }
 
+TEST_CASE("A caller that has left before its request is sent on", "[site]")
+{
+    desk_site site;
+    // A connection to the endpoint is at hand, on which a request would go out at once.
+    REQUIRE(site.ask(0, site.request("GET", "/safe/", "r0")).status == 200);
+    const std::string method = GENERATE("GET", "POST");
+    const std::string path = method == "GET" ? "/safe/" : "/order/";
+    site_caller caller(site.frontOf(0));
+    REQUIRE(waitFor([&] { return caller.isConnected(); }));
+    // The request and the close wait together for a daemon that is behind with its work.
+    caller.send(site.request(method, path, "r1"));
+    caller.finish();
+    REQUIRE(waitFor([&] { return caller.isClosed; }));
+    REQUIRE(site.ask(0, site.request(method, path, "r2")).status == 200);
+    CHECK(site.desk().runs["r2"] == 1);
+    CHECK(site.desk().runs["r1"] == 0);
+}
+
 TEST_CASE("An endpoint that leaves gets no new work", "[site]")
 {
     desk_site site;
--- a/tests/site/site-caller.h
+++ b/tests/site/site-caller.h
@@ -21,7 +21,10 @@
     explicit site_caller(const std::string &address);
 
     void send(std::string_view bytes) { m_socket->write(bytes); }
+    bool isConnected() const { return m_socket->isConnected(); }
     void leave() { m_socket->abort(); }
+    /// Closes in order after what was sent.
+    void finish() { m_socket->closeWhenSent(); }
 
     std::vector<http1::message_head> heads;
     std::vector<std::string> bodies; ///< one for each head
