--- a/packages/frontend/src/daemon-core.cpp
+++ b/packages/frontend/src/daemon-core.cpp
@@ -6,7 +6,6 @@
 
 #include <algorithm>
 #include <ctime>
-#include <iterator>
 #include <utility>
 #include <variant>
 
@@ -25,7 +24,6 @@
 constexpr int backlog = 512;
 constexpr duration fleetInterval = std::chrono::milliseconds(100); ///< half of the time between heartbeats
 constexpr duration pauseLimit = std::chrono::milliseconds(700); ///< a gap between ticks above it is a pause
-constexpr duration storeLossLimit = std::chrono::milliseconds(400); ///< failures for less are not an outage
 constexpr duration badRequestInterval = std::chrono::seconds(1); ///< between log lines
 constexpr duration startRetryAfter
     = std::chrono::milliseconds(500); ///< for callers of an instance that has no configuration
@@ -73,13 +71,6 @@
     return "returned";
 }
 
-using changes_list = std::vector<catalog::directory_change>;
-
-void append(changes_list &changes, changes_list more)
-{
-    std::ranges::move(more, std::back_inserter(changes));
-}
-
 std::string pathOf(const std::string &target)
 {
     return target.substr(0, target.find('?'));
@@ -95,6 +86,9 @@
 daemon_core::daemon_core(frontend_settings settings, const protocol::site_protocol &protocol,
                          common::random_source &random, std::string incarnation)
     : m_settings(std::move(settings)), m_protocol(protocol), m_incarnation(std::move(incarnation)), m_directory({}),
+      m_registrations(
+          m_directory,
+          [this](std::string_view id, std::string_view value) { return m_protocol.readEndpoint(id, value); }),
       m_choice({}),
       m_retries({.ratio = m_settings.retryRatio, .slack = m_settings.retrySlack, .window = m_settings.retryWindow}),
       m_pool({}), m_pace({}),
@@ -281,7 +275,7 @@
     if (status == unavailable) {
         // Without a configuration it is not known when the store is back: as late as the caller can still be served.
         const duration latest = attributes.deadline.value_or(startRetryAfter) / 3;
-        retryAfter = m_storeLostAt ? std::max(startRetryAfter, latest) : startRetryAfter;
+        retryAfter = m_registrations.isStoreLost() ? std::max(startRetryAfter, latest) : startRetryAfter;
     }
     caller.beginAnswer(m_protocol.ownAnswer(status, attributes.requestId, retryAfter), 0);
     caller.endAnswer();
@@ -386,56 +380,22 @@
 void daemon_core::onEndpointNews(const follow_news &news)
 {
     const instant now = presentInstant();
-    changes_list changes;
-    for (const protocol::store_record &record : news.records) {
-        if (!record.value) {
-            append(changes, m_directory.onRemoved(record.key, now));
-            continue;
-        }
-        const auto read = m_protocol.readEndpoint(record.key, *record.value);
-        if (read) {
-            append(changes, m_directory.onRecord(read.value(), now));
-        } else {
-            logEvent(event::record_ignored,
-                     {{"topic", "endpoints"},
-                      {"key", std::string_view(record.key)},
-                      {"reason", "malformed"},
-                      {"offset", record.offset}});
-        }
-    }
-    if (news.isWholeListing) {
-        append(changes, m_directory.onListing(news.listedKeys, now));
-    }
-    applyChanges(changes);
-    // What is kept here after an outage may have left meanwhile: the others are not told to take it back.
-    if (!m_directory.isStoreSuspect(now)) {
-        m_feed.onRead(m_directory.records(), version());
+    applyChanges(m_registrations.onRead(news, now));
+    if (const auto confirmed = m_registrations.confirmed(now)) {
+        m_feed.onRead(*confirmed, version());
     }
 }
 
-/// What another instance has read from the store a moment ago.
 void daemon_core::onDirectoryNews(const stages::directory_message &news)
 {
     const instant now = presentInstant();
-    changes_list changes;
-    std::vector<std::string> ids;
-    for (const catalog::endpoint_record &record : news.changed) {
-        append(changes, m_directory.onRecord(record, now));
-        ids.push_back(record.id);
-    }
-    for (const std::string &id : news.removed) {
-        append(changes, m_directory.onRemoved(id, now));
-    }
-    if (news.isWhole) {
-        append(changes, m_directory.onListing(ids, now));
-    }
-    applyChanges(changes);
+    applyChanges(m_registrations.onTold(news, now));
     if (news.configurationVersion > version()) {
         m_configurationWatch.hurry(now);
     }
 }
 
-void daemon_core::applyChanges(const std::vector<catalog::directory_change> &changes)
+void daemon_core::applyChanges(const directory_changes &changes)
 {
     for (const catalog::directory_change &change : changes) {
         logEvent(event::endpoint_changed,
@@ -455,20 +415,15 @@
 void daemon_core::onStoreReach(bool isReachable)
 {
     const instant now = presentInstant();
-    if (isReachable) {
-        if (std::exchange(m_storeLostAt, std::nullopt)) {
-            // A call that a silent store has taken is not answered any more.
-            m_configurationWatch.hurry(now);
-        }
-    } else if (!m_storeLostAt) {
-        m_storeLostAt = now;
+    if (m_registrations.onStoreReach(isReachable, now)) {
+        // A call that a silent store has taken is not answered any more.
+        m_configurationWatch.hurry(now);
     }
-    const bool isLost = m_storeLostAt && now - *m_storeLostAt >= storeLossLimit;
-    if (isLost == m_isStoreReported) {
-        m_isStoreReported = !isLost;
-        logEvent(isLost ? event::store_unreachable : event::store_reachable, {});
+    const bool isAway = m_registrations.isStoreAway(now);
+    if (isAway == m_isStoreReported) {
+        m_isStoreReported = !isAway;
+        logEvent(isAway ? event::store_unreachable : event::store_reachable, {});
     }
-    m_directory.onStoreReachable(!m_storeLostAt, now);
 }
 
 /// A process that was stopped or a machine that was suspended has missed what happened meanwhile.
@@ -495,7 +450,7 @@
         return;
     }
     m_fleetDueAt = now + fleetInterval;
-    m_fleet.setState(!m_storeLostAt, version());
+    m_fleet.setState(!m_registrations.isStoreLost(), version());
     m_fleet.onTick(now);
     m_retries.onFleetSize(m_fleet.liveCount());
     const std::vector<stages::home_candidate> members = m_fleet.homes();
@@ -510,14 +465,13 @@
     m_now = now;
     tendFleet(now);
     m_feed.onTick(now);
-    // Only an own read ends the doubt whether the store is away, and with it the keeping of what has left.
-    if (now < m_feed.freshUntil() && !m_storeLostAt) {
+    if (m_registrations.mayDeferRead(m_feed.freshUntil(), now)) {
         m_endpointWatch.defer(m_feed.freshUntil());
     }
     m_configurationWatch.onTick(now);
     m_endpointWatch.onTick(now);
     m_finder.onTick(m_fleet.liveCount(), now);
-    applyChanges(m_directory.advance(now));
+    applyChanges(m_registrations.advance(now));
     m_pieces.onTick(now);
     m_status.onTick(now);
     sweep(now);
--- a/packages/frontend/src/daemon-core.h
+++ b/packages/frontend/src/daemon-core.h
@@ -5,6 +5,7 @@
 #include "fleet-host.h"
 #include "frontend-context.h"
 #include "instance-finder.h"
+#include "registration-keeper.h"
 #include "request-session.h"
 #include "status-server.h"
 #include "store-watch.h"
@@ -56,7 +57,7 @@
     void onEndpointNews(const follow_news &news);
     void onDirectoryNews(const stages::directory_message &news);
     void onStoreReach(bool isReachable);
-    void applyChanges(const std::vector<catalog::directory_change> &changes);
+    void applyChanges(const directory_changes &changes);
 
     void onTick();
     void tendFleet(common::instant now);
@@ -74,6 +75,7 @@
     std::shared_ptr<const catalog::service_configuration> m_configuration;
     std::string m_configurationText; ///< for instances that cannot reach the store
     catalog::endpoint_directory m_directory;
+    registration_keeper m_registrations;
     forwarding::endpoint_choice m_choice;
     forwarding::retry_share m_retries;
     endpoint_pool m_pool;
@@ -97,7 +99,6 @@
     common::instant m_fleetDueAt;
     std::optional<common::instant> m_stoppingSince;
     bool m_hasHandedBack = false;
-    std::optional<common::instant> m_storeLostAt;
     bool m_isStoreReported = true; ///< the last state that was logged
     std::int64_t m_bootTime = 0; ///< of the last tick, microseconds
     std::uint64_t m_badRequests = 0;
