Make the instances with the most processor time the homes of stage services

Change: an instance's notice says what processor time it may use (peer messages, version 3); the home is the rendezvous choice among those with at least half of the most. With equal instances, as on the two sites, the choice is the same as before. Test: 113 weak and six strong instances, all homes among the strong ones; the old choice fails it.

--- a/packages/frontend/src/fleet-host.cpp
+++ b/packages/frontend/src/fleet-host.cpp
@@ -6,6 +6,7 @@
 #include <masticlever/telemetry/events.h>
 
 #include <algorithm>
+#include <cmath>
 #include <iterator>
 #include <utility>
 
@@ -19,6 +20,7 @@
 {
 
 // A home is replaced within a second: four rounds of heartbeats, then a loss.
+constexpr double millisInCore = 1000; ///< of processor time a second
 constexpr common::duration heartbeatInterval = std::chrono::milliseconds(200);
 constexpr common::duration suspectAfter = std::chrono::milliseconds(850);
 constexpr common::duration firstHeartbeatWithin = std::chrono::milliseconds(2500);
@@ -55,6 +57,7 @@
     self.incarnation = std::move(incarnation);
     self.dataCentre = settings.dataCentre;
     self.peerAddress = settings.gossipAddress;
+    self.processorMillis = static_cast<std::uint32_t>(std::lround(settings.cores * millisInCore));
     return self;
 }
 
@@ -132,7 +135,7 @@
         rankKeys[notice.incarnation] = key;
         const std::string address = homeAddressOf(notice.peerAddress);
         if (!notice.leaving && !address.empty()) {
-            m_homes.push_back({notice.incarnation, address, key, false});
+            m_homes.push_back({notice.incarnation, address, key, notice.processorMillis, false});
         }
     }
     m_rankKeys = std::move(rankKeys);
--- a/packages/peers/src/codec.cpp
+++ b/packages/peers/src/codec.cpp
@@ -17,7 +17,7 @@
 
 using common::error;
 
-constexpr char protocolVersion = 2;
+constexpr char protocolVersion = 3;
 constexpr char requestKind = 1;
 constexpr char answerKind = 2;
 constexpr std::size_t frameHeaderBytes = 2; // version and kind
--- a/packages/stages/test/home-choice-test.cpp
+++ b/packages/stages/test/home-choice-test.cpp
@@ -18,7 +18,7 @@
     std::vector<home_candidate> candidates;
     for (std::size_t i = 0; i < count; ++i) {
         const std::string name = "instance-" + std::to_string(i);
-        candidates.push_back({name, name + ":1", common::stableHash(name), false});
+        candidates.push_back({name, name + ":1", common::stableHash(name), 170, false});
     }
     return candidates;
 }
@@ -49,6 +49,34 @@
     }
 }
 
+TEST_CASE("A home's work goes to the instances that have the processor time for it")
+{
+    // 119 instances with 0.084 cores but for six with 0.5, as in the larger deployments.
+    auto candidates = fleet(119);
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        candidates[i].processorMillis = i % 20 == 0 ? 500 : 84;
+    }
+    const std::vector<std::string> services{"ledger", "vault", "board", "registrations"};
+    for (const std::string &service : services) {
+        CHECK(chooseHome(service, candidates)->processorMillis == 500);
+    }
+
+    SECTION("to one of the others when the strong ones are lost")
+    {
+        for (home_candidate &candidate : candidates) {
+            candidate.isAvoided = candidate.processorMillis == 500;
+        }
+        CHECK(chooseHome("vault", candidates)->processorMillis == 84);
+    }
+    SECTION("to any of them while nothing is known of their processor time")
+    {
+        for (home_candidate &candidate : candidates) {
+            candidate.processorMillis = 0;
+        }
+        CHECK(chooseHome("vault", candidates) != nullptr);
+    }
+}
+
 TEST_CASE("Services are spread, and a change of the fleet moves few of them")
 {
     const auto before = fleet(12);
@@ -68,7 +96,7 @@
 
 TEST_CASE("An instance that was lost is left out for a while")
 {
-    const std::vector<home_candidate> all{{"a", "127.0.0.1:1", 1, false}, {"b", "127.0.0.1:2", 2, false}};
+    const std::vector<home_candidate> all{{"a", "127.0.0.1:1", 1, 0, false}, {"b", "127.0.0.1:2", 2, 0, false}};
     const common::instant now{1000s};
     avoided_homes avoided;
     const auto first = avoided.choose("encode", all, "other", now);
