Read the configuration once for the whole fleet

Ruled out: the registrations (read by one instance already). Change: the instance that reads the registrations also reads the configuration, every 0.4 s, and tells both; an instance that is told does not read. A reader that closes its connection is replaced by own reads at once, a silent one after 1.2 s. News is sent only while both reads are recent, so a call that hangs in the store keeps nobody from reading. Tests: topic-follower and directory-feed, new cases; codec of the message.

--- a/packages/frontend/include/masticlever/frontend/frontend-settings.h
+++ b/packages/frontend/include/masticlever/frontend/frontend-settings.h
@@ -32,6 +32,7 @@
     std::chrono::milliseconds stopLimit{8000}; ///< from SIGTERM until the process is killed
     std::size_t memoryBytes = 0; ///< limit of the process; 0: none
     double cores = 0; ///< processor time that the process may use, in cores; 0: not known
+    double linkMbps = 0; ///< of the machine's link, megabits a second; 0: not known
     std::string logLevel = "info";
 
     bool operator==(const frontend_settings &) const = default;
--- a/packages/frontend/include/masticlever/frontend/topic-follower.h
+++ b/packages/frontend/include/masticlever/frontend/topic-follower.h
@@ -59,6 +59,11 @@
     }
     /// Reads at once, as something new is known to be there; not more often than every hurryGap.
     void hurry(common::instant now);
+    /// Reads without waiting, one every pollInterval: so that others can be told how recent what is known here is.
+    void setPolling(bool isPolling) { m_isPolling = isPolling; }
+    bool isPolling() const { return m_isPolling; }
+    /// Whether the store has answered within \p time.
+    bool isAnsweredWithin(common::duration time, common::instant now) const { return now - m_answeredAt <= time; }
     /// Another instance has just read the topic: nothing has to be read here until \p until.
     void defer(common::instant until);
     /// Forgets the position: what was read may be out of date.
@@ -68,6 +73,9 @@
     bool hasListed() const { return m_hasListed; }
 
 private:
+    common::duration waitTime() const { return m_isPolling ? common::duration{} : m_options.wait; }
+    common::duration pause() const { return waitTime().count() > 0 ? common::duration{} : m_options.pollInterval; }
+
     topic_follower_options m_options;
     bool m_isUnderWay = false;
     bool m_isListing = true;
@@ -79,7 +87,9 @@
     std::optional<std::uint64_t> m_listedEnd; ///< of the first page, as pages are not a snapshot
     common::instant m_dueAt;
     common::instant m_calledAt;
+    common::instant m_answeredAt;
     bool m_isDeferred = false;
+    bool m_isPolling = false;
     common::duration m_retry{};
 };
 
--- a/packages/frontend/src/daemon-core.cpp
+++ b/packages/frontend/src/daemon-core.cpp
@@ -24,6 +24,10 @@
 constexpr int backlog = 512;
 constexpr duration fleetInterval = std::chrono::milliseconds(100); ///< half of the time between heartbeats
 constexpr duration pauseLimit = std::chrono::milliseconds(700); ///< a gap between ticks above it is a pause
+/// Between reads of the configuration for others, which hear nothing new for 1.2 s before they read for themselves.
+constexpr duration configurationPoll = std::chrono::milliseconds(400);
+constexpr duration configurationAge = 2 * configurationPoll; ///< an older one is not passed on as recent
+constexpr double pushSeconds = 0.25; ///< of this instance's link, for telling the others of one configuration
 constexpr duration badRequestInterval = std::chrono::seconds(1); ///< between log lines
 constexpr duration startRetryAfter
     = std::chrono::milliseconds(500); ///< for callers of an instance that has no configuration
@@ -43,11 +47,22 @@
 topic_follower_options configurationFollowing()
 {
     topic_follower_options options;
+    options.pollInterval = configurationPoll;
     options.wait = std::chrono::seconds(8); // bounds how long a call that a silent store took can go unnoticed
     options.longestRetry = std::chrono::milliseconds(1600); // an instance that is cut off must not use up the budget
     return options;
 }
 
+directory_feed_options feedOptions(const frontend_settings &settings)
+{
+    constexpr double bytesPerMegabit = 125000;
+    directory_feed_options options;
+    if (settings.linkMbps > 0) {
+        options.configurationBytes = settings.linkMbps * bytesPerMegabit * pushSeconds;
+    }
+    return options;
+}
+
 std::int64_t bootMicroseconds()
 {
     timespec time{};
@@ -110,11 +125,15 @@
           [this](bool isReachable) { onStoreReach(isReachable); }),
       m_finder(protocol, m_settings,
                [this](std::vector<std::string> contacts) { m_fleet.setContacts(std::move(contacts)); }),
-      m_feed({},
+      m_feed(feedOptions(m_settings),
              {[this](std::span<const std::uint64_t> subscribers, const stages::home_message &message) {
                   m_pieces.sendToOwners(subscribers, message);
               },
-              [this](const stages::directory_message &news) { onDirectoryNews(news); }}),
+              [this](const stages::directory_message &news) { onDirectoryNews(news); },
+              [this] {
+                  m_configurationWatch.hurry(presentInstant());
+                  m_endpointWatch.hurry(presentInstant());
+              }}),
       m_fleet(m_settings, m_incarnation,
               {[this] { return m_configurationText; }, [this] { return version(); },
                [this](const std::string &text) { followConfiguration(text, "peer"); },
@@ -133,8 +152,8 @@
 {
     m_pieces.setOwnerHandlers(
         [this](std::uint64_t owner, const stages::home_message &message) {
-            if (std::holds_alternative<stages::subscribe_message>(message)) {
-                m_feed.onSubscriber(owner);
+            if (const auto *subscribed = std::get_if<stages::subscribe_message>(&message)) {
+                m_feed.onSubscriber(owner, subscribed->configurationVersion);
             }
         },
         [this](std::uint64_t owner) { m_feed.onSubscriberGone(owner); });
@@ -370,6 +389,7 @@
     m_configuration = std::make_shared<const catalog::service_configuration>(std::move(read.value()));
     m_configurationText = text;
     m_pieces.setConfiguration(m_configuration);
+    m_feed.onConfiguration({version(), m_configurationText});
     logEvent(event::configuration_followed,
              {{"version", m_configuration->version()},
               {"former", former},
@@ -381,8 +401,10 @@
 {
     const instant now = presentInstant();
     applyChanges(m_registrations.onRead(news, now));
-    if (const auto confirmed = m_registrations.confirmed(now)) {
-        m_feed.onRead(*confirmed, version());
+    // The others read neither while they are told: both have to be recent here.
+    const auto confirmed = m_registrations.confirmed(now);
+    if (confirmed && m_configurationWatch.follower().isAnsweredWithin(configurationAge, now)) {
+        m_feed.onRead(*confirmed, {version(), m_configurationText});
     }
 }
 
@@ -390,6 +412,9 @@
 {
     const instant now = presentInstant();
     applyChanges(m_registrations.onTold(news, now));
+    if (!news.configuration.empty()) {
+        followConfiguration(news.configuration, "reader");
+    }
     if (news.configurationVersion > version()) {
         m_configurationWatch.hurry(now);
     }
@@ -467,7 +492,9 @@
     m_feed.onTick(now);
     if (m_registrations.mayDeferRead(m_feed.freshUntil(), now)) {
         m_endpointWatch.defer(m_feed.freshUntil());
+        m_configurationWatch.defer(m_feed.freshUntil());
     }
+    m_configurationWatch.setPolling(m_feed.hasSubscribers(), now);
     m_configurationWatch.onTick(now);
     m_endpointWatch.onTick(now);
     m_finder.onTick(m_fleet.liveCount(), now);
--- a/packages/frontend/src/directory-feed.cpp
+++ b/packages/frontend/src/directory-feed.cpp
@@ -63,26 +63,30 @@
     home_link::event_handlers handlers;
     handlers.onMessage = [this](home_link &, stages::home_message message) {
         if (auto *news = std::get_if<stages::directory_message>(&message)) {
-            m_freshUntil = presentInstant() + m_options.freshFor;
+            m_freshUntil = news->isRead ? presentInstant() + m_options.freshFor : m_freshUntil;
             m_handlers.onNews(std::move(*news));
         }
     };
     handlers.onClosed = [this](home_link &) {
-        m_avoided.avoid(m_reader, presentInstant() + m_options.avoidFor);
+        const instant closedAt = presentInstant();
+        m_avoided.avoid(m_reader, closedAt + m_options.avoidFor);
         unfollow();
+        m_freshUntil = std::min(m_freshUntil, closedAt);
+        m_handlers.onReaderLost();
     };
     m_link = std::make_unique<home_link>(target.value(), std::move(handlers), now);
     m_link->send(stages::subscribe_message{configurationVersion});
 }
 
-void directory_feed::onRead(const std::vector<catalog::endpoint_record> &records, std::uint64_t configurationVersion)
+void directory_feed::onRead(const std::vector<catalog::endpoint_record> &records,
+                            const configuration_news &configuration)
 {
     if (m_subscribers.empty()) {
         m_told.clear();
         return;
     }
     stages::directory_message news;
-    news.configurationVersion = configurationVersion;
+    news.configurationVersion = configuration.version;
     std::map<std::string, catalog::endpoint_record> present;
     for (const catalog::endpoint_record &record : records) {
         const auto known = m_told.find(record.id);
@@ -98,16 +102,46 @@
     }
     m_told = std::move(present);
     std::vector<std::uint64_t> told;
+    std::vector<std::uint64_t> behind; ///< without the registrations and the configuration
     std::vector<std::uint64_t> untold;
-    for (auto &[subscriber, isTold] : m_subscribers) {
-        (std::exchange(isTold, true) ? told : untold).push_back(subscriber);
+    for (auto &[subscriber, entry] : m_subscribers) {
+        const bool isBehind = entry.configurationVersion < configuration.version;
+        (std::exchange(entry.isTold, true) ? told : isBehind ? behind : untold).push_back(subscriber);
     }
     if (!told.empty()) {
         m_handlers.send(told, news);
     }
+    stages::directory_message whole{configuration.version, {}, true, true, records, {}};
     if (!untold.empty()) {
-        m_handlers.send(untold, stages::directory_message{configurationVersion, true, records, {}});
+        m_handlers.send(untold, whole);
     }
+    if (!behind.empty()) {
+        whole.configuration = textFor(behind, configuration);
+        m_handlers.send(behind, whole);
+    }
+}
+
+void directory_feed::onConfiguration(const configuration_news &configuration)
+{
+    std::vector<std::uint64_t> told;
+    for (const auto &[subscriber, entry] : m_subscribers) {
+        if (entry.isTold && entry.configurationVersion < configuration.version) {
+            told.push_back(subscriber);
+        }
+    }
+    if (!told.empty()) {
+        m_handlers.send(told, stages::directory_message{configuration.version, textFor(told, configuration), false});
+    }
+}
+
+/// The text that goes to \p subscribers, which have it from then on; empty when it is too large for all of them.
+std::string directory_feed::textFor(std::span<const std::uint64_t> subscribers, const configuration_news &configuration)
+{
+    for (const std::uint64_t subscriber : subscribers) {
+        m_subscribers[subscriber].configurationVersion = configuration.version;
+    }
+    const double bytes = static_cast<double>(configuration.text.size()) * static_cast<double>(subscribers.size());
+    return bytes > m_options.configurationBytes ? std::string() : std::string(configuration.text);
 }
 
 void directory_feed::onTick(instant now)
--- a/packages/frontend/src/frontend-settings.cpp
+++ b/packages/frontend/src/frontend-settings.cpp
@@ -95,6 +95,7 @@
     read.dataCentre = in.text("instance/data_centre", true);
     read.memoryBytes = static_cast<std::size_t>(in.number("instance/memory_mb", 0) * bytesPerMegabyte);
     read.cores = in.number("instance/core_share", 0) * in.number("instance/core_speed", 1);
+    read.linkMbps = in.number("instance/link_mbps", 0);
     read.frontAddress = in.address("listen/front", true);
     read.readyAddress = in.address("listen/ready", true);
     read.metricsAddress = in.address("listen/metrics", false);
--- a/packages/frontend/src/store-watch.cpp
+++ b/packages/frontend/src/store-watch.cpp
@@ -41,6 +41,14 @@
     m_follower.hurry(now);
 }
 
+void store_watch::setPolling(bool isPolling, common::instant now)
+{
+    if (isPolling != m_follower.isPolling()) {
+        m_follower.setPolling(isPolling);
+        hurry(now);
+    }
+}
+
 void store_watch::restart(common::instant now)
 {
     m_lane.reset();
--- a/packages/frontend/src/store-watch.h
+++ b/packages/frontend/src/store-watch.h
@@ -27,6 +27,7 @@
     /// Something new is known to be there. A call that still waits is not going to tell: it is given up.
     void hurry(common::instant now);
     void defer(common::instant until) { m_follower.defer(until); }
+    void setPolling(bool isPolling, common::instant now);
     /// After a pause of the process.
     void restart(common::instant now);
     const topic_follower &follower() const { return m_follower; }
--- a/packages/frontend/src/topic-follower.cpp
+++ b/packages/frontend/src/topic-follower.cpp
@@ -16,13 +16,14 @@
     if (m_isListing) {
         return follow_call{true, m_afterKey, 0, {}, m_options.timeout};
     }
-    const common::duration wait = std::exchange(m_isDeferred, false) ? common::duration{} : m_options.wait;
+    const common::duration wait = std::exchange(m_isDeferred, false) ? common::duration{} : waitTime();
     return follow_call{false, {}, m_from, wait, wait + m_options.timeout};
 }
 
 follow_news topic_follower::onListing(protocol::listing_page page, common::instant now)
 {
     m_isUnderWay = false;
+    m_answeredAt = now;
     m_isReachable = true;
     m_retry = {};
     m_dueAt = now;
@@ -44,7 +45,7 @@
         m_afterKey.clear();
         news.isWholeListing = true;
         news.listedKeys = std::exchange(m_listedKeys, {});
-        m_dueAt = now + (m_options.wait.count() > 0 ? common::duration{} : m_options.pollInterval);
+        m_dueAt = now + pause();
     }
     return news;
 }
@@ -52,10 +53,11 @@
 follow_news topic_follower::onRecords(protocol::record_page page, common::instant now)
 {
     m_isUnderWay = false;
+    m_answeredAt = now;
     m_isReachable = true;
     m_retry = {};
     m_from = std::max(m_from, page.end);
-    m_dueAt = now + (m_options.wait.count() > 0 ? common::duration{} : m_options.pollInterval);
+    m_dueAt = now + pause();
     return {std::move(page.records), false, {}};
 }
 
--- a/packages/frontend/test/directory-feed-test.cpp
+++ b/packages/frontend/test/directory-feed-test.cpp
@@ -33,16 +33,16 @@
                                  sent.emplace_back(subscriber, std::get<stages::directory_message>(message));
                              }
                          },
-                         [](const stages::directory_message &) {}});
+                         [](const stages::directory_message &) {}, [] {}});
     feed.setMembers({{"self", "127.0.0.1:1", common::stableHash("self"), 0, false}}, "self", 7, start);
-    feed.onRead({record("a")}, 7);
+    feed.onRead({record("a")}, {7, "seven"});
     CHECK(sent.empty());
 
     SECTION("a new one hears nothing before the next read, then everything")
     {
-        feed.onSubscriber(3);
+        feed.onSubscriber(3, 7);
         CHECK(sent.empty()); // what is remembered may be out of date while the store cannot be reached
-        feed.onRead({record("a"), record("b")}, 7);
+        feed.onRead({record("a"), record("b")}, {7, "seven"});
         REQUIRE(sent.size() == 1);
         CHECK(sent[0].first == 3);
         CHECK(sent[0].second.isWhole);
@@ -50,7 +50,7 @@
 
         SECTION("and then what has changed; heartbeats are no change")
         {
-            feed.onRead({record("b", 2), record("c")}, 8);
+            feed.onRead({record("b", 2), record("c")}, {8, "eight"});
             REQUIRE(sent.size() == 2);
             CHECK_FALSE(sent[1].second.isWhole);
             REQUIRE(sent[1].second.changed.size() == 1);
@@ -58,13 +58,42 @@
             CHECK(sent[1].second.removed == std::vector<std::string>{"a"});
             CHECK(sent[1].second.configurationVersion == 8);
         }
+        SECTION("and of a configuration as soon as it is in force")
+        {
+            CHECK(sent[0].second.configuration.empty()); // it had this one
+            feed.onConfiguration({8, "eight"});
+            REQUIRE(sent.size() == 2);
+            CHECK(sent[1].second.configuration == "eight");
+            CHECK(sent[1].second.configurationVersion == 8);
+            CHECK_FALSE(sent[1].second.isRead); // nothing was read of the endpoints
+            feed.onRead({record("a"), record("b")}, {8, "eight"});
+            REQUIRE(sent.size() == 3);
+            CHECK(sent[2].second.configuration.empty());
+        }
+        SECTION("but not of one that would take the link's time for long")
+        {
+            const std::string large(5'000'000, 'x');
+            feed.onConfiguration({8, large});
+            REQUIRE(sent.size() == 2);
+            CHECK(sent[1].second.configuration.empty());
+            CHECK(sent[1].second.configurationVersion == 8); // it reads it for itself
+        }
         SECTION("until it is gone")
         {
             feed.onSubscriberGone(3);
-            feed.onRead({record("a")}, 8);
+            feed.onRead({record("a")}, {8, "eight"});
             CHECK(sent.size() == 1);
         }
     }
+    SECTION("one with an older configuration gets the present one")
+    {
+        feed.onSubscriber(4, 6);
+        feed.onConfiguration({8, "eight"}); // it has not been told of the endpoints yet
+        CHECK(sent.empty());
+        feed.onRead({record("a")}, {8, "eight"});
+        REQUIRE(sent.size() == 1);
+        CHECK(sent[0].second.configuration == "eight");
+    }
     SECTION("and has to read for itself")
     {
         CHECK(feed.freshUntil() < start);
--- a/packages/frontend/test/frontend-settings-test.cpp
+++ b/packages/frontend/test/frontend-settings-test.cpp
@@ -12,12 +12,13 @@
 namespace
 {
 
-const std::string whole = "[instance]\nname=front-1\ndata_centre=west\nmemory_mb=182\ncore_share=0.17\ncore_speed=2\n"
-                          "[listen]\nfront=127.0.0.1:1\nready=127.0.0.1:2\nmetrics=127.0.0.1:3\ngossip=127.0.0.1:4\n"
-                          "homes=127.0.0.1:5\n"
-                          "[fleet]\ncontacts=127.0.0.2:3,127.0.0.3:3\nport=4\nkey=0123456789abcdef\n"
-                          "[store]\naddress=127.0.0.1:6\n[retries]\nratio=0.3\nslack=126\nwindow_s=10\n"
-                          "[stop]\nlimit_s=8\n";
+const std::string whole
+    = "[instance]\nname=front-1\ndata_centre=west\nmemory_mb=182\ncore_share=0.17\ncore_speed=2\nlink_mbps=700\n"
+      "[listen]\nfront=127.0.0.1:1\nready=127.0.0.1:2\nmetrics=127.0.0.1:3\ngossip=127.0.0.1:4\n"
+      "homes=127.0.0.1:5\n"
+      "[fleet]\ncontacts=127.0.0.2:3,127.0.0.3:3\nport=4\nkey=0123456789abcdef\n"
+      "[store]\naddress=127.0.0.1:6\n[retries]\nratio=0.3\nslack=126\nwindow_s=10\n"
+      "[stop]\nlimit_s=8\n";
 
 class settings_folder
 {
@@ -50,6 +51,7 @@
     CHECK(settings.name == "front-1");
     CHECK(settings.memoryBytes == 182000000);
     CHECK(settings.cores == Approx(0.34));
+    CHECK(settings.linkMbps == 700);
     CHECK(settings.retryRatio == 0.3);
     CHECK(settings.retryWindow == 10s);
     CHECK(settings.stopLimit == 8s);
--- a/packages/frontend/test/registration-keeper-test.cpp
+++ b/packages/frontend/test/registration-keeper-test.cpp
@@ -97,7 +97,7 @@
         {
             // The waiting call for the configuration was reset; the next answer to it may be 8 s away.
             keeper.onStoreReach(false, start + 1s);
-            keeper.onTold({1, false, {}, {"b"}}, start + 1100ms);
+            keeper.onTold({1, {}, true, false, {}, {"b"}}, start + 1100ms);
             CHECK(directory.findUsable("b") != nullptr);
             CHECK_FALSE(keeper.mayDeferRead(toldUntil, start + 1100ms));
             // The read that follows at once settles it.
--- a/packages/frontend/test/topic-follower-test.cpp
+++ b/packages/frontend/test/topic-follower-test.cpp
@@ -106,3 +106,35 @@
     follower.onRecords({1, {}}, start + 8s);
     CHECK(follower.next(start + 8s).has_value());
 }
+
+TEST_CASE("A topic that is read for others is read often, without waiting at the store")
+{
+    topic_follower_options options;
+    options.wait = 8s;
+    options.pollInterval = 400ms;
+    topic_follower follower(options);
+    REQUIRE(follower.next(start));
+    follower.onListing({10, false, {record("a", 3)}}, start);
+    CHECK(follower.next(start)->wait == 8s);
+    follower.onRecords({10, {}}, start + 1s);
+
+    follower.setPolling(true);
+    CHECK(follower.next(start + 1s)->wait == 0s);
+    follower.onRecords({10, {}}, start + 1s);
+    CHECK_FALSE(follower.next(start + 1399ms));
+    CHECK(follower.next(start + 1400ms)->wait == 0s);
+    CHECK(follower.isAnsweredWithin(400ms, start + 1400ms));
+
+    SECTION("an answer that does not come makes it old")
+    {
+        CHECK_FALSE(follower.isAnsweredWithin(400ms, start + 1401ms));
+        follower.onFailure(start + 1401ms);
+        CHECK_FALSE(follower.isAnsweredWithin(400ms, start + 1401ms));
+    }
+    SECTION("and waits again when nobody depends on it")
+    {
+        follower.onRecords({10, {}}, start + 1400ms);
+        follower.setPolling(false);
+        CHECK(follower.next(start + 1800ms)->wait == 8s);
+    }
+}
--- a/packages/stages/include/masticlever/stages/home-messages.h
+++ b/packages/stages/include/masticlever/stages/home-messages.h
@@ -64,9 +64,11 @@
     std::uint64_t configurationVersion = 0; ///< in force at the subscriber
 };
 
-/// What an instance has just read from the store.
+/// What an instance has read from the store.
 struct directory_message {
     std::uint64_t configurationVersion = 0;
+    std::string configuration; ///< of that version; empty: the receiver has it, or reads it for itself
+    bool isRead = true; ///< the registrations were read just now; otherwise only the configuration is news
     bool isWhole = false; ///< endpoints that \c changed lacks are gone
     std::vector<catalog::endpoint_record> changed;
     std::vector<std::string> removed; ///< ids
--- a/packages/stages/src/home-messages.cpp
+++ b/packages/stages/src/home-messages.cpp
@@ -98,7 +98,8 @@
 
 template <typename Archive> void serialize(Archive &archive, directory_message &message)
 {
-    archive(message.configurationVersion, message.isWhole, message.changed, message.removed);
+    archive(message.configurationVersion, message.configuration, message.isRead, message.isWhole, message.changed,
+            message.removed);
 }
 
 std::string encodeHomeMessage(const home_message &message)
--- a/packages/stages/test/home-messages-test.cpp
+++ b/packages/stages/test/home-messages-test.cpp
@@ -48,11 +48,13 @@
     {
         catalog::endpoint_record record{
             "i-1", 5, 6, "desk", "10.0.0.1:80", "west", 8, catalog::endpoint_state::draining, common::duration(7)};
-        std::string bytes = encodeHomeMessage(directory_message{9, true, {record}, {"i-2"}});
+        std::string bytes = encodeHomeMessage(directory_message{9, "text", false, true, {record}, {"i-2"}});
         const auto taken = takeHomeMessage(bytes);
         REQUIRE(taken);
         const auto &got = std::get<directory_message>(*taken.value());
         CHECK(got.configurationVersion == 9);
+        CHECK(got.configuration == "text");
+        CHECK_FALSE(got.isRead);
         CHECK(got.isWhole);
         REQUIRE(got.changed.size() == 1);
         CHECK(got.changed[0] == record);
