Release results at once, and use the room that this frees at once

Cause: room for results bounds the calls of price-vault and rutas in a burst (45 of 64 and 7 of 10 pieces a call). Of the 0.53 s that a result of price-vault is held after its call, 25 ms went by until its release was answered and up to 25 ms more until the next tick looked for idle endpoints (trial with extra output). Ruled out: results that are never released (the held results add up to rate times time). Change: a release goes out when it is told, without waiting for others; its answer starts calls that now have room. Test: batch-queue-test, released results are room once.

--- a/packages/frontend/src/home-server.cpp
+++ b/packages/frontend/src/home-server.cpp
@@ -17,7 +17,6 @@
 namespace
 {
 
-constexpr common::duration releaseInterval = std::chrono::milliseconds(25); ///< releases go out together
 constexpr int priorityClasses = 4; ///< priorities that a status tells apart; less urgent ones count as the last
 
 } // namespace
@@ -104,39 +103,49 @@
 
 void home_server::onRelease(const std::vector<std::string> &handles)
 {
+    std::map<std::string, std::vector<std::string>> byMaker;
     for (const std::string &handle : handles) {
-        m_toRelease[std::string(makerOf(handle))].push_back(handle);
+        byMaker[std::string(makerOf(handle))].push_back(handle);
     }
-}
-
-void home_server::sendReleases()
-{
-    for (auto &[address, handles] : std::exchange(m_toRelease, {})) {
+    for (auto &[address, released] : byMaker) {
         const std::uint64_t number = ++m_lastRelease;
         auto call = std::make_unique<piece_call>(
-            m_pool, m_protocol, [this, number, handles = handles](piece_call::outcome outcome, std::string_view) {
+            m_pool, m_protocol, [this, number, released = released](piece_call::outcome outcome, std::string_view) {
                 // A release that is lost only leaves the result until it expires.
                 if (outcome == piece_call::outcome::answered) {
-                    for (auto &[service, target] : m_queues) {
-                        target.queue.onReleased(handles);
-                    }
+                    onRoomFreed(released);
                 }
                 m_ended.push_back(std::move(m_releases.extract(number).mapped()));
             });
-        if (call->start(address, address, m_protocol.releaseCall(address), m_protocol.releaseBody(handles))) {
+        if (call->start(address, address, m_protocol.releaseCall(address), m_protocol.releaseBody(released))) {
             m_releases.emplace(number, std::move(call));
         }
     }
 }
 
-void home_server::pump(const std::string &service, service_queue &target, instant now)
+void home_server::onRoomFreed(const std::vector<std::string> &handles)
+{
+    const instant now = presentInstant();
+    for (auto &[service, target] : m_queues) {
+        if (target.queue.onReleased(handles) && target.queue.waitingPieces() > 0) {
+            startCalls(service, target, now);
+        }
+    }
+}
+
+void home_server::startCalls(const std::string &service, service_queue &target, instant now)
 {
-    deliver(target.queue.takeHopeless(now));
     for (stages::batch_call &call : target.queue.takeCalls(now)) {
         start(service, target, std::move(call));
     }
 }
 
+void home_server::pump(const std::string &service, service_queue &target, instant now)
+{
+    deliver(target.queue.takeHopeless(now));
+    startCalls(service, target, now);
+}
+
 void home_server::start(const std::string &service, service_queue &target, stages::batch_call call)
 {
     const std::uint64_t number = call.number;
@@ -212,10 +221,6 @@
 void home_server::onTick(instant now)
 {
     m_ended.clear();
-    if (now - m_releasedAt >= releaseInterval) {
-        m_releasedAt = now;
-        sendReleases();
-    }
     for (auto &[service, target] : m_queues) {
         std::vector<piece_call *> late;
         for (auto &[number, running] : target.calls) {
--- a/packages/frontend/src/home-server.h
+++ b/packages/frontend/src/home-server.h
@@ -63,12 +63,14 @@
 
     service_queue *findQueue(const std::string &service);
     void refresh(const std::string &service, service_queue &target);
+    /// Makers have answered that they have released the results.
+    void onRoomFreed(const std::vector<std::string> &handles);
+    void startCalls(const std::string &service, service_queue &target, common::instant now);
     void pump(const std::string &service, service_queue &target, common::instant now);
     void start(const std::string &service, service_queue &target, stages::batch_call call);
     void onDone(const std::string &service, std::uint64_t call, const std::string &endpointId,
                 piece_call::outcome outcome, std::string_view body);
     void deliver(const std::vector<stages::finished_piece> &pieces);
-    void sendReleases();
 
     const protocol::site_protocol &m_protocol;
     endpoint_pool &m_pool;
@@ -76,11 +78,9 @@
     result_handler m_onResults;
     std::shared_ptr<const catalog::service_configuration> m_configuration;
     std::map<std::string, service_queue, std::less<>> m_queues;
-    std::map<std::string, std::vector<std::string>, std::less<>> m_toRelease; ///< handles by their maker's address
     std::map<std::uint64_t, std::unique_ptr<piece_call>> m_releases;
     std::vector<std::unique_ptr<piece_call>> m_ended; ///< deleted outside of their own calls
     std::uint64_t m_lastRelease = 0;
-    common::instant m_releasedAt;
 };
 
 /// Address of the maker in a result's handle.
--- a/packages/stages/include/masticlever/stages/batch-queue.h
+++ b/packages/stages/include/masticlever/stages/batch-queue.h
@@ -90,7 +90,8 @@
     void onWish(piece_wish wish, common::instant now);
     void onCancel(std::uint64_t owner, std::uint64_t job);
     void onOwnerGone(std::uint64_t owner);
-    void onReleased(std::span<const std::string> handles);
+    /// Returns whether an endpoint has more room now.
+    bool onReleased(std::span<const std::string> handles);
 
     /// Calls to send now.
     std::vector<batch_call> takeCalls(common::instant now);
--- a/packages/stages/src/batch-queue.cpp
+++ b/packages/stages/src/batch-queue.cpp
@@ -95,13 +95,15 @@
     dropWishes([&](const piece_wish &wish) { return wish.owner == owner; });
 }
 
-void batch_queue::onReleased(std::span<const std::string> handles)
+bool batch_queue::onReleased(std::span<const std::string> handles)
 {
+    std::size_t released = 0;
     for (auto &[id, endpoint] : m_endpoints) {
         for (const std::string &handle : handles) {
-            endpoint.held.erase(handle);
+            released += endpoint.held.erase(handle);
         }
     }
+    return released > 0;
 }
 
 void batch_queue::expireResults(endpoint_entry &endpoint, instant now)
--- a/packages/stages/test/batch-queue-test.cpp
+++ b/packages/stages/test/batch-queue-test.cpp
@@ -184,7 +184,8 @@
     SECTION("until results are released")
     {
         const std::vector<std::string> handles{results[0].handle, results[1].handle};
-        queue.onReleased(handles);
+        CHECK(queue.onReleased(handles));
+        CHECK_FALSE(queue.onReleased(handles)); // no more room than before
         CHECK(queue.takeCalls(start + 221ms).size() == 1);
     }
     SECTION("or expire at their maker")
