Never defer a read of what is known to be new; choose homes by their links too

Cause: an instance that was told of a configuration without its text, as it is too large for the reader's link, hurried its own read, and the reader's next news deferred it again. Change: a hurried read stands until the store has answered. Change: notices carry the link; homes are among the instances with half of the most processor time and half of the fastest link, processor time alone when none has both. Test: home-choice, two cases.

--- a/packages/frontend/include/masticlever/frontend/topic-follower.h
+++ b/packages/frontend/include/masticlever/frontend/topic-follower.h
@@ -57,7 +57,7 @@
     {
         return m_isUnderWay && now - m_calledAt >= time;
     }
-    /// Reads at once, as something new is known to be there; not more often than every hurryGap.
+    /// Reads at once, as something new is known to be there; not more often than every hurryGap. Nothing defers it.
     void hurry(common::instant now);
     /// Reads without waiting, one every pollInterval: so that others can be told how recent what is known here is.
     void setPolling(bool isPolling) { m_isPolling = isPolling; }
@@ -73,6 +73,7 @@
     bool hasListed() const { return m_hasListed; }
 
 private:
+    void onAnswered(common::instant now);
     common::duration waitTime() const { return m_isPolling ? common::duration{} : m_options.wait; }
     common::duration pause() const { return waitTime().count() > 0 ? common::duration{} : m_options.pollInterval; }
 
@@ -89,6 +90,7 @@
     common::instant m_calledAt;
     common::instant m_answeredAt;
     bool m_isDeferred = false;
+    bool m_isHurried = false; ///< until the store has answered
     bool m_isPolling = false;
     common::duration m_retry{};
 };
--- a/packages/frontend/src/fleet-host.cpp
+++ b/packages/frontend/src/fleet-host.cpp
@@ -58,6 +58,7 @@
     self.dataCentre = settings.dataCentre;
     self.peerAddress = settings.gossipAddress;
     self.processorMillis = static_cast<std::uint32_t>(std::lround(settings.cores * millisInCore));
+    self.linkMbps = static_cast<std::uint32_t>(std::lround(settings.linkMbps));
     return self;
 }
 
@@ -135,7 +136,7 @@
         rankKeys[notice.incarnation] = key;
         const std::string address = homeAddressOf(notice.peerAddress);
         if (!notice.leaving && !address.empty()) {
-            m_homes.push_back({notice.incarnation, address, key, notice.processorMillis, false});
+            m_homes.push_back({notice.incarnation, address, key, notice.processorMillis, notice.linkMbps, false});
         }
     }
     m_rankKeys = std::move(rankKeys);
--- a/packages/frontend/src/topic-follower.cpp
+++ b/packages/frontend/src/topic-follower.cpp
@@ -20,12 +20,18 @@
     return follow_call{false, {}, m_from, wait, wait + m_options.timeout};
 }
 
-follow_news topic_follower::onListing(protocol::listing_page page, common::instant now)
+void topic_follower::onAnswered(common::instant now)
 {
     m_isUnderWay = false;
-    m_answeredAt = now;
+    m_isHurried = false;
     m_isReachable = true;
+    m_answeredAt = now;
     m_retry = {};
+}
+
+follow_news topic_follower::onListing(protocol::listing_page page, common::instant now)
+{
+    onAnswered(now);
     m_dueAt = now;
     if (!m_listedEnd) {
         m_listedEnd = page.end;
@@ -52,10 +58,7 @@
 
 follow_news topic_follower::onRecords(protocol::record_page page, common::instant now)
 {
-    m_isUnderWay = false;
-    m_answeredAt = now;
-    m_isReachable = true;
-    m_retry = {};
+    onAnswered(now);
     m_from = std::max(m_from, page.end);
     m_dueAt = now + pause();
     return {std::move(page.records), false, {}};
@@ -84,12 +87,13 @@
 
 void topic_follower::hurry(common::instant now)
 {
+    m_isHurried = true;
     m_dueAt = std::min(m_dueAt, std::max(now, m_calledAt + m_options.hurryGap));
 }
 
 void topic_follower::defer(common::instant until)
 {
-    if (m_hasListed && !m_isListing) {
+    if (m_hasListed && !m_isListing && !m_isHurried) {
         m_dueAt = std::max(m_dueAt, until);
         m_isDeferred = true;
     }
--- a/packages/frontend/test/directory-feed-test.cpp
+++ b/packages/frontend/test/directory-feed-test.cpp
@@ -34,7 +34,7 @@
                              }
                          },
                          [](const stages::directory_message &) {}, [] {}});
-    feed.setMembers({{"self", "127.0.0.1:1", common::stableHash("self"), 0, false}}, "self", 7, start);
+    feed.setMembers({{"self", "127.0.0.1:1", common::stableHash("self"), 0, 0, false}}, "self", 7, start);
     feed.onRead({record("a")}, {7, "seven"});
     CHECK(sent.empty());
 
--- a/packages/frontend/test/topic-follower-test.cpp
+++ b/packages/frontend/test/topic-follower-test.cpp
@@ -138,3 +138,30 @@
         CHECK(follower.next(start + 1800ms)->wait == 8s);
     }
 }
+
+TEST_CASE("What is known to be new is read at once, also while another instance reads the topic")
+{
+    topic_follower follower({});
+    REQUIRE(follower.next(start));
+    follower.onListing({10, false, {record("a", 3)}}, start);
+    follower.defer(start + 2s);
+    CHECK_FALSE(follower.next(start + 1s));
+
+    follower.hurry(start + 1s);
+    follower.defer(start + 3s);
+    REQUIRE(follower.next(start + 1s));
+
+    SECTION("and again after a failure")
+    {
+        follower.onFailure(start + 1s);
+        follower.defer(start + 3s);
+        CHECK(follower.next(start + 1100ms));
+    }
+    SECTION("until it has been read")
+    {
+        follower.onRecords({11, {record("b", 10)}}, start + 1s);
+        follower.defer(start + 3s);
+        CHECK_FALSE(follower.next(start + 2900ms));
+        CHECK(follower.next(start + 3s));
+    }
+}
--- a/packages/membership/include/masticlever/membership/membership.h
+++ b/packages/membership/include/masticlever/membership/membership.h
@@ -36,6 +36,7 @@
     bool logReachable = true;
     std::uint64_t configurationOffset = 0; ///< last configuration record that it has applied
     std::uint32_t processorMillis = 0; ///< processor time it may use, milliseconds a second; 0: not known
+    std::uint32_t linkMbps = 0; ///< of its machine's link, megabits a second; 0: not known
 
     bool operator==(const instance_notice &) const = default;
 };
--- a/packages/peers/test/codec-test.cpp
+++ b/packages/peers/test/codec-test.cpp
@@ -19,7 +19,7 @@
 instance_notice makeNotice(int number)
 {
     const std::string text = std::to_string(number);
-    return {"entry-" + text, "0192f0c1-2a3b-7cde-8f01-" + text, "hawick", "10.1.2.3:7000", 9, true, false, 77, 84};
+    return {"entry-" + text, "0192f0c1-2a3b-7cde-8f01-" + text, "hawick", "10.1.2.3:7000", 9, true, false, 77, 84, 200};
 }
 
 gossip_message makeMessage()
--- a/packages/stages/include/masticlever/stages/home-choice.h
+++ b/packages/stages/include/masticlever/stages/home-choice.h
@@ -21,12 +21,13 @@
     std::string address; ///< of its home service, "IP:port"
     std::uint64_t rankKey = 0; ///< stable hash of the incarnation
     std::uint32_t processorMillis = 0; ///< processor time it may use, milliseconds a second; 0: not known
+    std::uint32_t linkMbps = 0; ///< of its machine's link, megabits a second; 0: not known
     bool isAvoided = false; ///< silent here of late
 };
 
 /// The candidate that a rendezvous hash prefers among the strong ones that are not avoided; nullptr when there is none.
 /// A home's work grows with the fleet and cannot be divided, while every instance gets about the same share of the
-/// callers: the instances with the most processor time have the most left for it. Instances with the same view choose
+/// callers: the instances with the most processor time and the fastest links have the most left for it. Instances with the same view choose
 /// the same one, and a change of the fleet moves few services.
 const home_candidate *chooseHome(std::string_view service, std::span<const home_candidate> candidates);
 
--- a/packages/stages/src/home-choice.cpp
+++ b/packages/stages/src/home-choice.cpp
@@ -10,23 +10,43 @@
 namespace
 {
 
-constexpr std::uint32_t strongShare = 2; ///< strong: with no less than this part of the strongest one's processor time
+constexpr std::uint32_t strongShare = 2; ///< strong: with no less than this part of what the strongest one has
 
-} // namespace
+struct strength {
+    std::uint32_t processorMillis = 0;
+    std::uint32_t linkMbps = 0;
+};
 
-const home_candidate *chooseHome(std::string_view service, std::span<const home_candidate> candidates)
+/// The least that a strong candidate has. When none has both, processor time decides alone.
+strength leastStrong(std::span<const home_candidate> candidates)
 {
-    std::uint32_t most = 0;
+    strength least;
     for (const home_candidate &candidate : candidates) {
-        most = candidate.isAvoided ? most : std::max(most, candidate.processorMillis);
+        if (!candidate.isAvoided) {
+            least.processorMillis = std::max(least.processorMillis, candidate.processorMillis / strongShare);
+            least.linkMbps = std::max(least.linkMbps, candidate.linkMbps / strongShare);
+        }
     }
+    const bool hasBoth = std::ranges::any_of(candidates, [&](const home_candidate &candidate) {
+        return !candidate.isAvoided && candidate.processorMillis >= least.processorMillis
+            && candidate.linkMbps >= least.linkMbps;
+    });
+    return hasBoth ? least : strength{least.processorMillis, 0};
+}
+
+} // namespace
+
+const home_candidate *chooseHome(std::string_view service, std::span<const home_candidate> candidates)
+{
+    const strength least = leastStrong(candidates);
     const std::uint64_t key = common::stableHash(service);
     const home_candidate *best = nullptr;
     std::uint64_t bestRank = 0;
     for (const home_candidate &candidate : candidates) {
-        const bool isChoice = !candidate.isAvoided && candidate.processorMillis >= most / strongShare;
+        const bool isStrong
+            = candidate.processorMillis >= least.processorMillis && candidate.linkMbps >= least.linkMbps;
         const std::uint64_t rank = common::rendezvousRank(key, candidate.rankKey);
-        if (isChoice && (best == nullptr || rank > bestRank)) {
+        if (!candidate.isAvoided && isStrong && (best == nullptr || rank > bestRank)) {
             best = &candidate;
             bestRank = rank;
         }
--- a/packages/stages/test/home-choice-test.cpp
+++ b/packages/stages/test/home-choice-test.cpp
@@ -18,7 +18,7 @@
     std::vector<home_candidate> candidates;
     for (std::size_t i = 0; i < count; ++i) {
         const std::string name = "instance-" + std::to_string(i);
-        candidates.push_back({name, name + ":1", common::stableHash(name), 170, false});
+        candidates.push_back({name, name + ":1", common::stableHash(name), 170, 700, false});
     }
     return candidates;
 }
@@ -68,6 +68,23 @@
         }
         CHECK(chooseHome("vault", candidates)->processorMillis == 84);
     }
+    SECTION("and the links")
+    {
+        for (std::size_t i = 0; i < candidates.size(); ++i) {
+            candidates[i].linkMbps = i % 40 == 0 ? 200 : 10;
+        }
+        for (const std::string &service : services) {
+            CHECK(chooseHome(service, candidates)->processorMillis == 500);
+            CHECK(chooseHome(service, candidates)->linkMbps == 200);
+        }
+    }
+    SECTION("to one with processor time when no instance has both")
+    {
+        for (std::size_t i = 0; i < candidates.size(); ++i) {
+            candidates[i].linkMbps = i % 20 == 0 ? 10 : 200;
+        }
+        CHECK(chooseHome("vault", candidates)->processorMillis == 500);
+    }
     SECTION("to any of them while nothing is known of their processor time")
     {
         for (home_candidate &candidate : candidates) {
@@ -96,7 +113,7 @@
 
 TEST_CASE("An instance that was lost is left out for a while")
 {
-    const std::vector<home_candidate> all{{"a", "127.0.0.1:1", 1, 0, false}, {"b", "127.0.0.1:2", 2, 0, false}};
+    const std::vector<home_candidate> all{{"a", "127.0.0.1:1", 1, 0, 0, false}, {"b", "127.0.0.1:2", 2, 0, 0, false}};
     const common::instant now{1000s};
     avoided_homes avoided;
     const auto first = avoided.choose("encode", all, "other", now);
