Give a reader 5 s before another one is chosen

Change: who hears nothing reads for itself after 1.2 s as before, but stays with the reader for 5 s. Test: directory-feed, fails before. It needs a listening socket and no event loop.

--- a/packages/frontend/src/directory-feed.cpp
+++ b/packages/frontend/src/directory-feed.cpp
@@ -59,11 +59,12 @@
         return;
     }
     m_reader = address;
-    m_followedAt = now;
+    m_heardAt = now;
     home_link::event_handlers handlers;
     handlers.onMessage = [this](home_link &, stages::home_message message) {
         if (auto *news = std::get_if<stages::directory_message>(&message)) {
-            m_freshUntil = news->isRead ? presentInstant() + m_options.freshFor : m_freshUntil;
+            m_heardAt = presentInstant();
+            m_freshUntil = news->isRead ? m_heardAt + m_options.freshFor : m_freshUntil;
             m_handlers.onNews(std::move(*news));
         }
     };
@@ -147,7 +148,7 @@
 void directory_feed::onTick(instant now)
 {
     m_ended.reset();
-    if (m_link && now > std::max(m_freshUntil, m_followedAt + m_options.freshFor)) {
+    if (m_link && now > m_heardAt + m_options.silenceLimit) {
         m_avoided.avoid(m_reader, now + m_options.avoidFor);
         unfollow();
     }
--- a/packages/frontend/src/directory-feed.h
+++ b/packages/frontend/src/directory-feed.h
@@ -27,6 +27,9 @@
     /// After news for so long nothing is read here. With a read that follows at once, a leaving endpoint is known
     /// within the two seconds that it grants.
     common::duration freshFor = std::chrono::milliseconds(1200);
+    /// A reader that is silent for so long is replaced. Meanwhile an instance reads for itself; the first news are all
+    /// registrations, for the whole fleet after a start, which take some seconds on a slow link.
+    common::duration silenceLimit = std::chrono::seconds(5);
     common::duration avoidFor = std::chrono::seconds(3); ///< a reader that was silent or is gone
     /// Configurations that are larger for all subscribers together are read by each for itself: sending them must leave
     /// time for the rest of what is to be known within two seconds.
@@ -65,6 +68,7 @@
     void onConfiguration(const configuration_news &configuration);
     void onTick(common::instant now);
 
+    bool isFollowing() const { return m_link != nullptr; }
     bool hasSubscribers() const { return !m_subscribers.empty(); }
     /// Until when nothing has to be read here; in the past when this instance has to read.
     common::instant freshUntil() const { return m_subscribers.empty() ? m_freshUntil : common::instant{}; }
@@ -84,7 +88,7 @@
     std::unique_ptr<home_link> m_link;
     std::unique_ptr<home_link> m_ended; ///< deleted outside of its own calls
     std::string m_reader; ///< address; empty: this instance reads
-    common::instant m_followedAt;
+    common::instant m_heardAt; ///< from the reader, or when it was first followed
     common::instant m_freshUntil;
     stages::avoided_homes m_avoided;
     std::map<std::uint64_t, subscriber_entry> m_subscribers;
--- a/packages/frontend/test/directory-feed-test.cpp
+++ b/packages/frontend/test/directory-feed-test.cpp
@@ -2,6 +2,8 @@
 
 #include <masticlever/common/digest.h>
 
+#include <masticlever/net/stream-socket.h>
+
 #include <catch2/catch.hpp>
 
 using namespace masticlever;
@@ -99,3 +101,32 @@
         CHECK(feed.freshUntil() < start);
     }
 }
+
+TEST_CASE("A reader that is slow to tell is not left at once")
+{
+    net::listener listening([](int) {});
+    const auto port = listening.listen(net::parseAddress("127.0.0.1:0").value(), 1);
+    REQUIRE(port);
+    const std::string address = "127.0.0.1:" + std::to_string(port.value());
+    directory_feed feed({},
+                        {[](std::span<const std::uint64_t>, const stages::home_message &) {},
+                         [](const stages::directory_message &) {}, [] {}});
+    const std::vector<stages::home_candidate> members{{"reader", address, 1, 0, 0, false}};
+    feed.setMembers(members, "self", 7, start);
+    REQUIRE(feed.isFollowing());
+
+    // All registrations for a whole fleet take seconds on its link. Who begins anew makes it longer for all.
+    feed.onTick(start + 4s);
+    CHECK(feed.isFollowing());
+    CHECK(feed.freshUntil() < start); // this instance reads for itself meanwhile
+
+    SECTION("but when it stays silent")
+    {
+        feed.onTick(start + 6s);
+        CHECK_FALSE(feed.isFollowing());
+        feed.setMembers(members, "self", 7, start + 6s);
+        CHECK_FALSE(feed.isFollowing());
+        feed.setMembers(members, "self", 7, start + 10s);
+        CHECK(feed.isFollowing());
+    }
+}
