--- a/packages/frontend/src/request-session.cpp
+++ b/packages/frontend/src/request-session.cpp
@@ -24,7 +24,6 @@
 constexpr int conflict = 409;
 constexpr int misdirected = 421;
 constexpr int leastUrgent = 9;
-constexpr double leastWeight = 0.01; ///< of a data centre without stage endpoints
 constexpr std::size_t slowReaderBytes = 262144; ///< unsent to a caller before the endpoint is no longer read
 constexpr std::array<double, 14> latencyBuckets{0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5,
                                                 0.75, 1.0,   1.5,  2.0, 3.0, 5.0, 10.0};
@@ -112,73 +111,25 @@
     return services.back().service;
 }
 
-/// A data centre gets requests in proportion to what the scarcest of its stage services can carry.
-void request_session::weighDataCentres()
+result_locator request_session::locator() const
 {
-    std::map<std::string, double> shares;
-    for (const catalog::endpoint_record *endpoint : m_context.directory.usable(m_service)) {
-        shares[endpoint->dataCentre] += 1;
-    }
-    for (const auto &share : shares) {
-        const std::string &dataCentre = share.first;
-        double scarcest = 1;
-        for (const catalog::stage_spec &stage : m_request.route->stages) {
-            const auto makers = m_context.directory.usable(stage.service);
-            const auto near
-                = std::ranges::count_if(makers, [&](const auto *maker) { return maker->dataCentre == dataCentre; });
-            const auto all = static_cast<double>(std::max<std::size_t>(1, makers.size()));
-            scarcest = std::min(scarcest, static_cast<double>(near) / all);
-        }
-        m_weights[dataCentre] = std::max(leastWeight, scarcest / share.second);
-    }
+    return [this](std::string_view handle) { return m_context.pieces.dataCentreOf(handle); };
 }
 
 std::string request_session::chooseEndpoint(instant now)
 {
-    const forwarding::data_centre_bytes inputs = finalInputBytes();
+    const auto inputs = finalInputBytes(*m_request.route, m_flow.graph(), locator());
     const forwarding::placement place{m_context.settings.dataCentre, m_weights, inputs};
     return m_context.choice.choose(m_context.directory.usable(m_service), m_flow.excluded(), m_request.attributes,
                                    place, now, m_context.random);
 }
 
-/// Where most of the inputs of a stage are; where the request is expected to run when there are none.
-std::string request_session::dataCentreOfInputs(std::size_t stage) const
-{
-    std::map<std::string, std::size_t> counts;
-    for (const std::string &handle : m_flow.graph().inputsOf(stage)) {
-        ++counts[m_context.pieces.dataCentreOf(handle)];
-    }
-    const auto most = std::ranges::max_element(counts, {}, &std::pair<const std::string, std::size_t>::second);
-    return most == counts.end() || most->first.empty() ? m_dataCentre : most->first;
-}
-
-double request_session::inputBytes(std::size_t stage) const
-{
-    double bytes = 0;
-    for (const std::size_t before : m_request.route->stages[stage].after) {
-        bytes += m_request.route->stages[before].resultBytes
-            * static_cast<double>(m_flow.graph().handlesOf(before).size());
-    }
-    return bytes;
-}
-
-forwarding::data_centre_bytes request_session::finalInputBytes() const
-{
-    forwarding::data_centre_bytes bytes;
-    for (const std::size_t stage : m_request.route->finalStages()) {
-        for (const std::string &handle : m_flow.graph().handlesOf(stage)) {
-            bytes[m_context.pieces.dataCentreOf(handle)] += m_request.route->stages[stage].resultBytes;
-        }
-    }
-    return bytes;
-}
-
 void request_session::begin()
 {
     const instant now = presentInstant();
     m_context.retries.onRequest(m_service, now);
     if (!m_request.route->stages.empty()) {
-        weighDataCentres();
+        m_weights = dataCentreWeights(m_context.directory, *m_request.route, m_service);
         const catalog::endpoint_record *likely = m_context.directory.findUsable(chooseEndpoint(now));
         m_dataCentre = likely == nullptr ? m_context.settings.dataCentre : likely->dataCentre;
     }
@@ -299,11 +250,12 @@
         wish.stage = stage;
         wish.inputs = m_flow.graph().inputsOf(stage);
         wish.key = wish.inputs.empty() ? m_request.attributes.pieceKey : std::string();
-        wish.dataCentre = dataCentreOfInputs(stage);
+        const std::string near = dataCentreOfInputs(m_flow.graph(), stage, locator());
+        wish.dataCentre = near.empty() ? m_dataCentre : near;
         wish.priority = m_request.priority;
         wish.resultBytes = spec.resultBytes;
-        wish.nearBytes
-            = wish.inputs.empty() ? spec.resultBytes * static_cast<double>(wish.pieces.size()) : inputBytes(stage);
+        wish.nearBytes = wish.inputs.empty() ? spec.resultBytes * static_cast<double>(wish.pieces.size())
+                                             : inputBytes(*m_request.route, m_flow.graph(), stage);
         m_rests[stage].expected = m_context.pace.afterStage(
             *m_request.route, stage, [this](const std::string &service) { return delayOf(service); });
         wish.laterWork = common::scaled(m_rests[stage].expected, m_context.pace.stretch(m_request.route->name, stage));
--- a/packages/frontend/src/request-session.h
+++ b/packages/frontend/src/request-session.h
@@ -2,6 +2,7 @@
 
 #include "caller-connection.h"
 #include "frontend-context.h"
+#include "request-placement.h"
 
 #include <masticlever/forwarding/event-splitter.h>
 #include <masticlever/forwarding/request-flow.h>
@@ -74,10 +75,7 @@
     void finish(std::string_view outcome, int status, std::string_view reason);
     std::string chooseService();
     std::string chooseEndpoint(common::instant now);
-    std::string dataCentreOfInputs(std::size_t stage) const;
-    double inputBytes(std::size_t stage) const;
-    forwarding::data_centre_bytes finalInputBytes() const;
-    void weighDataCentres();
+    result_locator locator() const;
     common::duration delayOf(const std::string &service) const;
     common::duration timeToDrain() const;
 
