--- a/packages/peers/src/gossip.cpp
+++ b/packages/peers/src/gossip.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <iterator>
-#include <ranges>
 #include <utility>
 
 namespace masticlever::peers
@@ -54,7 +53,9 @@
 {
     std::vector<std::string> peers = m_table.watcherPeers(now);
     std::erase_if(m_askers, [&](const auto &item) { return now >= item.second; });
-    std::ranges::copy(m_askers | std::views::keys, std::back_inserter(peers));
+    for (const auto &[asker, until] : m_askers) {
+        peers.push_back(asker);
+    }
     const std::size_t others = m_isUrgent ? m_options.urgentPeers : m_options.rotatingPeers;
     std::ranges::move(m_table.nextPeers(others, now), std::back_inserter(peers));
     const std::vector<membership::instance_notice> live = m_table.liveInstances(now);
--- a/packages/stages/include/masticlever/stages/home-choice.h
+++ b/packages/stages/include/masticlever/stages/home-choice.h
@@ -27,8 +27,8 @@
 
 /// The candidate that a rendezvous hash prefers among the strong ones that are not avoided; nullptr when there is none.
 /// A home's work grows with the fleet and cannot be divided, while every instance gets about the same share of the
-/// callers: the instances with the most processor time and the fastest links have the most left for it. Instances with the same view choose
-/// the same one, and a change of the fleet moves few services.
+/// callers: the instances with the most processor time and the fastest links have the most left for it. Instances with
+/// the same view choose the same one, and a change of the fleet moves few services.
 const home_candidate *chooseHome(std::string_view service, std::span<const home_candidate> candidates);
 
 /// Instances that were lost or silent here, by address; they are taken again after a while.
