Log which instance reads for this one, and when it is lost

An instance's configuration and endpoints now depend on another one's news, and no line told when that began or ended: E823 reader_followed, E824 reader_lost with the time since its last news. Behaviour is the same.

--- a/packages/frontend/src/directory-feed.cpp
+++ b/packages/frontend/src/directory-feed.cpp
@@ -2,6 +2,8 @@
 
 #include "frontend-context.h"
 
+#include <masticlever/telemetry/events.h>
+
 #include <utility>
 #include <variant>
 
@@ -9,6 +11,8 @@
 {
 
 using common::instant;
+using telemetry::event;
+using telemetry::logEvent;
 
 namespace
 {
@@ -70,13 +74,22 @@
     };
     handlers.onClosed = [this](home_link &) {
         const instant closedAt = presentInstant();
-        m_avoided.avoid(m_reader, closedAt + m_options.avoidFor);
-        unfollow();
+        loseReader("closed", closedAt);
         m_freshUntil = std::min(m_freshUntil, closedAt);
         m_handlers.onReaderLost();
     };
     m_link = std::make_unique<home_link>(target.value(), std::move(handlers), now);
     m_link->send(stages::subscribe_message{configurationVersion});
+    logEvent(event::reader_followed, {{"reader", std::string_view(m_reader)}, {"configuration", configurationVersion}});
+}
+
+void directory_feed::loseReader(std::string_view reason, instant now)
+{
+    const auto heard = std::chrono::duration_cast<std::chrono::milliseconds>(now - m_heardAt);
+    logEvent(event::reader_lost,
+             {{"reader", std::string_view(m_reader)}, {"reason", reason}, {"heard_ms", std::int64_t{heard.count()}}});
+    m_avoided.avoid(m_reader, now + m_options.avoidFor);
+    unfollow();
 }
 
 void directory_feed::onRead(const std::vector<catalog::endpoint_record> &records,
@@ -149,8 +162,7 @@
 {
     m_ended.reset();
     if (m_link && now > m_heardAt + m_options.silenceLimit) {
-        m_avoided.avoid(m_reader, now + m_options.avoidFor);
-        unfollow();
+        loseReader("silent", now);
     }
 }
 
--- a/packages/frontend/src/directory-feed.h
+++ b/packages/frontend/src/directory-feed.h
@@ -81,6 +81,7 @@
 
     void follow(const std::string &address, std::uint64_t configurationVersion, common::instant now);
     void unfollow();
+    void loseReader(std::string_view reason, common::instant now);
     std::string textFor(std::span<const std::uint64_t> subscribers, const configuration_news &configuration);
 
     directory_feed_options m_options;
--- a/packages/telemetry/include/masticlever/telemetry/events.h
+++ b/packages/telemetry/include/masticlever/telemetry/events.h
@@ -78,6 +78,8 @@
     piece_call_failed = 820,
     home_lost = 821,
     piece_call_answered = 822,
+    reader_followed = 823,
+    reader_lost = 824,
 
     stop_began = 830,
     stopped = 831,
--- a/packages/telemetry/src/event-catalogue.cpp
+++ b/packages/telemetry/src/event-catalogue.cpp
@@ -64,6 +64,8 @@
     {piece_call_failed, "piece_call_failed", warning},
     {home_lost, "home_lost", warning},
     {piece_call_answered, "piece_call_answered", debug},
+    {reader_followed, "reader_followed", info},
+    {reader_lost, "reader_lost", warning},
     {stop_began, "stop_began", info},
     {stopped, "stopped", info},
     {settings_reloaded, "settings_reloaded", info},
