Copy registrations and scan the fleet only when something is sent

The instance that reads for others copied all registrations at every read, also when no subscriber was to get the whole list; now the list is made where it is sent, and the nested choice of lists is two steps. takeQuestions looked through the fleet at every tick before it asked whether a question was due.

--- a/packages/frontend/src/directory-feed.cpp
+++ b/packages/frontend/src/directory-feed.cpp
@@ -119,19 +119,23 @@
     std::vector<std::uint64_t> behind; ///< without the registrations and the configuration
     std::vector<std::uint64_t> untold;
     for (auto &[subscriber, entry] : m_subscribers) {
-        const bool isBehind = entry.configurationVersion < configuration.version;
-        (std::exchange(entry.isTold, true) ? told : isBehind ? behind : untold).push_back(subscriber);
+        if (std::exchange(entry.isTold, true)) {
+            told.push_back(subscriber);
+        } else {
+            (entry.configurationVersion < configuration.version ? behind : untold).push_back(subscriber);
+        }
     }
     if (!told.empty()) {
         m_handlers.send(told, news);
     }
-    stages::directory_message whole{configuration.version, {}, true, true, records, {}};
+    const auto wholeWith = [&](std::string text) {
+        return stages::directory_message{configuration.version, std::move(text), true, true, records, {}};
+    };
     if (!untold.empty()) {
-        m_handlers.send(untold, whole);
+        m_handlers.send(untold, wholeWith({}));
     }
     if (!behind.empty()) {
-        whole.configuration = textFor(behind, configuration);
-        m_handlers.send(behind, whole);
+        m_handlers.send(behind, wholeWith(textFor(behind, configuration)));
     }
 }
 
--- a/packages/peers/src/gossip.cpp
+++ b/packages/peers/src/gossip.cpp
@@ -138,8 +138,11 @@
 
 std::optional<gossip_round> gossip::takeQuestions(common::instant now)
 {
+    if (now - m_askedAt < m_options.interval) {
+        return std::nullopt;
+    }
     std::vector<std::string> silent = m_table.silentPeers(now);
-    if (silent.empty() || now - m_askedAt < m_options.interval) {
+    if (silent.empty()) {
         return std::nullopt;
     }
     m_askedAt = now;
