--- a/packages/catalog/include/masticlever/catalog/endpoint-directory.h
+++ b/packages/catalog/include/masticlever/catalog/endpoint-directory.h
@@ -64,8 +64,13 @@
     std::vector<directory_change> onRemoved(std::string_view id, common::instant now);
     /// A whole listing: endpoints that are not among \p ids are removed.
     std::vector<directory_change> onListing(std::span<const std::string> ids, common::instant now);
-    /// The endpoint itself said that it is leaving, or another one answered at its address.
+    /// The endpoint itself said that it is leaving, or another one answered at its address. Holds for its incarnation,
+    /// whatever its registration says from then on.
     std::vector<directory_change> onSeenLeaving(std::string_view id, common::instant now);
+    /// The same, heard from another instance, which means that incarnation only.
+    std::vector<directory_change> onToldLeaving(std::string_view id, std::uint64_t bornMs, common::instant now);
+    /// The endpoint has said that it wants nothing from this instance until then.
+    void onAskedQuiet(std::string_view id, common::instant until);
 
     void onStoreReachable(bool isReachable, common::instant now);
     /// Ends the grace of lapsed entries; called several times a second.
@@ -75,7 +80,14 @@
     std::vector<const endpoint_record *> usable(std::string_view service) const;
     /// The endpoint if it may be given work.
     const endpoint_record *findUsable(std::string_view id) const;
-    /// All known registrations, those of leaving endpoints too, by id.
+    /// Until when the endpoint wants nothing from this instance; in the past when it takes work.
+    common::instant quietUntil(std::string_view id) const;
+    /// Endpoints that are registered at that address, the leaving ones too.
+    std::vector<std::string> idsAt(std::string_view address) const;
+    bool isLeaving(std::string_view id) const;
+    /// Start of the known incarnation of \p id, Unix time; 0 when it is not known.
+    std::uint64_t bornMsOf(std::string_view id) const;
+    /// All known registrations, by id; those that are known to leave say so.
     std::vector<endpoint_record> records() const;
     std::size_t size() const { return m_entries.size(); }
 
@@ -87,22 +99,26 @@
         endpoint_record record;
         bool isLeaving = false;
         std::optional<common::instant> lapsedAt; ///< removed while the store was away
+        common::instant quietUntil;
     };
 
     struct removed_entry {
         std::uint64_t bornMs = 0;
         std::uint64_t sequence = 0;
         common::instant at;
+        bool wasLeaving = false;
+        common::instant quietUntil;
     };
 
     bool isOutdated(const endpoint_record &record) const;
     std::vector<directory_change> erase(std::map<std::string, entry, std::less<>>::iterator found, common::instant now);
-    void indexService(const endpoint_record &record);
-    void unindexService(const endpoint_record &record);
+    void index(const endpoint_record &record);
+    void unindex(const endpoint_record &record);
 
     directory_options m_options;
     std::map<std::string, entry, std::less<>> m_entries; ///< by id
     std::map<std::string, std::vector<std::string>, std::less<>> m_byService; ///< ids, sorted
+    std::map<std::string, std::vector<std::string>, std::less<>> m_byAddress; ///< ids, sorted
     std::map<std::string, removed_entry, std::less<>> m_removed; ///< by id
     bool m_isStoreReachable = false;
     std::optional<common::instant> m_storeLostAt;
--- a/packages/catalog/src/endpoint-directory.cpp
+++ b/packages/catalog/src/endpoint-directory.cpp
@@ -17,15 +17,22 @@
 
 } // namespace
 
-void endpoint_directory::indexService(const endpoint_record &record)
+void endpoint_directory::index(const endpoint_record &record)
 {
-    std::vector<std::string> &ids = m_byService[record.service];
-    ids.insert(std::ranges::lower_bound(ids, record.id), record.id);
+    const auto add
+        = [&](std::vector<std::string> &ids) { ids.insert(std::ranges::lower_bound(ids, record.id), record.id); };
+    add(m_byService[record.service]);
+    add(m_byAddress[record.address]);
 }
 
-void endpoint_directory::unindexService(const endpoint_record &record)
+void endpoint_directory::unindex(const endpoint_record &record)
 {
     std::erase(m_byService[record.service], record.id);
+    const auto there = m_byAddress.find(record.address);
+    std::erase(there->second, record.id);
+    if (there->second.empty()) {
+        m_byAddress.erase(there);
+    }
 }
 
 /// A record that is older than the one that was removed. The same one may be written again after a lapse.
@@ -47,12 +54,18 @@
     if (isOutdated(record)) {
         return {};
     }
-    m_removed.erase(record.id);
+    const auto removed = m_removed.find(record.id);
+    removed_entry former; // what the same incarnation said before its registration was away
+    if (removed != m_removed.end()) {
+        former = removed->second.bornMs == record.bornMs ? removed->second : former;
+        m_removed.erase(removed);
+    }
     const auto found = m_entries.find(record.id);
     if (found == m_entries.end()) {
-        m_entries.emplace(record.id, entry{record, record.state == endpoint_state::draining, std::nullopt});
-        indexService(record);
-        return {change(record.state == endpoint_state::draining ? what::draining : what::added, record)};
+        const bool isLeaving = former.wasLeaving || record.state == endpoint_state::draining;
+        m_entries.emplace(record.id, entry{record, isLeaving, std::nullopt, former.quietUntil});
+        index(record);
+        return {change(isLeaving ? what::draining : what::added, record)};
     }
     entry &known = found->second;
     const auto order = [](const endpoint_record &r) { return std::tuple(r.bornMs, r.sequence); };
@@ -62,9 +75,12 @@
     const bool isNewIncarnation = record.bornMs != known.record.bornMs;
     const bool wasLeaving = known.isLeaving && !isNewIncarnation;
     const bool hadLapsed = known.lapsedAt.has_value();
-    if (record.service != known.record.service) {
-        unindexService(known.record);
-        indexService(record);
+    if (record.service != known.record.service || record.address != known.record.address) {
+        unindex(known.record);
+        index(record);
+    }
+    if (isNewIncarnation) {
+        known.quietUntil = {};
     }
     known.record = record;
     known.isLeaving = wasLeaving || record.state == endpoint_state::draining;
@@ -83,8 +99,8 @@
 {
     std::vector<directory_change> changes{change(directory_change::what::removed, found->second.record)};
     const endpoint_record &record = found->second.record;
-    m_removed[record.id] = {record.bornMs, record.sequence, now};
-    unindexService(record);
+    m_removed[record.id] = {record.bornMs, record.sequence, now, found->second.isLeaving, found->second.quietUntil};
+    unindex(record);
     m_entries.erase(found);
     return changes;
 }
@@ -127,6 +143,44 @@
     return {change(directory_change::what::draining, found->second.record)};
 }
 
+std::vector<directory_change> endpoint_directory::onToldLeaving(std::string_view id, std::uint64_t bornMs,
+                                                                common::instant now)
+{
+    return bornMsOf(id) == bornMs ? onSeenLeaving(id, now) : std::vector<directory_change>{};
+}
+
+void endpoint_directory::onAskedQuiet(std::string_view id, common::instant until)
+{
+    const auto found = m_entries.find(id);
+    if (found != m_entries.end()) {
+        found->second.quietUntil = std::max(found->second.quietUntil, until);
+    }
+}
+
+common::instant endpoint_directory::quietUntil(std::string_view id) const
+{
+    const auto found = m_entries.find(id);
+    return found == m_entries.end() ? common::instant{} : found->second.quietUntil;
+}
+
+std::vector<std::string> endpoint_directory::idsAt(std::string_view address) const
+{
+    const auto found = m_byAddress.find(address);
+    return found == m_byAddress.end() ? std::vector<std::string>{} : found->second;
+}
+
+bool endpoint_directory::isLeaving(std::string_view id) const
+{
+    const auto found = m_entries.find(id);
+    return found != m_entries.end() && found->second.isLeaving;
+}
+
+std::uint64_t endpoint_directory::bornMsOf(std::string_view id) const
+{
+    const auto found = m_entries.find(id);
+    return found == m_entries.end() ? 0 : found->second.record.bornMs;
+}
+
 void endpoint_directory::onStoreReachable(bool isReachable, common::instant now)
 {
     if (!isReachable) {
@@ -178,6 +232,9 @@
     all.reserve(m_entries.size());
     for (const auto &[id, known] : m_entries) {
         all.push_back(known.record);
+        if (known.isLeaving) {
+            all.back().state = endpoint_state::draining;
+        }
     }
     return all;
 }
--- a/packages/catalog/test/endpoint-directory-test.cpp
+++ b/packages/catalog/test/endpoint-directory-test.cpp
@@ -148,3 +148,93 @@
         CHECK(directory.onRemoved("a", start + 5s).size() == 1);
     }
 }
+
+TEST_CASE("An endpoint that said itself that it leaves is left for its whole life")
+{
+    endpoint_directory directory({});
+    directory.onStoreReachable(true, start - 10s);
+    directory.onRecord(record("a"), start);
+    REQUIRE(directory.onSeenLeaving("a", start).size() == 1);
+    REQUIRE(directory.findUsable("a") == nullptr);
+
+    SECTION("whatever its registration says")
+    {
+        CHECK(directory.onRecord(record("a", 1, 5), start + 1s).empty());
+        CHECK(directory.findUsable("a") == nullptr);
+    }
+    SECTION("also when the registration was removed and is written again")
+    {
+        REQUIRE(directory.onRemoved("a", start + 1s).size() == 1);
+        const auto changes = directory.onRecord(record("a", 1, 2), start + 2s);
+        REQUIRE(changes.size() == 1);
+        CHECK(changes[0].kind == what::draining);
+        CHECK(directory.findUsable("a") == nullptr);
+    }
+    SECTION("also when it lapsed during an outage of the store")
+    {
+        directory.onStoreReachable(false, start);
+        directory.onStoreReachable(true, start + 5s);
+        directory.onRemoved("a", start + 5s);
+        directory.onRecord(record("a", 1, 2), start + 6s);
+        CHECK(directory.findUsable("a") == nullptr);
+    }
+    SECTION("and those that are told of the registrations are told of it")
+    {
+        CHECK(directory.records().front().state == endpoint_state::draining);
+    }
+    SECTION("but not its next incarnation")
+    {
+        directory.onRecord(record("a", 2, 1), start + 1s);
+        CHECK(directory.findUsable("a") != nullptr);
+        CHECK(directory.records().front().state == endpoint_state::ready);
+
+        SECTION("which a late word of the former one does not concern")
+        {
+            CHECK(directory.onToldLeaving("a", 1, start + 2s).empty());
+            CHECK(directory.findUsable("a") != nullptr);
+            CHECK(directory.onToldLeaving("a", 2, start + 2s).size() == 1);
+        }
+    }
+}
+
+TEST_CASE("An endpoint that asks for quiet is known with its time")
+{
+    endpoint_directory directory({});
+    directory.onStoreReachable(true, start - 10s);
+    directory.onRecord(record("a"), start);
+    directory.onAskedQuiet("a", start + 3s);
+    CHECK(directory.quietUntil("a") == start + 3s);
+    CHECK(directory.quietUntil("b") < start);
+
+    SECTION("a shorter one that comes later does not end it")
+    {
+        directory.onAskedQuiet("a", start + 1s);
+        CHECK(directory.quietUntil("a") == start + 3s);
+    }
+    SECTION("it lasts while the registration is away")
+    {
+        directory.onRemoved("a", start + 1s);
+        directory.onRecord(record("a", 1, 2), start + 2s);
+        CHECK(directory.quietUntil("a") == start + 3s);
+    }
+    SECTION("it ends with the incarnation")
+    {
+        directory.onRecord(record("a", 2, 1), start + 1s);
+        CHECK(directory.quietUntil("a") < start);
+    }
+}
+
+TEST_CASE("Endpoints are found by their address")
+{
+    endpoint_directory directory({});
+    directory.onStoreReachable(true, start - 10s);
+    directory.onRecord(record("a"), start);
+    directory.onRecord(record("b"), start);
+    CHECK(directory.idsAt("10.0.0.1:80") == std::vector<std::string>{"a", "b"});
+    endpoint_record moved = record("a", 2, 1);
+    moved.address = "10.0.0.2:80";
+    directory.onRecord(moved, start);
+    CHECK(directory.idsAt("10.0.0.2:80") == std::vector<std::string>{"a"});
+    directory.onRemoved("b", start);
+    CHECK(directory.idsAt("10.0.0.1:80").empty());
+}
--- a/packages/forwarding/include/masticlever/forwarding/endpoint-choice.h
+++ b/packages/forwarding/include/masticlever/forwarding/endpoint-choice.h
@@ -35,7 +35,13 @@
     double tokensPerMegabyte = 330;
 };
 
-enum class call_outcome { answered, failed, unreachable, rejected };
+enum class call_outcome {
+    answered,
+    failed,
+    unreachable,
+    rejected,
+    postponed, ///< rejected by an endpoint that named a time: says nothing of its health
+};
 
 /// Shares of the requests that the data centres should get; those not named get a weight of 1.
 using data_centre_weights = std::map<std::string, double, std::less<>>;
--- a/packages/forwarding/include/masticlever/forwarding/request-flow.h
+++ b/packages/forwarding/include/masticlever/forwarding/request-flow.h
@@ -76,8 +76,8 @@
     flow_step onBody(common::instant now);
     flow_step onPieceMade(stages::piece_ref piece, std::string handle, common::instant now);
     flow_step onPieceFailed(stages::piece_ref piece, protocol::piece_failure failure, common::instant now);
-    /// There is no endpoint to call.
-    flow_step onNoEndpoint(common::instant now);
+    /// There is no endpoint to call; \p comeBack when the first one takes requests again, if that is known.
+    flow_step onNoEndpoint(std::optional<common::duration> comeBack = std::nullopt);
     void onCallBegins(const std::string &endpointId);
     /// \p takeRetry takes one retry from the budget; called only when a retry is otherwise possible.
     flow_step onCallEnds(call_end end, common::instant now, const std::function<bool()> &takeRetry);
@@ -108,8 +108,8 @@
 
 private:
     flow_step proceed(common::instant now);
-    flow_step refuse(std::string_view reason);
-    flow_step end(int status, std::string_view reason);
+    flow_step refuse(std::string_view reason, std::optional<common::duration> comeBack = std::nullopt);
+    flow_step end(int status, std::string_view reason, std::optional<common::duration> comeBack = std::nullopt);
     flow_step finish(flow_step step);
     bool mayCallAgain(call_end ended, common::instant now, const std::function<bool()> &takeRetry);
 
--- a/packages/forwarding/src/endpoint-choice.cpp
+++ b/packages/forwarding/src/endpoint-choice.cpp
@@ -113,6 +113,9 @@
 {
     endpoint_state &state = m_endpoints[id];
     state.inFlight -= state.inFlight > 0 ? 1 : 0;
+    if (outcome == call_outcome::postponed) {
+        return;
+    }
     const bool isBad = outcome != call_outcome::answered;
     const double sample = isBad && outcome != call_outcome::rejected ? 1.0 : 0.0;
     state.failureShare += m_options.learningRate * (sample - state.failureShare);
--- a/packages/forwarding/src/request-flow.cpp
+++ b/packages/forwarding/src/request-flow.cpp
@@ -35,16 +35,16 @@
     return step;
 }
 
-flow_step request_flow::refuse(std::string_view reason)
+flow_step request_flow::refuse(std::string_view reason, std::optional<common::duration> comeBack)
 {
     flow_step step;
-    step.answer = own_answer{unavailable, m_options.retryAfter};
+    step.answer = own_answer{unavailable, comeBack.value_or(m_options.retryAfter)};
     step.reason = reason;
     return finish(std::move(step));
 }
 
 /// Ends the request with what is true: a refusal only if it has not run.
-flow_step request_flow::end(int status, std::string_view reason)
+flow_step request_flow::end(int status, std::string_view reason, std::optional<common::duration> comeBack)
 {
     if (m_hasHead) {
         flow_step step;
@@ -53,7 +53,7 @@
         return finish(std::move(step));
     }
     if (m_state == run_state::not_run) {
-        return refuse(reason);
+        return refuse(reason, comeBack);
     }
     flow_step step;
     step.answer = own_answer{status, std::nullopt};
@@ -124,9 +124,9 @@
     return step;
 }
 
-flow_step request_flow::onNoEndpoint(instant /*now*/)
+flow_step request_flow::onNoEndpoint(std::optional<common::duration> comeBack)
 {
-    return end(badGateway, "no_endpoint");
+    return end(badGateway, comeBack ? "endpoints_quiet" : "no_endpoint", comeBack);
 }
 
 void request_flow::onCallBegins(const std::string &endpointId)
--- a/packages/forwarding/test/request-flow-test.cpp
+++ b/packages/forwarding/test/request-flow-test.cpp
@@ -122,7 +122,7 @@
     request_flow flow = makeFlow(route);
     flow.onBegin(start);
     flow.onBody(start);
-    const flow_step step = GENERATE(true, false) ? flow.onNoEndpoint(start) : flow.onDeadline();
+    const flow_step step = GENERATE(true, false) ? flow.onNoEndpoint() : flow.onDeadline();
     REQUIRE(step.answer);
     CHECK(step.answer->status == 503);
     CHECK(step.answer->retryAfter.has_value());
--- a/packages/frontend/src/daemon-core.cpp
+++ b/packages/frontend/src/daemon-core.cpp
@@ -36,6 +36,7 @@
 constexpr duration leavingKnownAfter = std::chrono::milliseconds(300); ///< a round of gossip and a half
 constexpr duration stopMargin = std::chrono::milliseconds(400); ///< before the process would be killed
 constexpr double bodyMemoryShare = 0.35; ///< of the process's memory, for bodies of requests and answers
+constexpr double answerMemoryShare = 0.15; ///< for what endpoints, the store and other instances send
 constexpr std::size_t defaultMemory = 256u << 20;
 
 constexpr int notFound = 404;
@@ -63,6 +64,11 @@
     return options;
 }
 
+std::size_t memoryOf(const frontend_settings &settings)
+{
+    return settings.memoryBytes > 0 ? settings.memoryBytes : defaultMemory;
+}
+
 std::int64_t bootMicroseconds()
 {
     timespec time{};
@@ -106,26 +112,27 @@
           [this](std::string_view id, std::string_view value) { return m_protocol.readEndpoint(id, value); }),
       m_choice({}),
       m_retries({.ratio = m_settings.retryRatio, .slack = m_settings.retrySlack, .window = m_settings.retryWindow}),
-      m_pool({}), m_pace({}),
-      m_pieces({}, protocol, m_pool, m_directory,
+      m_pool({}), m_budget(static_cast<std::size_t>(answerMemoryShare * static_cast<double>(memoryOf(m_settings)))),
+      m_reports(m_directory, [this](const directory_changes &changes) { onSeenLeaving(changes); }), m_pace({}),
+      m_pieces({}, {m_pool, protocol, m_reports, m_budget}, m_directory,
                [this](std::uint64_t job, stages::piece_ref piece, const protocol::piece_result &result) {
                    if (request_session *session = findSession(job)) {
                        session->onPiece(piece, result);
                    }
                }),
-      m_context{m_settings, protocol, random, m_directory, m_choice,       m_retries,
-                m_pool,     m_pieces, m_pace, m_metrics,   m_configuration},
+      m_context{m_settings, protocol, random,   m_directory, m_choice,  m_retries,      m_pool,
+                m_reports,  m_budget, m_pieces, m_pace,      m_metrics, m_configuration},
       m_configurationWatch(
-          protocol, protocol::store_topic::configuration, m_settings.storeAddress, configurationFollowing(),
+          protocol, protocol::store_topic::configuration, m_settings.storeAddress, m_budget, configurationFollowing(),
           [this](const follow_news &news) { onConfigurationNews(news); },
           [this](bool isReachable) { onStoreReach(isReachable); }),
       m_endpointWatch(
-          protocol, protocol::store_topic::endpoints, m_settings.storeAddress, {},
+          protocol, protocol::store_topic::endpoints, m_settings.storeAddress, m_budget, {},
           [this](const follow_news &news) { onEndpointNews(news); },
           [this](bool isReachable) { onStoreReach(isReachable); }),
-      m_finder(protocol, m_settings,
+      m_finder(protocol, m_settings, m_budget,
                [this](std::vector<std::string> contacts) { m_fleet.setContacts(std::move(contacts)); }),
-      m_feed(feedOptions(m_settings),
+      m_feed(feedOptions(m_settings), m_budget,
              {[this](std::span<const std::uint64_t> subscribers, const stages::home_message &message) {
                   m_pieces.sendToOwners(subscribers, message);
               },
@@ -137,7 +144,8 @@
       m_fleet(m_settings, m_incarnation,
               {[this] { return m_configurationText; }, [this] { return version(); },
                [this](const std::string &text) { followConfiguration(text, "peer"); },
-               [this](std::uint64_t) { m_configurationWatch.hurry(m_now); }}),
+               [this](std::uint64_t) { m_configurationWatch.hurry(m_now); },
+               [this](const std::vector<membership::endpoint_notice> &notices) { onToldLeaving(notices); }}),
       m_status([this](const http1::message_head &head) {
           if (m_protocol.isReadinessCheck(head)) {
               return status_answer{isReady() ? success : unavailable, "text/plain", {}};
@@ -273,8 +281,7 @@
     for (const auto &[number, session] : m_sessions) {
         held += session->bodyBytes();
     }
-    const std::size_t memory = m_settings.memoryBytes > 0 ? m_settings.memoryBytes : defaultMemory;
-    if (static_cast<double>(held + head.length) > bodyMemoryShare * static_cast<double>(memory)) {
+    if (static_cast<double>(held + head.length) > bodyMemoryShare * static_cast<double>(memoryOf(m_settings))) {
         reason = "memory";
         return unavailable;
     }
@@ -437,6 +444,25 @@
     }
 }
 
+/// An endpoint's own answer tells that it leaves: the others are to know it too, as most of them do not hear it soon.
+void daemon_core::onSeenLeaving(const directory_changes &changes)
+{
+    for (const catalog::directory_change &change : changes) {
+        m_fleet.announceEndpointLeaving(change.id, m_directory.bornMsOf(change.id));
+    }
+    applyChanges(changes);
+}
+
+void daemon_core::onToldLeaving(const std::vector<membership::endpoint_notice> &notices)
+{
+    const instant now = presentInstant();
+    for (const membership::endpoint_notice &notice : notices) {
+        if (const auto bornMs = fleet_host::bornMsOf(notice)) {
+            applyChanges(m_directory.onToldLeaving(notice.address, *bornMs, now));
+        }
+    }
+}
+
 void daemon_core::onStoreReach(bool isReachable)
 {
     const instant now = presentInstant();
--- a/packages/frontend/src/daemon-core.h
+++ b/packages/frontend/src/daemon-core.h
@@ -58,6 +58,8 @@
     void onDirectoryNews(const stages::directory_message &news);
     void onStoreReach(bool isReachable);
     void applyChanges(const directory_changes &changes);
+    void onSeenLeaving(const directory_changes &changes);
+    void onToldLeaving(const std::vector<membership::endpoint_notice> &notices);
 
     void onTick();
     void tendFleet(common::instant now);
@@ -79,6 +81,8 @@
     forwarding::endpoint_choice m_choice;
     forwarding::retry_share m_retries;
     endpoint_pool m_pool;
+    net::receive_budget m_budget;
+    endpoint_reports m_reports;
     service_pace m_pace;
     piece_service m_pieces;
     frontend_context m_context;
--- a/packages/frontend/src/directory-feed.cpp
+++ b/packages/frontend/src/directory-feed.cpp
@@ -17,6 +17,7 @@
 namespace
 {
 
+constexpr std::size_t maximumTextBytes = stages::maximumHomeMessageBytes / 2; ///< leaves room for the registrations
 constexpr std::string_view duty = "endpoint registrations"; ///< what the reader is chosen for
 
 /// Whether a subscriber has to be told: heartbeats only raise the sequence.
@@ -29,8 +30,8 @@
 
 } // namespace
 
-directory_feed::directory_feed(directory_feed_options options, event_handlers handlers)
-    : m_options(options), m_handlers(std::move(handlers))
+directory_feed::directory_feed(directory_feed_options options, net::receive_budget &budget, event_handlers handlers)
+    : m_options(options), m_budget(budget), m_handlers(std::move(handlers))
 { }
 
 directory_feed::~directory_feed() = default;
@@ -78,7 +79,7 @@
         m_freshUntil = std::min(m_freshUntil, closedAt);
         m_handlers.onReaderLost();
     };
-    m_link = std::make_unique<home_link>(target.value(), std::move(handlers), now);
+    m_link = std::make_unique<home_link>(target.value(), m_budget, std::move(handlers), now);
     m_link->send(stages::subscribe_message{configurationVersion});
     logEvent(event::reader_followed, {{"reader", std::string_view(m_reader)}, {"configuration", configurationVersion}});
 }
@@ -159,7 +160,8 @@
         m_subscribers[subscriber].configurationVersion = configuration.version;
     }
     const double bytes = static_cast<double>(configuration.text.size()) * static_cast<double>(subscribers.size());
-    return bytes > m_options.configurationBytes ? std::string() : std::string(configuration.text);
+    const bool isTooLarge = bytes > m_options.configurationBytes || configuration.text.size() > maximumTextBytes;
+    return isTooLarge ? std::string() : std::string(configuration.text);
 }
 
 void directory_feed::onTick(instant now)
--- a/packages/frontend/src/directory-feed.h
+++ b/packages/frontend/src/directory-feed.h
@@ -51,7 +51,7 @@
         std::function<void()> onReaderLost; ///< it has closed the connection: what it would tell has to be read here
     };
 
-    directory_feed(directory_feed_options options, event_handlers handlers);
+    directory_feed(directory_feed_options options, net::receive_budget &budget, event_handlers handlers);
     ~directory_feed();
 
     void setMembers(const std::vector<stages::home_candidate> &members, const std::string &self,
@@ -85,6 +85,7 @@
     std::string textFor(std::span<const std::uint64_t> subscribers, const configuration_news &configuration);
 
     directory_feed_options m_options;
+    net::receive_budget &m_budget;
     event_handlers m_handlers;
     std::unique_ptr<home_link> m_link;
     std::unique_ptr<home_link> m_ended; ///< deleted outside of its own calls
--- a/packages/frontend/src/fleet-host.cpp
+++ b/packages/frontend/src/fleet-host.cpp
@@ -6,6 +6,7 @@
 #include <masticlever/telemetry/events.h>
 
 #include <algorithm>
+#include <charconv>
 #include <cmath>
 #include <iterator>
 #include <utility>
@@ -25,6 +26,7 @@
 constexpr common::duration suspectAfter = std::chrono::milliseconds(850);
 constexpr common::duration firstHeartbeatWithin = std::chrono::milliseconds(2500);
 constexpr common::duration forgetAfter = std::chrono::minutes(2);
+constexpr std::size_t maximumLeavingNotices = 512; ///< endpoints that leave within the time for which it is spread
 constexpr common::duration behindFor = std::chrono::milliseconds(250); ///< patience with the own reads of the store
 
 peers::peer_settings peerSettings(const frontend_settings &settings)
@@ -116,6 +118,20 @@
     m_service->announceLeaving();
 }
 
+void fleet_host::announceEndpointLeaving(const std::string &id, std::uint64_t bornMs)
+{
+    m_service->announceEndpointLeaving({id, std::to_string(bornMs)});
+}
+
+std::optional<std::uint64_t> fleet_host::bornMsOf(const membership::endpoint_notice &notice)
+{
+    std::uint64_t bornMs = 0;
+    const std::string &text = notice.incarnation;
+    const auto [end, failure] = std::from_chars(text.data(), text.data() + text.size(), bornMs);
+    const bool isNumber = failure == std::errc{} && end == text.data() + text.size();
+    return isNumber ? std::optional(bornMs) : std::nullopt;
+}
+
 std::string fleet_host::homeAddressOf(const std::string &gossipAddress) const
 {
     auto address = net::parseAddress(gossipAddress);
@@ -176,6 +192,10 @@
     if (newest > m_handlers.version()) {
         m_handlers.onVersionSeen(newest);
     }
+    const auto leaving = m_table.recentLeavingEndpoints(maximumLeavingNotices, now);
+    if (!leaving.empty()) {
+        m_handlers.onEndpointsLeaving(leaving);
+    }
 }
 
 } // namespace masticlever::frontend
--- a/packages/frontend/src/fleet-host.h
+++ b/packages/frontend/src/fleet-host.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -28,6 +29,8 @@
         std::function<std::uint64_t()> version;
         std::function<void(const std::string &text)> onConfiguration;
         std::function<void(std::uint64_t version)> onVersionSeen; ///< a peer has that version
+        /// Endpoints that others have heard to leave of late; the same ones again for some seconds.
+        std::function<void(const std::vector<membership::endpoint_notice> &notices)> onEndpointsLeaving;
     };
 
     fleet_host(const frontend_settings &settings, std::string incarnation, event_handlers handlers);
@@ -38,6 +41,10 @@
     void setContacts(std::vector<std::string> contacts);
     void setState(bool isStoreReachable, std::uint64_t version);
     void announceLeaving();
+    /// Tells the other instances of an endpoint that leaves; \p bornMs names its incarnation.
+    void announceEndpointLeaving(const std::string &id, std::uint64_t bornMs);
+    /// The incarnation that a notice of a leaving endpoint means. Its address holds the endpoint's id.
+    static std::optional<std::uint64_t> bornMsOf(const membership::endpoint_notice &notice);
     void onTick(common::instant now);
 
     /// Live instances that may be homes, this one included unless it is leaving; as of the last tick.
--- a/packages/frontend/src/frontend-context.h
+++ b/packages/frontend/src/frontend-context.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "endpoint-pool.h"
+#include "endpoint-access.h"
 #include "piece-service.h"
 #include "service-pace.h"
 
@@ -30,6 +30,8 @@
     forwarding::endpoint_choice &choice;
     forwarding::retry_share &retries;
     endpoint_pool &pool;
+    endpoint_reports &reports;
+    net::receive_budget &budget;
     piece_service &pieces;
     service_pace &pace;
     telemetry::metric_registry &metrics;
--- a/packages/frontend/src/home-link.cpp
+++ b/packages/frontend/src/home-link.cpp
@@ -2,11 +2,16 @@
 
 #include "frontend-context.h"
 
+#include <masticlever/telemetry/events.h>
+
 #include <utility>
 
 namespace masticlever::frontend
 {
 
+using telemetry::event;
+using telemetry::logEvent;
+
 namespace
 {
 
@@ -14,14 +19,15 @@
 
 } // namespace
 
-home_link::home_link(const net::socket_address &address, event_handlers handlers, common::instant now)
+home_link::home_link(const net::socket_address &address, net::receive_budget &budget, event_handlers handlers,
+                     common::instant now)
     : m_handlers(std::move(handlers)), m_socket(net::stream_socket::connectTo(address, linkSocket, *this)),
-      m_heardAt(now)
+      m_holding(budget, "home " + address.toString()), m_heardAt(now)
 { }
 
-home_link::home_link(int descriptor, event_handlers handlers, common::instant now)
+home_link::home_link(int descriptor, net::receive_budget &budget, event_handlers handlers, common::instant now)
     : m_handlers(std::move(handlers)), m_socket(net::stream_socket::adopt(descriptor, linkSocket, *this)),
-      m_heardAt(now)
+      m_holding(budget, "owner " + std::to_string(descriptor)), m_heardAt(now)
 { }
 
 home_link::~home_link() = default;
@@ -42,6 +48,12 @@
     m_socket->abort();
 }
 
+void home_link::end()
+{
+    close();
+    m_handlers.onClosed(*this);
+}
+
 void home_link::onBytes(std::string_view bytes)
 {
     m_heardAt = presentInstant();
@@ -49,15 +61,19 @@
     while (m_isOpen) {
         auto message = stages::takeHomeMessage(m_received);
         if (!message) {
-            close();
-            m_handlers.onClosed(*this);
+            end();
             return;
         }
         if (!message.value()) {
-            return;
+            break;
         }
         m_handlers.onMessage(*this, std::move(*message.value()));
     }
+    if (m_isOpen && !m_holding.resize(m_received.size())) {
+        logEvent(event::received_too_much,
+                 {{"from", "instance"}, {"bytes", static_cast<std::uint64_t>(m_received.size())}});
+        end();
+    }
 }
 
 void home_link::onClosed(net::close_reason /*reason*/)
--- a/packages/frontend/src/home-link.h
+++ b/packages/frontend/src/home-link.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <masticlever/common/time.h>
+#include <masticlever/net/receive-budget.h>
 #include <masticlever/net/stream-socket.h>
 #include <masticlever/stages/home-messages.h>
 
@@ -23,9 +24,10 @@
     };
 
     /// Connects to the home at \p address.
-    home_link(const net::socket_address &address, event_handlers handlers, common::instant now);
+    home_link(const net::socket_address &address, net::receive_budget &budget, event_handlers handlers,
+              common::instant now);
     /// Takes over the connection of another instance.
-    home_link(int descriptor, event_handlers handlers, common::instant now);
+    home_link(int descriptor, net::receive_budget &budget, event_handlers handlers, common::instant now);
     ~home_link() override;
 
     void send(const stages::home_message &message);
@@ -36,11 +38,13 @@
 
 private:
     void onBytes(std::string_view bytes) override;
+    void end();
     void onClosed(net::close_reason reason) override;
 
     event_handlers m_handlers;
     net::stream_socket::pointer m_socket;
     std::string m_received;
+    net::receive_budget::holding m_holding; ///< of the message that is not whole yet
     common::instant m_heardAt;
     bool m_isOpen = true;
 };
--- a/packages/frontend/src/home-server.cpp
+++ b/packages/frontend/src/home-server.cpp
@@ -4,6 +4,7 @@
 
 #include <masticlever/telemetry/events.h>
 
+#include <algorithm>
 #include <tuple>
 #include <utility>
 
@@ -26,9 +27,9 @@
     return handle.substr(0, handle.find('/'));
 }
 
-home_server::home_server(const protocol::site_protocol &protocol, endpoint_pool &pool,
-                         catalog::endpoint_directory &directory, result_handler onResults)
-    : m_protocol(protocol), m_pool(pool), m_directory(directory), m_onResults(std::move(onResults))
+home_server::home_server(const endpoint_access &access, catalog::endpoint_directory &directory,
+                         result_handler onResults)
+    : m_access(access), m_directory(directory), m_onResults(std::move(onResults))
 { }
 
 home_server::~home_server() = default;
@@ -45,7 +46,11 @@
     if (known != nullptr && known->batches) {
         target.queue.setLimits(*known->batches);
     }
-    target.queue.setEndpoints(m_directory.usable(service));
+    const auto endpoints = m_directory.usable(service);
+    target.queue.setEndpoints(endpoints);
+    for (const catalog::endpoint_record *endpoint : endpoints) {
+        target.queue.onAskedQuiet(endpoint->id, m_directory.quietUntil(endpoint->id));
+    }
 }
 
 void home_server::onDirectoryChanged()
@@ -107,18 +112,56 @@
     for (const std::string &handle : handles) {
         byMaker[std::string(makerOf(handle))].push_back(handle);
     }
+    const instant now = presentInstant();
     for (auto &[address, released] : byMaker) {
-        const std::uint64_t number = ++m_lastRelease;
-        auto call = std::make_unique<piece_call>(
-            m_pool, m_protocol, [this, number, released = released](piece_call::outcome outcome, std::string_view) {
-                // A release that is lost only leaves the result until it expires.
-                if (outcome == piece_call::outcome::answered) {
-                    onRoomFreed(released);
-                }
-                m_ended.push_back(std::move(m_releases.extract(number).mapped()));
-            });
-        if (call->start(address, address, m_protocol.releaseCall(address), m_protocol.releaseBody(released))) {
-            m_releases.emplace(number, std::move(call));
+        const auto ids = m_directory.idsAt(address);
+        const bool isLeft
+            = !ids.empty() && std::ranges::all_of(ids, [&](const auto &id) { return m_directory.isLeaving(id); });
+        if (isLeft) {
+            continue; // its room is not needed any more
+        }
+        if (quietUntil(address) > now) {
+            auto &held = m_heldReleases[address];
+            held.insert(held.end(), released.begin(), released.end());
+        } else {
+            sendRelease(address, std::move(released));
+        }
+    }
+}
+
+void home_server::sendRelease(const std::string &address, std::vector<std::string> handles)
+{
+    const std::uint64_t number = ++m_lastRelease;
+    const std::string body = m_access.protocol.releaseBody(handles);
+    auto call = std::make_unique<piece_call>(
+        m_access, [this, number, released = std::move(handles)](piece_call::outcome outcome, std::string_view) {
+            // A release that is lost only leaves the result until it expires.
+            if (outcome == piece_call::outcome::answered) {
+                onRoomFreed(released);
+            }
+            m_ended.push_back(std::move(m_releases.extract(number).mapped()));
+        });
+    if (call->start(address, address, m_access.protocol.releaseCall(address), body)) {
+        m_releases.emplace(number, std::move(call));
+    }
+}
+
+instant home_server::quietUntil(const std::string &address) const
+{
+    instant until{};
+    for (const std::string &id : m_directory.idsAt(address)) {
+        until = std::max(until, m_directory.quietUntil(id));
+    }
+    return until;
+}
+
+void home_server::sendHeldReleases(instant now)
+{
+    for (auto it = m_heldReleases.begin(); it != m_heldReleases.end();) {
+        const auto current = it++;
+        if (quietUntil(current->first) <= now) {
+            auto due = m_heldReleases.extract(current);
+            onRelease(due.mapped());
         }
     }
 }
@@ -150,12 +193,11 @@
 {
     const std::uint64_t number = call.number;
     auto sent = std::make_unique<piece_call>(
-        m_pool, m_protocol,
-        [this, service, number, id = call.endpointId](piece_call::outcome outcome, std::string_view body) {
+        m_access, [this, service, number, id = call.endpointId](piece_call::outcome outcome, std::string_view body) {
             onDone(service, number, id, outcome, body);
         });
-    if (!sent->start(call.endpointId, call.address, m_protocol.pieceCall(call.address, call.endpointId),
-                     m_protocol.pieceCallBody(call.orders))) {
+    if (!sent->start(call.endpointId, call.address, m_access.protocol.pieceCall(call.address, call.endpointId),
+                     m_access.protocol.pieceCallBody(call.orders))) {
         target.queue.onLost(number, presentInstant());
         return;
     }
@@ -172,7 +214,7 @@
     const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(now - ended.sentAt);
     m_ended.push_back(std::move(ended.call));
     if (outcome == piece_call::outcome::answered) {
-        const auto results = m_protocol.readPieceAnswer(body);
+        const auto results = m_access.protocol.readPieceAnswer(body);
         if (results) {
             logEvent(event::piece_call_answered,
                      {{"service", std::string_view(service)},
@@ -192,13 +234,13 @@
               {"endpoint", std::string_view(endpointId)},
               {"outcome", outcome == piece_call::outcome::lost ? "lost" : "rejected"}});
     if (outcome == piece_call::outcome::misdirected) {
-        m_directory.onSeenLeaving(endpointId, now);
-        refresh(service, target);
+        m_access.reports.onMisdirected(endpointId, now);
     }
     if (outcome == piece_call::outcome::lost) {
         target.queue.onLost(call, now);
     } else {
         target.queue.onRejected(call, now);
+        refresh(service, target); // it may have named a time
     }
     pump(service, target, now);
 }
@@ -221,6 +263,7 @@
 void home_server::onTick(instant now)
 {
     m_ended.clear();
+    sendHeldReleases(now);
     for (auto &[service, target] : m_queues) {
         std::vector<piece_call *> late;
         for (auto &[number, running] : target.calls) {
--- a/packages/frontend/src/home-server.h
+++ b/packages/frontend/src/home-server.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "endpoint-pool.h"
+#include "endpoint-access.h"
 #include "piece-call.h"
 
 #include <masticlever/catalog/endpoint-directory.h>
@@ -29,8 +29,7 @@
     /// Results for \c owner; 0 is this instance itself.
     using result_handler = std::function<void(std::uint64_t owner, stages::results_message message)>;
 
-    home_server(const protocol::site_protocol &protocol, endpoint_pool &pool, catalog::endpoint_directory &directory,
-                result_handler onResults);
+    home_server(const endpoint_access &access, catalog::endpoint_directory &directory, result_handler onResults);
     ~home_server();
 
     void setConfiguration(std::shared_ptr<const catalog::service_configuration> configuration);
@@ -63,6 +62,10 @@
 
     service_queue *findQueue(const std::string &service);
     void refresh(const std::string &service, service_queue &target);
+    void sendRelease(const std::string &address, std::vector<std::string> handles);
+    void sendHeldReleases(common::instant now);
+    /// Until when no endpoint at that address wants anything; in the past when one does.
+    common::instant quietUntil(const std::string &address) const;
     /// Makers have answered that they have released the results.
     void onRoomFreed(const std::vector<std::string> &handles);
     void startCalls(const std::string &service, service_queue &target, common::instant now);
@@ -72,13 +75,13 @@
                 piece_call::outcome outcome, std::string_view body);
     void deliver(const std::vector<stages::finished_piece> &pieces);
 
-    const protocol::site_protocol &m_protocol;
-    endpoint_pool &m_pool;
+    endpoint_access m_access;
     catalog::endpoint_directory &m_directory;
     result_handler m_onResults;
     std::shared_ptr<const catalog::service_configuration> m_configuration;
     std::map<std::string, service_queue, std::less<>> m_queues;
     std::map<std::uint64_t, std::unique_ptr<piece_call>> m_releases;
+    std::map<std::string, std::vector<std::string>> m_heldReleases; ///< for makers that want nothing now, by address
     std::vector<std::unique_ptr<piece_call>> m_ended; ///< deleted outside of their own calls
     std::uint64_t m_lastRelease = 0;
 };
--- a/packages/frontend/src/instance-finder.cpp
+++ b/packages/frontend/src/instance-finder.cpp
@@ -19,8 +19,9 @@
 } // namespace
 
 instance_finder::instance_finder(const protocol::site_protocol &protocol, const frontend_settings &settings,
-                                 contacts_handler onContacts)
-    : m_protocol(protocol), m_settings(settings), m_onContacts(std::move(onContacts)), m_lane(settings.storeAddress)
+                                 net::receive_budget &budget, contacts_handler onContacts)
+    : m_protocol(protocol), m_settings(settings), m_onContacts(std::move(onContacts)),
+      m_lane(settings.storeAddress, budget)
 { }
 
 void instance_finder::onTick(std::size_t liveInstances, common::instant now)
--- a/packages/frontend/src/instance-finder.h
+++ b/packages/frontend/src/instance-finder.h
@@ -24,7 +24,7 @@
 
     /// \p settings must outlive this object.
     instance_finder(const protocol::site_protocol &protocol, const frontend_settings &settings,
-                    contacts_handler onContacts);
+                    net::receive_budget &budget, contacts_handler onContacts);
 
     void onTick(std::size_t liveInstances, common::instant now);
 
--- a/packages/frontend/src/piece-call.cpp
+++ b/packages/frontend/src/piece-call.cpp
@@ -2,11 +2,16 @@
 
 #include "frontend-context.h"
 
+#include <masticlever/telemetry/events.h>
+
 #include <utility>
 
 namespace masticlever::frontend
 {
 
+using telemetry::event;
+using telemetry::logEvent;
+
 namespace
 {
 
@@ -15,22 +20,25 @@
 
 } // namespace
 
-piece_call::piece_call(endpoint_pool &pool, const protocol::site_protocol &protocol, done_handler done)
-    : m_pool(pool), m_protocol(protocol), m_done(std::move(done))
+piece_call::piece_call(const endpoint_access &access, done_handler done)
+    : m_access(access), m_received(access.budget, {}), m_done(std::move(done))
 { }
 
 piece_call::~piece_call()
 {
     if (m_connection != nullptr) {
         m_connection->abandon();
-        m_pool.release(m_connection, std::nullopt, presentInstant());
+        m_access.pool.release(m_connection, std::nullopt, presentInstant());
     }
 }
 
 bool piece_call::start(const std::string &endpointId, const std::string &address, http1::message_head head,
                        const std::string &body)
 {
-    m_connection = m_pool.acquire(endpointId, address, presentInstant());
+    m_endpointId = endpointId;
+    m_address = address;
+    m_received.restart(address);
+    m_connection = m_access.pool.acquire(endpointId, address, presentInstant());
     if (m_connection == nullptr) {
         return false;
     }
@@ -41,20 +49,41 @@
 
 bool piece_call::onHead(const http1::message_head &head)
 {
-    m_attributes = m_protocol.readAnswer(head);
+    m_attributes = m_access.protocol.readAnswer(head);
     m_status = head.status;
+    const common::instant now = presentInstant();
+    if (m_endpointId == m_address) {
+        m_access.reports.onAnswerFrom(m_address, m_status, m_attributes, now);
+    } else {
+        m_access.reports.onAnswer(m_endpointId, m_status, m_attributes, now);
+    }
     return true;
 }
 
-void piece_call::onEnd()
+void piece_call::onBody(std::string_view bytes)
 {
-    if (m_status == success) {
-        finish(outcome::answered);
-    } else if (m_status == misdirectedStatus) {
-        finish(outcome::misdirected);
-    } else {
-        finish(m_attributes.provesNotRun ? outcome::rejected : outcome::lost);
+    m_body += bytes;
+    const bool isUnused = m_status != success && m_body.size() > maximumUnusedBytes;
+    if (!isUnused && m_received.resize(m_body.size())) {
+        return;
+    }
+    logEvent(event::received_too_much,
+             {{"from", std::string_view(m_endpointId)}, {"bytes", static_cast<std::uint64_t>(m_body.size())}});
+    m_connection->abandon();
+    finish(isUnused ? outcomeOfHead() : outcome::lost);
+}
+
+piece_call::outcome piece_call::outcomeOfHead() const
+{
+    if (m_status == misdirectedStatus) {
+        return outcome::misdirected;
     }
+    return m_attributes.provesNotRun ? outcome::rejected : outcome::lost;
+}
+
+void piece_call::onEnd()
+{
+    finish(m_status == success ? outcome::answered : outcomeOfHead());
 }
 
 void piece_call::onFailure(http1::exchange_failure /*failure*/)
@@ -72,7 +101,7 @@
 
 void piece_call::finish(outcome result)
 {
-    m_pool.release(std::exchange(m_connection, nullptr), m_attributes.idleLimit, presentInstant());
+    m_access.pool.release(std::exchange(m_connection, nullptr), m_attributes.idleLimit, presentInstant());
     m_done(result, m_body);
 }
 
--- a/packages/frontend/src/piece-call.h
+++ b/packages/frontend/src/piece-call.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "endpoint-pool.h"
+#include "endpoint-access.h"
 
 #include <masticlever/http1/client-connection.h>
 #include <masticlever/protocol/site-protocol.h>
@@ -22,11 +22,12 @@
     enum class outcome { answered, rejected, misdirected, lost };
     using done_handler = std::function<void(outcome result, std::string_view body)>;
 
-    /// The connection is given back to \p pool before \p done is called; the object must live until then.
-    piece_call(endpoint_pool &pool, const protocol::site_protocol &protocol, done_handler done);
+    /// The connection is given back before \p done is called; the object must live until then.
+    piece_call(const endpoint_access &access, done_handler done);
     ~piece_call() override;
 
-    /// False when no connection can be opened; \p done is not called then.
+    /// \p endpointId may be the address where no other name is known. False when no connection can be opened; \p done
+    /// is not called then.
     bool start(const std::string &endpointId, const std::string &address, http1::message_head head,
                const std::string &body);
     /// Gives up waiting.
@@ -34,13 +35,17 @@
 
 private:
     bool onHead(const http1::message_head &head) override;
-    void onBody(std::string_view bytes) override { m_body += bytes; }
+    void onBody(std::string_view bytes) override;
     void onEnd() override;
     void onFailure(http1::exchange_failure failure) override;
     void finish(outcome result);
+    /// What the head alone tells of the call.
+    outcome outcomeOfHead() const;
 
-    endpoint_pool &m_pool;
-    const protocol::site_protocol &m_protocol;
+    endpoint_access m_access;
+    net::receive_budget::holding m_received;
+    std::string m_endpointId;
+    std::string m_address;
     done_handler m_done;
     endpoint_pool::connection *m_connection = nullptr;
     protocol::answer_attributes m_attributes;
--- a/packages/frontend/src/piece-service.cpp
+++ b/packages/frontend/src/piece-service.cpp
@@ -21,6 +21,13 @@
 
 constexpr std::uint64_t ownWork = 0; ///< owner of this instance's own wishes
 
+bool hasLate(const stages::results_message &message)
+{
+    return std::ranges::any_of(message.results, [](const stages::result_entry &entry) {
+        return entry.handle.empty() && entry.failure == static_cast<std::uint8_t>(protocol::piece_failure::late);
+    });
+}
+
 std::vector<std::string> handlesIn(const stages::results_message &message)
 {
     std::vector<std::string> handles;
@@ -34,10 +41,10 @@
 
 } // namespace
 
-piece_service::piece_service(piece_service_options options, const protocol::site_protocol &protocol,
-                             endpoint_pool &pool, catalog::endpoint_directory &directory, result_handler onResult)
-    : m_options(options), m_directory(directory), m_onResult(std::move(onResult)),
-      m_server(protocol, pool, directory,
+piece_service::piece_service(piece_service_options options, const endpoint_access &access,
+                             catalog::endpoint_directory &directory, result_handler onResult)
+    : m_options(options), m_budget(access.budget), m_directory(directory), m_onResult(std::move(onResult)),
+      m_server(access, directory,
                [this](std::uint64_t owner, stages::results_message message) { onResults(owner, std::move(message)); })
 { }
 
@@ -100,7 +107,7 @@
         return nullptr;
     }
     auto link = std::make_unique<home_link>(
-        target.value(),
+        target.value(), m_budget,
         home_link::event_handlers{
             [this, address](home_link &, stages::home_message message) { onHomeMessage(address, std::move(message)); },
             [this, address](home_link &) { onHomeClosed(address); }},
@@ -158,7 +165,7 @@
     const std::uint64_t owner = ++m_lastOwner;
     m_owners.emplace(
         owner,
-        std::make_unique<home_link>(descriptor,
+        std::make_unique<home_link>(descriptor, m_budget,
                                     home_link::event_handlers{[this, owner](home_link &, stages::home_message message) {
                                                                   onOwnerMessage(owner, std::move(message));
                                                               },
@@ -213,6 +220,9 @@
 
 void piece_service::onResults(std::uint64_t owner, stages::results_message message)
 {
+    if (hasLate(message)) {
+        sendStatusTo(owner);
+    }
     if (owner == ownWork) {
         takeResults(message);
         return;
@@ -331,15 +341,31 @@
     return duration(found->second[index]);
 }
 
-void piece_service::sendStatus(instant now)
+/// Delays of services whose home this is.
+void piece_service::noteOwnDelays(const stages::status_message &status)
 {
-    const stages::status_message status = m_server.status(now);
     for (const stages::service_delay &delay : status.services) {
         const stages::home_candidate *home = stages::chooseHome(delay.service, m_members);
         if (home != nullptr && home->incarnation == m_self) {
             m_delays[delay.service] = delay.delays;
         }
     }
+}
+
+void piece_service::sendStatusTo(std::uint64_t owner)
+{
+    stages::status_message status = m_server.status(presentInstant());
+    if (owner == ownWork) {
+        noteOwnDelays(status);
+    } else if (const auto found = m_owners.find(owner); found != m_owners.end()) {
+        found->second->send(std::move(status));
+    }
+}
+
+void piece_service::sendStatus(instant now)
+{
+    const stages::status_message status = m_server.status(now);
+    noteOwnDelays(status);
     const std::string encoded = stages::encodeHomeMessage(status);
     for (const auto &[owner, link] : m_owners) {
         link->sendEncoded(encoded);
--- a/packages/frontend/src/piece-service.h
+++ b/packages/frontend/src/piece-service.h
@@ -38,8 +38,8 @@
 
     using owner_handler = std::function<void(std::uint64_t owner, stages::home_message message)>;
 
-    piece_service(piece_service_options options, const protocol::site_protocol &protocol, endpoint_pool &pool,
-                  catalog::endpoint_directory &directory, result_handler onResult);
+    piece_service(piece_service_options options, const endpoint_access &access, catalog::endpoint_directory &directory,
+                  result_handler onResult);
     ~piece_service();
 
     void setConfiguration(std::shared_ptr<const catalog::service_configuration> configuration);
@@ -88,10 +88,14 @@
     void onResults(std::uint64_t owner, stages::results_message message);
     void takeResults(const stages::results_message &message);
     void sendStatus(common::instant now);
+    /// Tells an owner the present delays, so that what it answers to a caller is no older than the refusal.
+    void sendStatusTo(std::uint64_t owner);
+    void noteOwnDelays(const stages::status_message &status);
     const catalog::endpoint_record *findMaker(std::string_view handle) const;
     std::size_t awaitedFrom(const std::string &address) const;
 
     piece_service_options m_options;
+    net::receive_budget &m_budget;
     catalog::endpoint_directory &m_directory;
     result_handler m_onResult;
     home_server m_server;
--- a/packages/frontend/src/request-session.cpp
+++ b/packages/frontend/src/request-session.cpp
@@ -24,6 +24,7 @@
 constexpr int conflict = 409;
 constexpr int misdirected = 421;
 constexpr int leastUrgent = 9;
+constexpr std::size_t maximumEventBytes = std::size_t{1} << 20; ///< of one event of a stream
 constexpr std::size_t slowReaderBytes = 262144; ///< unsent to a caller before the endpoint is no longer read
 constexpr std::array<double, 14> latencyBuckets{0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5,
                                                 0.75, 1.0,   1.5,  2.0, 3.0, 5.0, 10.0};
@@ -78,7 +79,8 @@
 request_session::request_session(frontend_context &context, std::uint64_t number, caller_connection &caller,
                                  admitted_request request, instant now)
     : m_context(context), m_number(number), m_caller(&caller), m_request(std::move(request)),
-      m_flow(*m_request.route, m_request.attributes, now, deadlineOf(*m_request.route, m_request.attributes, now), {})
+      m_flow(*m_request.route, m_request.attributes, now, deadlineOf(*m_request.route, m_request.attributes, now), {}),
+      m_received(context.budget, {})
 {
     m_flow.setMakerCheck([this](std::string_view handle) { return m_context.pieces.isMakerGone(handle); });
     m_service = chooseService();
@@ -120,14 +122,38 @@
 {
     const auto inputs = finalInputBytes(*m_request.route, m_flow.graph(), locator());
     const forwarding::placement place{m_context.settings.dataCentre, m_weights, inputs};
-    return m_context.choice.choose(m_context.directory.usable(m_service), m_flow.excluded(), m_request.attributes,
-                                   place, now, m_context.random);
+    auto usable = m_context.directory.usable(m_service);
+    std::erase_if(usable, [&](const auto *endpoint) { return m_context.directory.quietUntil(endpoint->id) > now; });
+    return m_context.choice.choose(usable, m_flow.excluded(), m_request.attributes, place, now, m_context.random);
+}
+
+/// Whether endpoints are known, and none of the request's service takes anything.
+bool request_session::isServiceGone() const
+{
+    return m_context.directory.size() > 0 && m_context.directory.usable(m_service).empty();
+}
+
+/// How long the first endpoint that the request may still go to stays quiet; nothing when there is none.
+std::optional<duration> request_session::untilEndpoint(instant now) const
+{
+    std::optional<duration> least;
+    for (const catalog::endpoint_record *endpoint : m_context.directory.usable(m_service)) {
+        const duration left = m_context.directory.quietUntil(endpoint->id) - now;
+        if (left.count() > 0 && std::ranges::find(m_flow.excluded(), endpoint->id) == m_flow.excluded().end()) {
+            least = std::min(least.value_or(left), left);
+        }
+    }
+    return least;
 }
 
 void request_session::begin()
 {
     const instant now = presentInstant();
     m_context.retries.onRequest(m_service, now);
+    if (isServiceGone()) {
+        apply(m_flow.onNoEndpoint());
+        return;
+    }
     if (!m_request.route->stages.empty()) {
         m_weights = dataCentreWeights(m_context.directory, *m_request.route, m_service);
         const catalog::endpoint_record *likely = m_context.directory.findUsable(chooseEndpoint(now));
@@ -287,7 +313,7 @@
     const instant now = presentInstant();
     const catalog::endpoint_record *endpoint = m_context.directory.findUsable(chooseEndpoint(now));
     if (endpoint == nullptr) {
-        apply(m_flow.onNoEndpoint(now));
+        apply(m_flow.onNoEndpoint(untilEndpoint(now)));
         return;
     }
     send(*endpoint);
@@ -298,7 +324,7 @@
     const instant now = presentInstant();
     m_connection = m_context.pool.acquire(endpoint.id, endpoint.address, now);
     if (m_connection == nullptr) {
-        apply(m_flow.onNoEndpoint(now));
+        apply(m_flow.onNoEndpoint());
         return;
     }
     protocol::forward_options options;
@@ -320,6 +346,8 @@
     m_use = answer_use::none;
     m_events = {};
     m_buffered.clear();
+    m_discarded = 0;
+    m_received.restart(endpoint.address);
     m_flow.onCallBegins(endpoint.id);
     m_context.choice.onCallBegins(endpoint.id);
     m_connection->start(http1::requestText(head) + m_body, head.method == "HEAD", *this);
@@ -354,7 +382,7 @@
               {"call_ms", toMilliseconds(now - m_sentAt)},
               {"attempt", static_cast<std::uint64_t>(m_flow.attempts())}});
     if (end == call_end::misdirected) {
-        m_context.directory.onSeenLeaving(m_endpointId, now);
+        m_context.reports.onMisdirected(m_endpointId, now);
     }
     if (m_flow.isEnded()) {
         finish("caller_left", 0, nameOf(end));
@@ -366,6 +394,7 @@
 bool request_session::onHead(const http1::message_head &head)
 {
     const protocol::answer_attributes attributes = m_context.protocol.readAnswer(head);
+    m_context.reports.onAnswer(m_endpointId, head.status, attributes, presentInstant());
     if (attributes.requestId && *attributes.requestId != m_request.attributes.requestId) {
         logEvent(event::foreign_answer,
                  {{"request", std::string_view(m_request.attributes.requestId)},
@@ -393,13 +422,53 @@
 
 void request_session::onBody(std::string_view bytes)
 {
-    if (m_use == answer_use::pass_on) {
+    if (isTooMuch(bytes)) {
+        cutOff();
+    } else if (m_use == answer_use::pass_on) {
         passEvents(bytes);
     } else if (m_use == answer_use::buffer) {
         m_buffered += bytes;
     }
 }
 
+/// Whether \p bytes of the answer are more than may be kept of it, or than it is worth to read on.
+bool request_session::isTooMuch(std::string_view bytes)
+{
+    switch (m_use) {
+    case answer_use::pass_on:
+        return m_events.pendingBytes() + bytes.size() > maximumEventBytes
+            || !m_received.resize(m_events.pendingBytes());
+    case answer_use::buffer:
+        return !m_received.resize(m_buffered.size() + bytes.size());
+    case answer_use::none:
+    case answer_use::discard:
+        break;
+    }
+    m_discarded += bytes.size();
+    return m_discarded > maximumUnusedBytes;
+}
+
+/// Ends a call whose answer does not stop.
+void request_session::cutOff()
+{
+    logEvent(event::received_too_much,
+             {{"from", std::string_view(m_endpointId)},
+              {"request", std::string_view(m_request.attributes.requestId)},
+              {"bytes", static_cast<std::uint64_t>(m_buffered.size() + m_events.pendingBytes() + m_discarded)}});
+    m_connection->abandon();
+    if (m_use == answer_use::discard && m_verdict != call_end::broken) {
+        endCall(m_verdict, rejectionOutcome());
+    } else {
+        endCall(call_end::broken, call_outcome::failed);
+    }
+}
+
+/// An endpoint that named a time when it was full is not to be held for a failing one.
+call_outcome request_session::rejectionOutcome() const
+{
+    return m_answerAttributes.quietFor ? call_outcome::postponed : call_outcome::rejected;
+}
+
 void request_session::beginStream()
 {
     if (m_isHeadPassed || m_caller == nullptr) {
@@ -437,7 +506,7 @@
 void request_session::onEnd()
 {
     if (m_use == answer_use::discard) {
-        endCall(m_verdict, m_verdict == call_end::broken ? call_outcome::failed : call_outcome::rejected);
+        endCall(m_verdict, m_verdict == call_end::broken ? call_outcome::failed : rejectionOutcome());
         return;
     }
     if (m_isEventStream && m_events.pendingBytes() > 0) {
@@ -470,7 +539,7 @@
 {
     m_answer.status = failure == http1::exchange_failure::garbled ? -1 : 0;
     if (m_use == answer_use::discard && m_verdict != call_end::broken) {
-        endCall(m_verdict, call_outcome::rejected); // the head is proof enough
+        endCall(m_verdict, rejectionOutcome()); // the head is proof enough
     } else if (failure == http1::exchange_failure::not_connected) {
         endCall(call_end::not_sent, call_outcome::unreachable);
     } else {
--- a/packages/frontend/src/request-session.h
+++ b/packages/frontend/src/request-session.h
@@ -10,6 +10,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -66,6 +67,11 @@
     void noteFirstAnswer(common::instant now);
     void call();
     void send(const catalog::endpoint_record &endpoint);
+    bool isTooMuch(std::string_view bytes);
+    void cutOff();
+    forwarding::call_outcome rejectionOutcome() const;
+    bool isServiceGone() const;
+    std::optional<common::duration> untilEndpoint(common::instant now) const;
     void endCall(forwarding::call_end end, forwarding::call_outcome outcome);
     void dropCall(forwarding::call_outcome outcome);
     void passEvents(std::string_view bytes);
@@ -101,6 +107,8 @@
     bool m_isEventStream = false;
     bool m_isHeadPassed = false;
     std::string m_buffered;
+    std::size_t m_discarded = 0; ///< bytes of an answer of which only the head counts
+    net::receive_budget::holding m_received; ///< what is kept of the answer
     forwarding::event_splitter m_events;
     common::duration m_firstAnswer{};
     std::vector<stage_rest> m_rests; ///< by stage
--- a/packages/frontend/src/store-lane.cpp
+++ b/packages/frontend/src/store-lane.cpp
@@ -1,12 +1,16 @@
 #include "store-lane.h"
 
 #include <masticlever/common/errors.h>
+#include <masticlever/telemetry/events.h>
 
 #include <utility>
 
 namespace masticlever::frontend
 {
 
+using telemetry::event;
+using telemetry::logEvent;
+
 namespace
 {
 
@@ -69,6 +73,17 @@
     return true;
 }
 
+void store_lane::onBody(std::string_view bytes)
+{
+    m_answer.body += bytes;
+    if (m_received.resize(m_answer.body.size())) {
+        return;
+    }
+    logEvent(event::received_too_much,
+             {{"from", "store"}, {"bytes", static_cast<std::uint64_t>(m_answer.body.size())}});
+    reset();
+}
+
 void store_lane::onEnd()
 {
     finish(std::move(m_answer));
@@ -83,6 +98,8 @@
 void store_lane::finish(common::result<store_answer> answer)
 {
     const answer_handler handler = std::exchange(m_handler, nullptr);
+    m_answer = {};
+    m_received.resize(0);
     handler(std::move(answer));
 }
 
--- a/packages/frontend/src/store-lane.h
+++ b/packages/frontend/src/store-lane.h
@@ -3,6 +3,7 @@
 #include <masticlever/common/result.h>
 #include <masticlever/common/time.h>
 #include <masticlever/http1/client-connection.h>
+#include <masticlever/net/receive-budget.h>
 #include <masticlever/protocol/site-protocol.h>
 
 #include <functional>
@@ -26,7 +27,9 @@
     /// error::lost_answer: the call may have been carried out.
     using answer_handler = std::function<void(common::result<store_answer> answer)>;
 
-    explicit store_lane(std::string address) : m_address(std::move(address)) { }
+    store_lane(std::string address, net::receive_budget &budget)
+        : m_address(std::move(address)), m_received(budget, m_address)
+    { }
     ~store_lane() override;
 
     bool isBusy() const { return static_cast<bool>(m_handler); }
@@ -38,12 +41,13 @@
 
 private:
     bool onHead(const http1::message_head &head) override;
-    void onBody(std::string_view bytes) override { m_answer.body += bytes; }
+    void onBody(std::string_view bytes) override;
     void onEnd() override;
     void onFailure(http1::exchange_failure failure) override;
     void finish(common::result<store_answer> answer);
 
     std::string m_address;
+    net::receive_budget::holding m_received;
     std::unique_ptr<http1::client_connection> m_connection;
     std::unique_ptr<http1::client_connection> m_ended; ///< deleted outside of its own calls
     answer_handler m_handler;
--- a/packages/frontend/src/store-watch.cpp
+++ b/packages/frontend/src/store-watch.cpp
@@ -17,9 +17,9 @@
 } // namespace
 
 store_watch::store_watch(const protocol::site_protocol &protocol, protocol::store_topic topic,
-                         const std::string &address, topic_follower_options options, news_handler onNews,
-                         reach_handler onReach)
-    : m_protocol(protocol), m_topic(topic), m_lane(address), m_follower(options), m_onNews(std::move(onNews)),
+                         const std::string &address, net::receive_budget &budget, topic_follower_options options,
+                         news_handler onNews, reach_handler onReach)
+    : m_protocol(protocol), m_topic(topic), m_lane(address, budget), m_follower(options), m_onNews(std::move(onNews)),
       m_onReach(std::move(onReach))
 { }
 
--- a/packages/frontend/src/store-watch.h
+++ b/packages/frontend/src/store-watch.h
@@ -21,7 +21,8 @@
     using reach_handler = std::function<void(bool isReachable)>;
 
     store_watch(const protocol::site_protocol &protocol, protocol::store_topic topic, const std::string &address,
-                topic_follower_options options, news_handler onNews, reach_handler onReach);
+                net::receive_budget &budget, topic_follower_options options, news_handler onNews,
+                reach_handler onReach);
 
     void onTick(common::instant now);
     /// Something new is known to be there. A call that still waits is not going to tell: it is given up.
--- a/packages/frontend/test/directory-feed-test.cpp
+++ b/packages/frontend/test/directory-feed-test.cpp
@@ -29,7 +29,8 @@
 TEST_CASE("The instance that reads the registrations tells the others")
 {
     std::vector<std::pair<std::uint64_t, stages::directory_message>> sent;
-    directory_feed feed({},
+    net::receive_budget budget(1 << 20);
+    directory_feed feed({}, budget,
                         {[&](std::span<const std::uint64_t> subscribers, const stages::home_message &message) {
                              for (const std::uint64_t subscriber : subscribers) {
                                  sent.emplace_back(subscriber, std::get<stages::directory_message>(message));
@@ -108,7 +109,8 @@
     const auto port = listening.listen(net::parseAddress("127.0.0.1:0").value(), 1);
     REQUIRE(port);
     const std::string address = "127.0.0.1:" + std::to_string(port.value());
-    directory_feed feed({},
+    net::receive_budget budget(1 << 20);
+    directory_feed feed({}, budget,
                         {[](std::span<const std::uint64_t>, const stages::home_message &) {},
                          [](const stages::directory_message &) {}, [] {}});
     const std::vector<stages::home_candidate> members{{"reader", address, 1, 0, 0, false}};
--- a/packages/http1/include/masticlever/http1/client-connection.h
+++ b/packages/http1/include/masticlever/http1/client-connection.h
@@ -74,6 +74,7 @@
     bool m_hasSkipped = false; ///< answers and requests no longer alternate
     bool m_keepsAlive = true;
     bool m_hasAnswered = false;
+    std::size_t m_skippedBytes = 0; ///< of answers that are not the one that is awaited
 };
 
 } // namespace masticlever::http1
--- a/packages/http1/include/masticlever/http1/message-reader.h
+++ b/packages/http1/include/masticlever/http1/message-reader.h
@@ -77,6 +77,7 @@
     bool m_isStarted = false;
     bool m_isBodyExpected = true;
     bool m_isBodyTooLarge = false;
+    std::size_t m_interimAnswers = 0; ///< before the present answer
 };
 
 } // namespace masticlever::http1
--- a/packages/http1/src/client-connection.cpp
+++ b/packages/http1/src/client-connection.cpp
@@ -5,6 +5,13 @@
 namespace masticlever::http1
 {
 
+namespace
+{
+
+constexpr std::size_t maximumSkippedBytes = 262144; ///< of answers to other requests, on one connection
+
+} // namespace
+
 client_connection::client_connection(const net::socket_address &address, const net::socket_options &options,
                                      reader_limits limits)
     : m_socket(net::stream_socket::connectTo(address, options, *this)), m_reader(message_kind::answer, limits, *this)
@@ -59,6 +66,8 @@
     }
     if (m_reader.feed(bytes)) {
         fail(exchange_failure::garbled);
+    } else if (m_handler == nullptr && m_reader.pendingBytes() > 0) {
+        close(); // more than one whole answer
     }
 }
 
@@ -85,8 +94,16 @@
 
 void client_connection::onBody(std::string_view bytes)
 {
-    if (m_handler != nullptr && !m_isSkipping) {
+    if (m_handler == nullptr) {
+        return;
+    }
+    if (!m_isSkipping) {
         m_handler->onBody(bytes);
+        return;
+    }
+    m_skippedBytes += bytes.size();
+    if (m_skippedBytes > maximumSkippedBytes) {
+        fail(exchange_failure::garbled);
     }
 }
 
--- a/packages/http1/src/message-reader.cpp
+++ b/packages/http1/src/message-reader.cpp
@@ -17,6 +17,8 @@
 {
 
 constexpr int firstFinalStatus = 200; // 1xx answers announce another answer
+constexpr std::size_t maximumInterimAnswers = 16; ///< before one answer
+constexpr std::size_t unparsedSlack = 4096; ///< beyond the limit of a head: a chunk's head and the line ends around it
 
 bool isControl(char c)
 {
@@ -240,15 +242,21 @@
         if (m_parser->isDone()) {
             if (m_parser->isInterim()) {
                 m_parser.reset();
+                if (++m_interimAnswers > maximumInterimAnswers) {
+                    return make_error_code(common::error::too_large);
+                }
                 continue;
             }
+            m_interimAnswers = 0;
             m_isEnded = true;
             m_sink.onEnd();
         } else if (used == 0 || failure) {
             break;
         }
     }
-    return {};
+    // A body is parsed as it comes: what stays behind is a head, or that of a chunk, which must end some time.
+    const bool isHeadTooLarge = !m_isEnded && m_pending.size() > m_limits.headBytes + unparsedSlack;
+    return isHeadTooLarge ? make_error_code(common::error::too_large) : std::error_code{};
 }
 
 } // namespace masticlever::http1
--- a/packages/http1/test/message-reader-test.cpp
+++ b/packages/http1/test/message-reader-test.cpp
@@ -137,6 +137,44 @@
     }
 }
 
+TEST_CASE("What never ends is refused before it fills the memory")
+{
+    recorder seen;
+    message_reader reader(message_kind::answer, {1000, 1000000}, seen);
+    const auto feedWithoutEnd = [&](const std::string &bytes) {
+        std::size_t fed = 0;
+        while (!reader.feed(bytes) && fed < 100000) {
+            fed += bytes.size();
+        }
+        return fed;
+    };
+
+    SECTION("a head")
+    {
+        REQUIRE_FALSE(reader.feed("HTTP/1.1 200 OK\r\n"));
+        CHECK(feedWithoutEnd("X: 12345678\r\n") < 10000);
+    }
+    SECTION("a line of a head")
+    {
+        REQUIRE_FALSE(reader.feed("HTTP/1.1 200 OK\r\nX: "));
+        CHECK(feedWithoutEnd("12345678") < 10000);
+    }
+    SECTION("the head of a chunk")
+    {
+        REQUIRE_FALSE(reader.feed("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;x="));
+        CHECK(feedWithoutEnd("12345678") < 10000);
+    }
+    SECTION("the fields after the last chunk")
+    {
+        REQUIRE_FALSE(reader.feed("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n"));
+        CHECK(feedWithoutEnd("X: 12345678\r\n") < 10000);
+    }
+    SECTION("interim answers")
+    {
+        CHECK(feedWithoutEnd("HTTP/1.1 103 Early Hints\r\n\r\n") < 10000);
+    }
+}
+
 TEST_CASE("Answers are read")
 {
     recorder seen;
--- a/packages/protocol/include/masticlever/protocol/requests.h
+++ b/packages/protocol/include/masticlever/protocol/requests.h
@@ -44,6 +44,9 @@
     std::string endpointId; ///< of the endpoint that answered, where it says so
     bool provesNotRun = false;
     bool hasSignature = false; ///< the endpoint's digest of the body
+    bool isLeaving = false; ///< the endpoint wants no new work from anyone
+    std::optional<common::duration> quietFor; ///< the endpoint, which is full, wants nothing from this instance
+    bool isQuietUnreadable = false; ///< it names a time for that which cannot be read
     std::optional<load_report> load;
     std::optional<common::duration> idleLimit; ///< after which the endpoint closes an idle connection
 };
--- a/packages/stages/include/masticlever/stages/batch-queue.h
+++ b/packages/stages/include/masticlever/stages/batch-queue.h
@@ -87,6 +87,9 @@
     void setLimits(const catalog::batch_limits &limits) { m_limits = limits; }
     void setEndpoints(std::span<const catalog::endpoint_record *const> endpoints);
 
+    /// The endpoint takes no call before \p until; in the past: it does.
+    void onAskedQuiet(const std::string &endpointId, common::instant until);
+
     void onWish(piece_wish wish, common::instant now);
     void onCancel(std::uint64_t owner, std::uint64_t job);
     void onOwnerGone(std::uint64_t owner);
@@ -124,6 +127,7 @@
         double slowness = 1; ///< time of its calls over the expected time
         common::instant usedAt;
         common::instant restsUntil;
+        common::instant quietUntil; ///< by its own word, hence certain
         bool isListed = true;
         std::map<std::string, held_result, std::less<>> held; ///< by handle
         double reserved = 0; ///< bytes of calls under way
@@ -160,6 +164,8 @@
     double slownessOf(const endpoint_entry &endpoint, common::instant now) const;
     double slownessLimit(common::instant now) const;
     std::size_t idlePlaces(const endpoint_entry &endpoint) const;
+    common::duration untilAnyTakesCalls(common::instant now) const;
+    bool mayTakeCalls(const endpoint_entry &endpoint, bool areAllQuiet, common::instant now) const;
     static common::duration timeLeft(const call_entry &call, common::instant now);
     bool isDear(const piece_wish &wish) const;
     bool isFar(const piece_wish &wish, const endpoint_entry &endpoint) const;
--- a/packages/stages/src/batch-queue-plan.cpp
+++ b/packages/stages/src/batch-queue-plan.cpp
@@ -35,7 +35,7 @@
     for (const auto &[id, endpoint] : m_endpoints) {
         if (endpoint.isListed && slownessOf(endpoint, now) <= limit) {
             auto &free = times[endpoint.record.dataCentre];
-            free.insert(free.end(), idlePlaces(endpoint), std::max(now, endpoint.restsUntil));
+            free.insert(free.end(), idlePlaces(endpoint), std::max({now, endpoint.restsUntil, endpoint.quietUntil}));
         }
     }
     for (const auto &[number, call] : m_calls) {
@@ -101,8 +101,9 @@
 {
     std::size_t places = 0;
     std::size_t idle = 0;
+    const duration quiet = untilAnyTakesCalls(now);
     for (const auto &[id, endpoint] : m_endpoints) {
-        if (endpoint.isListed) {
+        if (mayTakeCalls(endpoint, quiet.count() > 0, now)) {
             places += m_limits.parallelCalls;
             idle += idlePlaces(endpoint);
         }
@@ -112,6 +113,10 @@
         found.piecesAtOnce = std::numeric_limits<double>::infinity(); // nothing is known of the time
         return found;
     }
+    if (quiet.count() > 0) {
+        found.untilFree = quiet;
+        return found;
+    }
     found.piecesAtOnce = static_cast<double>(idle * m_limits.batchSize);
     for (const auto &[number, call] : m_calls) {
         found.untilFree += timeLeft(call, now);
--- a/packages/stages/src/batch-queue.cpp
+++ b/packages/stages/src/batch-queue.cpp
@@ -32,6 +32,33 @@
     std::erase_if(m_endpoints, [](const auto &item) { return !item.second.isListed && item.second.calls == 0; });
 }
 
+void batch_queue::onAskedQuiet(const std::string &endpointId, instant until)
+{
+    const auto endpoint = m_endpoints.find(endpointId);
+    if (endpoint != m_endpoints.end()) {
+        endpoint->second.quietUntil = until;
+    }
+}
+
+/// Zero unless all endpoints have asked for quiet: then until the first of them takes calls again.
+duration batch_queue::untilAnyTakesCalls(instant now) const
+{
+    std::optional<instant> first;
+    for (const auto &[id, endpoint] : m_endpoints) {
+        if (endpoint.isListed) {
+            first = std::min(first.value_or(endpoint.quietUntil), endpoint.quietUntil);
+        }
+    }
+    return first ? std::max(duration{}, *first - now) : duration{};
+}
+
+/// Whether the endpoint counts for what the service can make. When all are quiet the plan begins at the end of the
+/// first quiet time, and all count.
+bool batch_queue::mayTakeCalls(const endpoint_entry &endpoint, bool areAllQuiet, instant now) const
+{
+    return endpoint.isListed && (areAllQuiet || now >= endpoint.quietUntil);
+}
+
 duration batch_queue::plainCall(std::size_t pieces) const
 {
     return m_limits.callTime + m_limits.pieceTime * static_cast<duration::rep>(pieces);
@@ -150,7 +177,7 @@
     std::vector<endpoint_entry *> idle;
     const double limit = slownessLimit(now);
     for (auto &[id, endpoint] : m_endpoints) {
-        const bool isFree = idlePlaces(endpoint) > 0 && now >= endpoint.restsUntil;
+        const bool isFree = idlePlaces(endpoint) > 0 && now >= endpoint.restsUntil && now >= endpoint.quietUntil;
         if (endpoint.isListed && isFree && slownessOf(endpoint, now) <= limit) {
             idle.push_back(&endpoint);
         }
@@ -360,8 +387,9 @@
 {
     double rate = 0;
     const double limit = slownessLimit(now);
+    const bool areAllQuiet = untilAnyTakesCalls(now).count() > 0;
     for (const auto &[id, endpoint] : m_endpoints) {
-        if (endpoint.isListed && slownessOf(endpoint, now) <= limit) {
+        if (mayTakeCalls(endpoint, areAllQuiet, now) && slownessOf(endpoint, now) <= limit) {
             const double batch = static_cast<double>(m_limits.batchSize * m_limits.parallelCalls);
             rate += batch / static_cast<double>(expectedCall(endpoint, m_limits.batchSize, now).count());
         }
@@ -379,9 +407,10 @@
     for (const auto &[number, entry] : m_wishes) {
         ahead += entry.wish.priority <= priority ? entry.waiting.size() : 0;
     }
+    const duration quiet = untilAnyTakesCalls(now);
     duration untilFree = duration::max();
     for (const auto &[id, endpoint] : m_endpoints) {
-        if (endpoint.isListed && idlePlaces(endpoint) > 0) {
+        if (mayTakeCalls(endpoint, quiet.count() > 0, now) && idlePlaces(endpoint) > 0) {
             untilFree = {};
         }
     }
@@ -389,7 +418,7 @@
         untilFree = std::min(untilFree, timeLeft(call, now));
     }
     const double queueing = static_cast<double>(ahead) / rate;
-    return std::max(untilFree, duration(std::llround(queueing))) + likelyCall(m_limits.batchSize / 2);
+    return quiet + std::max(untilFree, duration(std::llround(queueing))) + likelyCall(m_limits.batchSize / 2);
 }
 
 } // namespace masticlever::stages
--- a/packages/stages/test/batch-queue-test.cpp
+++ b/packages/stages/test/batch-queue-test.cpp
@@ -414,3 +414,51 @@
     CHECK(queue.expectedDelay(2, start) > idle + 1s);
     CHECK(queue.expectedDelay(0, start) < queue.expectedDelay(2, start));
 }
+
+TEST_CASE("An endpoint that asks for quiet counts as capacity that is missing")
+{
+    const service makers(2);
+    batch_queue queue({}, limits());
+    queue.setEndpoints(makers.pointers());
+    queue.onAskedQuiet("e0", start + 3s);
+    const common::duration usual = queue.expectedDelay(1, start);
+
+    SECTION("the others get its calls")
+    {
+        queue.onWish(wish(1, 4), start);
+        queue.onWish(wish(2, 4), start);
+        const auto calls = queue.takeCalls(start);
+        REQUIRE(calls.size() == 1);
+        CHECK(calls[0].endpointId == "e1");
+        CHECK(queue.takeCalls(start + 2900ms).empty());
+        REQUIRE(queue.takeCalls(start + 3s).size() == 1);
+    }
+    SECTION("what only both could make in time is refused at once")
+    {
+        // Forty calls of 240 ms: e1 alone makes 33 of them by the deadline.
+        for (std::uint64_t job = 1; job <= 40; ++job) {
+            piece_wish added = wish(job, 4);
+            added.objective = start + 8s;
+            queue.onWish(std::move(added), start);
+        }
+        CHECK(queue.takeHopeless(start).size() >= 20);
+    }
+    SECTION("when all are quiet, the first end is what is told")
+    {
+        queue.onAskedQuiet("e1", start + 5s);
+        CHECK(queue.expectedDelay(1, start) >= usual + 3s);
+        queue.onWish(wish(1, 4), start);
+        CHECK(queue.takeCalls(start).empty());
+        CHECK(queue.takeHopeless(start).empty());
+        REQUIRE(queue.takeCalls(start + 3s).size() == 1);
+
+        SECTION("and requests that end before it are refused at once")
+        {
+            piece_wish hurried = wish(2, 1);
+            hurried.deadline = start + 2s;
+            queue.onAskedQuiet("e0", start + 9s);
+            queue.onWish(std::move(hurried), start);
+            CHECK(queue.takeHopeless(start).size() == 1);
+        }
+    }
+}
--- a/packages/telemetry/include/masticlever/telemetry/events.h
+++ b/packages/telemetry/include/masticlever/telemetry/events.h
@@ -68,12 +68,15 @@
     call_failed = 803,
     foreign_answer = 804,
     bad_request = 805,
+    received_too_much = 806,
 
     configuration_followed = 810,
     record_ignored = 811,
     endpoint_changed = 812,
     store_unreachable = 813,
     store_reachable = 814,
+    endpoint_quiet = 815,
+    quiet_unreadable = 816,
 
     piece_call_failed = 820,
     home_lost = 821,
--- /dev/null
+++ b/tests/site/endless-test.cpp
@@ -0,0 +1,131 @@
+#include "site-fixture.h"
+
+#include <catch2/catch.hpp>
+
+#include <unistd.h>
+
+#include <fstream>
+
+using namespace masticlever::site;
+using fault = endpoint_behaviour::fault;
+using kind = site_endpoint::kind;
+
+namespace
+{
+
+constexpr std::size_t megabyte = std::size_t{1} << 20;
+
+std::size_t residentBytes()
+{
+    std::ifstream file("/proc/self/statm");
+    std::size_t total = 0;
+    std::size_t resident = 0;
+    file >> total >> resident;
+    return resident * static_cast<std::size_t>(::sysconf(_SC_PAGESIZE));
+}
+
+} // namespace
+
+TEST_CASE("Bytes without end from one endpoint end its connection, and the outcome is true", "[site]")
+{
+    site_fixture site(1);
+    site.memoryBytes = 112 * megabyte;
+    const std::size_t daemon = site.startDaemon();
+    site.addEndpoint("d1", kind::plain, "desk");
+    REQUIRE(site.waitReady(daemon));
+    REQUIRE(waitFor([&] { return site.ask(daemon, site.request("GET", "/open/", "probe")).status == 200; }));
+    site_endpoint &desk = site.endpoint(0);
+    desk.behaviour.times = 1;
+
+    SECTION("a success that never ends is a failure that promises nothing")
+    {
+        desk.behaviour.kind = GENERATE(fault::endless_head, fault::endless_interim, fault::endless_body,
+                                       fault::endless_chunks, fault::endless_extension, fault::endless_unframed);
+        const auto answer = site.ask(daemon, site.request("POST", "/order/", "r1"));
+        CHECK(answer.status == 502);
+        CHECK(desk.endlessBytes < 48 * megabyte);
+        CHECK(desk.runs["r1"] == 1);
+    }
+    SECTION("a rejection that never ends is a refusal as not run")
+    {
+        desk.behaviour.kind = fault::endless_rejection;
+        CHECK(site.ask(daemon, site.request("POST", "/order/", "r2")).status == 503);
+        CHECK(desk.endlessBytes < 8 * megabyte);
+    }
+    SECTION("what follows a whole answer is not read")
+    {
+        desk.behaviour.kind = fault::endless_tail;
+        CHECK(site.ask(daemon, site.request("POST", "/order/", "r3")).body == "answer to r3");
+        CHECK(desk.endlessBytes < 8 * megabyte);
+        CHECK(site.ask(daemon, site.request("POST", "/order/", "r4")).body == "answer to r4");
+    }
+    SECTION("a request that may be repeated is served by another endpoint")
+    {
+        desk.behaviour.kind = fault::endless_body;
+        site.addEndpoint("d2", kind::plain, "desk");
+        REQUIRE(waitFor([&] {
+            return site.ask(daemon, site.request("GET", "/safe/", "r5")).status == 200 && desk.endlessBytes > 0;
+        }));
+    }
+}
+
+TEST_CASE("A hundred endpoints that never stop sending do not fill the memory", "[site]")
+{
+    constexpr std::size_t endpoints = 100;
+    site_fixture site(1);
+    site.memoryBytes = 112 * megabyte;
+    const std::size_t daemon = site.startDaemon();
+    for (std::size_t i = 0; i < endpoints; ++i) {
+        site.addEndpoint("d" + std::to_string(i), kind::plain, "desk");
+    }
+    REQUIRE(site.waitReady(daemon));
+    REQUIRE(waitFor([&] { return site.ask(daemon, site.request("GET", "/open/", "probe")).status == 200; }));
+    const fault endless = GENERATE(fault::endless_body, fault::endless_extension, fault::endless_unframed);
+    for (std::size_t i = 0; i < endpoints; ++i) {
+        site.endpoint(i).behaviour.kind = endless;
+    }
+    const std::size_t before = residentBytes();
+    std::vector<std::unique_ptr<site_caller>> callers;
+    for (std::size_t i = 0; i < endpoints; ++i) {
+        callers.push_back(std::make_unique<site_caller>(site.frontOf(daemon)));
+        callers.back()->send(site.request("POST", "/order/", "r" + std::to_string(i)));
+    }
+    std::size_t most = before;
+    const bool areAllAnswered = waitFor([&] {
+        most = std::max(most, residentBytes());
+        return std::all_of(callers.begin(), callers.end(), [](const auto &caller) { return caller->whole == 1; });
+    });
+    CHECK(areAllAnswered);
+    // The endpoints of the test are in the same process, with up to 0.2 MB each under way.
+    CHECK(most - before < 112 * megabyte / 2);
+}
+
+TEST_CASE("An event without end is broken off", "[site]")
+{
+    site_fixture site(1);
+    site.addEndpoint("m1", kind::model, "model");
+    REQUIRE(site.waitReady(0));
+    REQUIRE(waitFor([&] { return site.ask(0, site.request("POST", "/note/", "probe", "x")).status == 200; }));
+    site.endpoint(0).behaviour.kind = fault::endless_event;
+    const auto answer = site.ask(0, site.request("POST", "/note/", "r1", "x"));
+    CHECK(answer.status == 502);
+    CHECK(site.endpoint(0).endlessBytes < 16 * megabyte);
+}
+
+TEST_CASE("A maker of stage results that never stops sending does not hold up its pieces", "[site]")
+{
+    site_fixture site(1);
+    site.addEndpoint("m1", kind::model, "model");
+    site.addEndpoint("s1", kind::stage, "encode");
+    site.addEndpoint("s2", kind::stage, "rank");
+    const auto chat = [&](const std::string &id) {
+        return site.ask(0, site.request("POST", "/chat/", id, "prompt", "Pieces: 2,3\r\nPiece-Key: abc\r\n")).status;
+    };
+    REQUIRE(site.waitReady(0));
+    REQUIRE(waitFor([&] { return chat("probe") == 200; }));
+    site.endpoint(1).behaviour.kind
+        = GENERATE(fault::endless_head, fault::endless_body, fault::endless_chunks, fault::endless_unframed);
+    site.endpoint(1).behaviour.times = 1;
+    CHECK(chat("r1") == 200);
+    CHECK(site.endpoint(1).endlessBytes < 48 * megabyte);
+}
--- /dev/null
+++ b/tests/site/quiet-test.cpp
@@ -0,0 +1,109 @@
+#include "site-fixture.h"
+
+#include <catch2/catch.hpp>
+
+#include <chrono>
+
+using namespace masticlever::site;
+using fault = endpoint_behaviour::fault;
+using kind = site_endpoint::kind;
+
+namespace
+{
+
+using clock = std::chrono::steady_clock;
+using std::chrono::milliseconds;
+
+} // namespace
+
+TEST_CASE("An endpoint that rejects and names a time gets nothing until then", "[site]")
+{
+    site_fixture site(1);
+    site.addEndpoint("d1", kind::plain, "desk");
+    REQUIRE(site.waitReady(0));
+    std::size_t asked = 0;
+    const auto ask = [&](const std::string &path = "/safe/") {
+        return site.ask(0, site.request("GET", path, "r" + std::to_string(++asked)));
+    };
+    REQUIRE(waitFor([&] { return ask().status == 200; }));
+    site_endpoint &busy = site.endpoint(0);
+
+    SECTION("others serve meanwhile, and it is used again at once afterwards")
+    {
+        site.addEndpoint("d2", kind::plain, "desk");
+        REQUIRE(waitFor([&] { return ask().status == 200 && !site.endpoint(1).heads.empty(); }));
+        busy.behaviour.kind = fault::reject;
+        busy.behaviour.retryAfter = "0.9";
+        busy.behaviour.times = 1;
+        REQUIRE(waitFor([&] { return ask().status == 200 && busy.rejections == 1; }));
+        const auto rejectedAt = clock::now();
+        const std::size_t runs = busy.heads.size();
+        while (clock::now() - rejectedAt < milliseconds(800)) {
+            REQUIRE(ask().status == 200);
+            REQUIRE(busy.heads.size() == runs);
+        }
+        REQUIRE(waitFor([&] { return ask().status == 200 && busy.heads.size() > runs; }));
+        CHECK(clock::now() - rejectedAt < milliseconds(1500));
+    }
+    SECTION("when it is the only one, callers are told at once when it takes requests again")
+    {
+        busy.behaviour.kind = fault::reject;
+        busy.behaviour.retryAfter = "1.5";
+        const auto first = ask();
+        CHECK(first.status == 503);
+        REQUIRE(busy.rejections == 1);
+        const std::size_t connections = busy.connections();
+        for (int i = 0; i < 5; ++i) {
+            const auto next = ask();
+            CHECK(next.status == 503);
+            REQUIRE(next.head.find("Retry-After") != nullptr);
+            CHECK(std::stod(*next.head.find("Retry-After")) > 1.0);
+        }
+        CHECK(busy.rejections == 1);
+        CHECK(busy.connections() == connections);
+    }
+    SECTION("a time that cannot be read is none")
+    {
+        busy.behaviour.kind = fault::reject;
+        busy.behaviour.retryAfter = GENERATE("soon", "-4", "nan", "1e999", "Fri, 04 Dec 2026 10:00:00 GMT");
+        busy.behaviour.times = 1;
+        REQUIRE(waitFor([&] { return ask().status == 200 && busy.rejections == 1; }));
+    }
+}
+
+TEST_CASE("A maker of stage results that rejects and names a time gets no call until then", "[site]")
+{
+    site_fixture site(1);
+    site.addEndpoint("m1", kind::model, "model");
+    site.addEndpoint("s1", kind::stage, "encode");
+    site.addEndpoint("s2", kind::stage, "rank");
+    const auto chat = [&](const std::string &id) {
+        return site.ask(0, site.request("POST", "/chat/", id, "prompt", "Pieces: 2,3\r\nPiece-Key: abc\r\n"));
+    };
+    REQUIRE(site.waitReady(0));
+    REQUIRE(waitFor([&] { return chat("probe").status == 200; }));
+    site_endpoint &encoder = site.endpoint(1);
+    encoder.behaviour.kind = fault::reject;
+    encoder.behaviour.times = 1;
+
+    SECTION("its pieces wait for it when their request can")
+    {
+        encoder.behaviour.retryAfter = "1";
+        const auto began = clock::now();
+        CHECK(chat("r1").status == 200);
+        CHECK(clock::now() - began > milliseconds(900));
+        CHECK(encoder.rejections == 1);
+    }
+    SECTION("requests that cannot wait so long are refused at once, with that time")
+    {
+        encoder.behaviour.retryAfter = "9";
+        const auto began = clock::now();
+        const auto answer = chat("r2");
+        CHECK(answer.status == 503);
+        REQUIRE(answer.head.find("Retry-After") != nullptr);
+        CHECK(std::stod(*answer.head.find("Retry-After")) > 8);
+        CHECK(clock::now() - began < milliseconds(1000));
+        CHECK(chat("r3").status == 503);
+        CHECK(encoder.rejections == 1);
+    }
+}
--- a/tests/site/site-endpoint.cpp
+++ b/tests/site/site-endpoint.cpp
@@ -50,7 +50,7 @@
                     {QStringLiteral("state"), QString::fromStdString(state)},
                     {QStringLiteral("cold_left_ms"), 0},
                     {QStringLiteral("seq"), state == "ready" ? 1 : 2},
-                    {QStringLiteral("born"), 1700000000000.0}});
+                    {QStringLiteral("born"), static_cast<double>(bornMs)}});
 }
 
 fault site_endpoint::takeFault()
@@ -64,10 +64,94 @@
 
 std::vector<http1::header_field> site_endpoint::answerFields(const std::string &requestId) const
 {
-    return {{"Request-Id", requestId},
-            {"Server-Signature", "sig-" + requestId},
-            {"Keep-Alive", behaviour.keepAlive},
-            {"Instance-Id", m_id}};
+    std::vector<http1::header_field> fields{{"Request-Id", requestId},
+                                            {"Server-Signature", "sig-" + requestId},
+                                            {"Keep-Alive", behaviour.keepAlive},
+                                            {"Instance-Id", m_id}};
+    if (behaviour.isLeaving) {
+        fields.push_back({"Server-Leaving", "1"});
+    }
+    return fields;
+}
+
+std::vector<http1::header_field> site_endpoint::rejectionFields() const
+{
+    std::vector<http1::header_field> fields{{"Not-Executed", "1"}};
+    if (!behaviour.retryAfter.empty()) {
+        fields.push_back({"Retry-After", behaviour.retryAfter});
+    }
+    if (behaviour.isLeaving) {
+        fields.push_back({"Server-Leaving", "1"});
+    }
+    return fields;
+}
+
+/// False when \p met is no fault without end.
+bool site_endpoint::beginEndless(const exchange_pointer &exchange, fault met)
+{
+    const std::string requestId = exchange->field("Request-Id");
+    const std::string block(32768, 'x');
+    http1::message_head head;
+    head.status = 200;
+    head.fields = answerFields(requestId);
+    std::string bytes = block;
+    switch (met) {
+    case fault::endless_head:
+        exchange->write("HTTP/1.1 200 OK\r\n");
+        bytes = "X-Field: " + std::string(1000, 'x') + "\r\n";
+        break;
+    case fault::endless_interim:
+        bytes = "HTTP/1.1 100 Continue\r\n\r\n";
+        break;
+    case fault::endless_body:
+        head.fields.push_back({"Content-Length", "1000000000000"});
+        exchange->write(http1::answerText(head));
+        break;
+    case fault::endless_chunks:
+        head.fields.push_back({"Transfer-Encoding", "chunked"});
+        exchange->write(http1::answerText(head));
+        bytes = http1::chunkText(block);
+        break;
+    case fault::endless_extension:
+        head.fields.push_back({"Transfer-Encoding", "chunked"});
+        exchange->write(http1::answerText(head) + "5;name=");
+        break;
+    case fault::endless_unframed:
+        exchange->write(http1::answerText(head));
+        break;
+    case fault::endless_event:
+        head.fields.push_back({"Content-Type", "text/event-stream"});
+        exchange->write(http1::answerText(head) + "id: 1\ndata: ");
+        break;
+    case fault::endless_rejection:
+        head.status = 503;
+        head.fields = rejectionFields();
+        head.fields.push_back({"Request-Id", requestId});
+        exchange->write(http1::answerText(head));
+        break;
+    case fault::endless_tail:
+        exchange->answer(200, "answer to " + requestId, answerFields(requestId));
+        break;
+    default:
+        return false;
+    }
+    sendEndless(exchange, bytes);
+    return true;
+}
+
+void site_endpoint::sendEndless(const exchange_pointer &exchange, const std::string &bytes)
+{
+    constexpr std::size_t ahead = 65536; // bytes that wait for the daemon to read on
+    constexpr std::size_t atOnce = 262144; // a reset is seen between two turns only
+    for (std::size_t sent = 0; sent < atOnce && exchange->isOpen() && exchange->unsentBytes() < ahead;) {
+        exchange->write(bytes);
+        sent += bytes.size();
+        endlessBytes += bytes.size();
+    }
+    if (exchange->isOpen()) {
+        QTimer::singleShot(std::chrono::milliseconds(1), &m_timers,
+                           [this, exchange, bytes] { sendEndless(exchange, bytes); });
+    }
 }
 
 void site_endpoint::onRequest(const exchange_pointer &exchange)
@@ -90,7 +174,10 @@
     const std::string requestId = exchange->field("Request-Id");
     const fault met = takeFault();
     if (met == fault::reject || met == fault::gone_inputs) {
-        exchange->answer(met == fault::reject ? 503 : 409, "", {{"Request-Id", requestId}, {"Not-Executed", "1"}});
+        auto fields = rejectionFields();
+        fields.push_back({"Request-Id", requestId});
+        rejections += met == fault::reject ? 1 : 0;
+        exchange->answer(met == fault::reject ? 503 : 409, "", fields);
         return;
     }
     if (m_kind == kind::model && exchange->head().find("Inputs") == nullptr) {
@@ -107,6 +194,8 @@
         if (!exchange->isOpen()) {
             --open;
             ++dropped;
+        } else if (beginEndless(exchange, met)) {
+            --open;
         } else if (m_kind == kind::model) {
             stream(exchange, met);
         } else {
@@ -151,6 +240,7 @@
         return;
     case fault::stale_answer:
         exchange->answer(200, "answer to nobody", answerFields("nobody"));
+        std::erase_if(fields, [](const auto &field) { return field.name == "Server-Leaving"; });
         exchange->answer(200, body, fields);
         return;
     case fault::unsigned_answer:
@@ -206,10 +296,11 @@
 {
     const fault met = takeFault();
     if (met == fault::reject) {
-        exchange->answer(503, "", {{"Not-Executed", "1"}});
+        ++rejections;
+        exchange->answer(503, "", rejectionFields());
         return;
     }
-    if (met == fault::silent) {
+    if (met == fault::silent || beginEndless(exchange, met)) {
         return;
     }
     const QJsonArray items = object(exchange->body()).value(QStringLiteral("items")).toArray();
@@ -229,9 +320,11 @@
         answered.append(QJsonObject{{QStringLiteral("handle"), QString::fromStdString(handle)}});
     }
     const std::string body = compact({{QStringLiteral("items"), answered}});
-    QTimer::singleShot(behaviour.work, &m_timers, [exchange, body] {
-        exchange->answer(200, body, {{"Server-Load", "0,0,1"}, {"Keep-Alive", "timeout=5"}});
-    });
+    std::vector<http1::header_field> fields{{"Server-Load", "0,0,1"}, {"Keep-Alive", "timeout=5"}};
+    if (behaviour.isLeaving) {
+        fields.push_back({"Server-Leaving", "1"});
+    }
+    QTimer::singleShot(behaviour.work, &m_timers, [exchange, body, fields] { exchange->answer(200, body, fields); });
 }
 
 void site_endpoint::onStageFree(const exchange_pointer &exchange)
--- a/tests/site/site-endpoint.h
+++ b/tests/site/site-endpoint.h
@@ -35,6 +35,15 @@
         garbage, ///< bytes that are no answer
         silent, ///< takes requests and answers nothing
         gone_inputs, ///< says that an input is gone, as not run
+        endless_head, ///< fields without end
+        endless_interim, ///< announcements of an answer without end
+        endless_body, ///< a length that is never reached
+        endless_chunks,
+        endless_extension, ///< a chunk whose head does not end
+        endless_unframed, ///< a body without a length
+        endless_event, ///< a stream with an event that does not end
+        endless_rejection, ///< proves that the request has not run, in a body without end
+        endless_tail, ///< more bytes after a whole answer
     };
 
     fault kind = fault::none;
@@ -43,6 +52,8 @@
     std::size_t events = 4; ///< of a stream
     std::chrono::milliseconds gap{1}; ///< between events
     std::string keepAlive = "timeout=5";
+    bool isLeaving = false; ///< says so in all answers
+    std::string retryAfter; ///< of a rejection; empty: none
 };
 
 class site_endpoint
@@ -59,6 +70,7 @@
     void setPublicAddress(std::string address) { m_publicAddress = std::move(address); }
     /// Value of its registration in the store.
     std::string registration(const std::string &state = "ready") const;
+    std::uint64_t bornMs = 1700000000000; ///< tells its incarnations apart
 
     endpoint_behaviour behaviour;
     std::map<std::string, int> runs; ///< by request id
@@ -67,6 +79,8 @@
     std::vector<std::size_t> calls; ///< pieces of each call for stage results
     std::set<std::string> results; ///< handles that are held
     std::size_t badCalls = 0; ///< requests that the platform's rules forbid
+    std::size_t rejections = 0;
+    std::size_t endlessBytes = 0; ///< sent by the faults without end
     std::size_t open = 0; ///< requests under way
     std::size_t dropped = 0; ///< requests whose caller left before their end
 
@@ -83,6 +97,9 @@
     void answerPlain(const exchange_pointer &exchange, endpoint_behaviour::fault fault);
     void stream(const exchange_pointer &exchange, endpoint_behaviour::fault fault);
     void sendEvent(const exchange_pointer &exchange, std::size_t number, endpoint_behaviour::fault fault);
+    bool beginEndless(const exchange_pointer &exchange, endpoint_behaviour::fault fault);
+    void sendEndless(const exchange_pointer &exchange, const std::string &bytes);
+    std::vector<http1::header_field> rejectionFields() const;
     endpoint_behaviour::fault takeFault();
     std::vector<http1::header_field> answerFields(const std::string &requestId) const;
 
--- a/tests/site/site-fixture.cpp
+++ b/tests/site/site-fixture.cpp
@@ -114,6 +114,7 @@
     settings.homeAddress = at(4);
     settings.fleetKey = "a key for the fleet of the tests";
     settings.storeAddress = m_storeAddress;
+    settings.memoryBytes = memoryBytes;
     if (index > 0) {
         settings.contacts.push_back(m_fronts.front().substr(0, m_fronts.front().find(':')) + ":"
                                     + std::to_string(basePort + 3));
--- a/tests/site/site-fixture.h
+++ b/tests/site/site-fixture.h
@@ -53,6 +53,8 @@
     void configure(std::uint64_t version, const std::string &extra = {});
     std::size_t startDaemon();
     void killDaemon(std::size_t index) { m_daemons[index].reset(); }
+    /// Memory of the daemons that start from now on, as they are told; 0: none is named.
+    std::size_t memoryBytes = 0;
     frontend::frontend_daemon &daemon(std::size_t index) { return *m_daemons[index]; }
     const std::string &frontOf(std::size_t index) const { return m_fronts[index]; }
     int readinessOf(std::size_t index);
--- a/tests/site/site-server.cpp
+++ b/tests/site/site-server.cpp
@@ -63,6 +63,7 @@
     void write(std::string_view bytes) { m_socket->write(bytes); }
     void closeWhenSent() { m_socket->closeWhenSent(); }
     bool isOpen() const { return m_isOpen; }
+    std::size_t unsentBytes() const { return m_socket->unsentBytes(); }
 
     void end()
     {
@@ -103,6 +104,11 @@
             const auto owner = m_owner.lock();
             return owner && owner->isOpen();
         }
+        std::size_t unsentBytes() const override
+        {
+            const auto owner = m_owner.lock();
+            return owner ? owner->unsentBytes() : 0;
+        }
 
     private:
         std::weak_ptr<connection> m_owner;
--- a/tests/site/site-server.h
+++ b/tests/site/site-server.h
@@ -27,6 +27,7 @@
     virtual void reset() = 0; ///< ends the connection at once
     virtual void closeWhenSent() = 0;
     virtual bool isOpen() const = 0;
+    virtual std::size_t unsentBytes() const = 0; ///< that the daemon has not taken yet
 
     void answer(int status, std::string_view body, const std::vector<http1::header_field> &fields = {});
     /// Value of a query's parameter; empty when there is none.
