Ask an unreachable store as a fleet, push configurations compressed, and tell news through the time after an outage

Ruled out: the reader's own reads (2.5 and 1 a second, a tenth of the calls). Change: store_probe_pace spreads the calls while no peer reaches the store; the configuration follows the registrations then. Texts are pushed compressed, for up to 0.6 s of the link, and a version heard by gossip is read only when the reader has not told it 0.6 s later. News after an outage holds what the store holds, without the entries that are only kept. A store that is back has any waiting call given up, not only one of 400 ms.

--- a/packages/catalog/include/masticlever/catalog/endpoint-directory.h
+++ b/packages/catalog/include/masticlever/catalog/endpoint-directory.h
@@ -87,7 +87,8 @@
     bool isLeaving(std::string_view id) const;
     /// Start of the known incarnation of \p id, Unix time; 0 when it is not known.
     std::uint64_t bornMsOf(std::string_view id) const;
-    /// All known registrations, by id; those that are known to leave say so.
+    /// The registrations that stand in the store as far as it is known, by id, without those that are only kept for
+    /// their possible return; those that are known to leave say so.
     std::vector<endpoint_record> records() const;
     std::size_t size() const { return m_entries.size(); }
 
--- a/packages/catalog/src/endpoint-directory.cpp
+++ b/packages/catalog/src/endpoint-directory.cpp
@@ -231,6 +231,9 @@
     std::vector<endpoint_record> all;
     all.reserve(m_entries.size());
     for (const auto &[id, known] : m_entries) {
+        if (known.lapsedAt) {
+            continue;
+        }
         all.push_back(known.record);
         if (known.isLeaving) {
             all.back().state = endpoint_state::draining;
--- a/packages/frontend/include/masticlever/frontend/topic-follower.h
+++ b/packages/frontend/include/masticlever/frontend/topic-follower.h
@@ -21,6 +21,8 @@
     common::duration firstRetry = std::chrono::milliseconds(100); ///< after a failed call; doubles
     common::duration longestRetry = std::chrono::milliseconds(800);
     common::duration timeout = std::chrono::milliseconds(1500); ///< of a call, besides its wait
+    /// After a listing, before the first read: another instance may read for this one by then.
+    common::duration settleTime{};
     common::duration hurryGap = std::chrono::milliseconds(200); ///< between reads that were hurried
 };
 
@@ -66,6 +68,11 @@
     bool isAnsweredWithin(common::duration time, common::instant now) const { return now - m_answeredAt <= time; }
     /// Another instance has just read the topic: nothing has to be read here until \p until.
     void defer(common::instant until);
+    /// The next call is due at \p at, if none is under way; it may be put off.
+    void expect(common::instant at);
+    /// After a failure: not tried again before \p until, even if hurried.
+    void holdRetry(common::instant until);
+    common::instant calledAt() const { return m_calledAt; }
     /// Forgets the position: what was read may be out of date.
     void restart(common::instant now);
 
--- a/packages/frontend/src/daemon-core.cpp
+++ b/packages/frontend/src/daemon-core.cpp
@@ -1,5 +1,6 @@
 #include "daemon-core.h"
 
+#include <masticlever/common/digest.h>
 #include <masticlever/telemetry/events.h>
 
 #include <QCoreApplication>
@@ -22,12 +23,15 @@
 
 constexpr std::chrono::milliseconds tick{25}; ///< deadlines are met to within one tick
 constexpr int backlog = 512;
+constexpr duration probeFollows = std::chrono::seconds(2); ///< of one topic's reads after the other's, at the latest
 constexpr duration fleetInterval = std::chrono::milliseconds(100); ///< half of the time between heartbeats
 constexpr duration pauseLimit = std::chrono::milliseconds(700); ///< a gap between ticks above it is a pause
 /// Between reads of the configuration for others, which hear nothing new for 1.2 s before they read for themselves.
 constexpr duration configurationPoll = std::chrono::milliseconds(400);
 constexpr duration configurationAge = 2 * configurationPoll; ///< an older one is not passed on as recent
-constexpr double pushSeconds = 0.25; ///< of this instance's link, for telling the others of one configuration
+/// For a configuration that another instance has, before it is read here although a reader tells what is new.
+constexpr duration pushPatience = std::chrono::milliseconds(600);
+constexpr double pushSeconds = 0.6; ///< of this instance's link, for telling the others of one configuration
 constexpr duration badRequestInterval = std::chrono::seconds(1); ///< between log lines
 constexpr duration startRetryAfter
     = std::chrono::milliseconds(500); ///< for callers of an instance that has no configuration
@@ -49,6 +53,7 @@
 {
     topic_follower_options options;
     options.pollInterval = configurationPoll;
+    options.settleTime = std::chrono::milliseconds(1200); // the age at which an instance that is told reads itself
     options.wait = std::chrono::seconds(8); // bounds how long a call that a silent store took can go unnoticed
     options.longestRetry = std::chrono::milliseconds(1600); // an instance that is cut off must not use up the budget
     return options;
@@ -130,6 +135,7 @@
           protocol, protocol::store_topic::endpoints, m_settings.storeAddress, m_budget, {},
           [this](const follow_news &news) { onEndpointNews(news); },
           [this](bool isReachable) { onStoreReach(isReachable); }),
+      m_probePace({}, common::stableHash(m_incarnation)),
       m_finder(protocol, m_settings, m_budget,
                [this](std::vector<std::string> contacts) { m_fleet.setContacts(std::move(contacts)); }),
       m_feed(feedOptions(m_settings), m_budget,
@@ -144,7 +150,7 @@
       m_fleet(m_settings, m_incarnation,
               {[this] { return m_configurationText; }, [this] { return version(); },
                [this](const std::string &text) { followConfiguration(text, "peer"); },
-               [this](std::uint64_t) { m_configurationWatch.hurry(m_now); },
+               [this](std::uint64_t seen) { onVersionSeen(seen); },
                [this](const std::vector<membership::endpoint_notice> &notices) { onToldLeaving(notices); }}),
       m_status([this](const http1::message_head &head) {
           if (m_protocol.isReadinessCheck(head)) {
@@ -409,7 +415,7 @@
     const instant now = presentInstant();
     applyChanges(m_registrations.onRead(news, now));
     // The others read neither while they are told: both have to be recent here.
-    const auto confirmed = m_registrations.confirmed(now);
+    const auto confirmed = m_registrations.confirmed();
     if (confirmed && m_configurationWatch.follower().isAnsweredWithin(configurationAge, now)) {
         m_feed.onRead(*confirmed, {version(), m_configurationText});
     }
@@ -420,7 +426,7 @@
     const instant now = presentInstant();
     applyChanges(m_registrations.onTold(news, now));
     if (!news.configuration.empty()) {
-        followConfiguration(news.configuration, "reader");
+        followConfiguration(unpackConfiguration(news.configuration), "reader");
     }
     if (news.configurationVersion > version()) {
         m_configurationWatch.hurry(now);
@@ -453,6 +459,37 @@
     applyChanges(changes);
 }
 
+/// Another instance has a newer configuration. The reader tells it in a moment; without one it is read here.
+void daemon_core::onVersionSeen(std::uint64_t seen)
+{
+    if (seen != m_seenVersion) {
+        m_seenVersion = seen;
+        m_versionSeenAt = m_now;
+    }
+    const bool isTold = m_feed.isFollowing() && m_now < m_feed.freshUntil();
+    if (!isTold || m_now - m_versionSeenAt >= pushPatience) {
+        m_configurationWatch.hurry(m_now);
+    }
+}
+
+/// While no instance reaches the store, all of them ask as seldom as one would. The first that is answered is heard of
+/// by gossip, and then each asks for itself at once.
+void daemon_core::paceStoreCalls(instant now)
+{
+    const bool wasReached = std::exchange(m_isStoreReachedByOthers, m_fleet.isStoreReachedByOthers(now));
+    if (!m_registrations.isStoreLost() || m_fleet.liveCount() <= 1) {
+        return;
+    }
+    if (m_isStoreReachedByOthers) {
+        if (!wasReached) {
+            m_endpointWatch.hurry(now);
+        }
+        return;
+    }
+    m_endpointWatch.holdRetry(m_probePace.nextAfter(m_endpointWatch.follower().calledAt(), m_fleet.liveCount()));
+    m_configurationWatch.holdRetry(now + probeFollows); // read when the registrations could be
+}
+
 void daemon_core::onToldLeaving(const std::vector<membership::endpoint_notice> &notices)
 {
     const instant now = presentInstant();
@@ -468,7 +505,7 @@
     const instant now = presentInstant();
     if (m_registrations.onStoreReach(isReachable, now)) {
         // A call that a silent store has taken is not answered any more.
-        m_configurationWatch.hurry(now);
+        m_configurationWatch.renew(m_configuration && m_feed.isFollowing() ? pushPatience : duration{}, now);
     }
     const bool isAway = m_registrations.isStoreAway(now);
     if (isAway == m_isStoreReported) {
@@ -504,6 +541,7 @@
     m_fleet.setState(!m_registrations.isStoreLost(), version());
     m_fleet.onTick(now);
     m_retries.onFleetSize(m_fleet.liveCount());
+    paceStoreCalls(now);
     const std::vector<stages::home_candidate> members = m_fleet.homes();
     m_pieces.setMembers(members, m_incarnation);
     m_feed.setMembers(members, m_incarnation, version(), now);
--- a/packages/frontend/src/daemon-core.h
+++ b/packages/frontend/src/daemon-core.h
@@ -8,6 +8,7 @@
 #include "registration-keeper.h"
 #include "request-session.h"
 #include "status-server.h"
+#include "store-probe-pace.h"
 #include "store-watch.h"
 
 #include <masticlever/frontend/frontend-daemon.h>
@@ -63,6 +64,8 @@
 
     void onTick();
     void tendFleet(common::instant now);
+    void paceStoreCalls(common::instant now);
+    void onVersionSeen(std::uint64_t version);
     void noticePause(common::instant now);
     void sweep(common::instant now);
     void advanceStop(common::instant now);
@@ -88,6 +91,7 @@
     frontend_context m_context;
     store_watch m_configurationWatch;
     store_watch m_endpointWatch;
+    store_probe_pace m_probePace;
     instance_finder m_finder;
     directory_feed m_feed;
     fleet_host m_fleet;
@@ -103,6 +107,9 @@
     common::instant m_fleetDueAt;
     std::optional<common::instant> m_stoppingSince;
     bool m_hasHandedBack = false;
+    bool m_isStoreReachedByOthers = false;
+    std::uint64_t m_seenVersion = 0; ///< the newest configuration that another instance has
+    common::instant m_versionSeenAt;
     bool m_isStoreReported = true; ///< the last state that was logged
     std::int64_t m_bootTime = 0; ///< of the last tick, microseconds
     std::uint64_t m_badRequests = 0;
--- a/packages/frontend/src/directory-feed.cpp
+++ b/packages/frontend/src/directory-feed.cpp
@@ -4,6 +4,8 @@
 
 #include <masticlever/telemetry/events.h>
 
+#include <QByteArray>
+
 #include <utility>
 #include <variant>
 
@@ -17,6 +19,7 @@
 namespace
 {
 
+constexpr std::size_t maximumUnpackedBytes = std::size_t{16} << 20; ///< of a configuration's text
 constexpr std::size_t maximumTextBytes = stages::maximumHomeMessageBytes / 2; ///< leaves room for the registrations
 constexpr std::string_view duty = "endpoint registrations"; ///< what the reader is chosen for
 
@@ -159,9 +162,36 @@
     for (const std::uint64_t subscriber : subscribers) {
         m_subscribers[subscriber].configurationVersion = configuration.version;
     }
-    const double bytes = static_cast<double>(configuration.text.size()) * static_cast<double>(subscribers.size());
-    const bool isTooLarge = bytes > m_options.configurationBytes || configuration.text.size() > maximumTextBytes;
-    return isTooLarge ? std::string() : std::string(configuration.text);
+    const std::string &packed = packedText(configuration);
+    const double bytes = static_cast<double>(packed.size()) * static_cast<double>(subscribers.size());
+    const bool isTooLarge = bytes > m_options.configurationBytes || packed.size() > maximumTextBytes;
+    return isTooLarge ? std::string() : packed;
+}
+
+/// Compressed once for all subscribers: a text of a thousand routes would take each of them to the store.
+const std::string &directory_feed::packedText(const configuration_news &configuration)
+{
+    if (m_packedVersion != configuration.version || m_packed.empty()) {
+        const auto *bytes = reinterpret_cast<const uchar *>(configuration.text.data());
+        m_packed = qCompress(bytes, static_cast<qsizetype>(configuration.text.size())).toStdString();
+        m_packedVersion = configuration.version;
+    }
+    return m_packed;
+}
+
+std::string unpackConfiguration(std::string_view packed)
+{
+    // The length that the bytes announce, big endian, is what would be reserved for them.
+    constexpr std::size_t prefixBytes = 4;
+    std::size_t announced = 0;
+    for (std::size_t i = 0; i < prefixBytes && i < packed.size(); ++i) {
+        announced = announced << 8 | static_cast<unsigned char>(packed[i]);
+    }
+    if (packed.size() <= prefixBytes || announced > maximumUnpackedBytes) {
+        return {};
+    }
+    const auto *bytes = reinterpret_cast<const uchar *>(packed.data());
+    return qUncompress(bytes, static_cast<qsizetype>(packed.size())).toStdString();
 }
 
 void directory_feed::onTick(instant now)
--- a/packages/frontend/src/directory-feed.h
+++ b/packages/frontend/src/directory-feed.h
@@ -36,6 +36,9 @@
     double configurationBytes = 4e6;
 };
 
+/// The text that news of a configuration carry, as it was; empty for none, or for bytes that are no such text.
+std::string unpackConfiguration(std::string_view packed);
+
 /// The configuration in force here.
 struct configuration_news {
     std::uint64_t version = 0;
@@ -83,6 +86,7 @@
     void unfollow();
     void loseReader(std::string_view reason, common::instant now);
     std::string textFor(std::span<const std::uint64_t> subscribers, const configuration_news &configuration);
+    const std::string &packedText(const configuration_news &configuration);
 
     directory_feed_options m_options;
     net::receive_budget &m_budget;
@@ -94,6 +98,8 @@
     common::instant m_freshUntil;
     stages::avoided_homes m_avoided;
     std::map<std::uint64_t, subscriber_entry> m_subscribers;
+    std::string m_packed; ///< the compressed text of m_packedVersion
+    std::uint64_t m_packedVersion = 0;
     std::map<std::string, catalog::endpoint_record> m_told; ///< by id, as the subscribers know it
 };
 
--- a/packages/frontend/src/fleet-host.h
+++ b/packages/frontend/src/fleet-host.h
@@ -50,6 +50,8 @@
     /// Live instances that may be homes, this one included unless it is leaving; as of the last tick.
     const std::vector<stages::home_candidate> &homes() const { return m_homes; }
     std::size_t liveCount() const { return m_liveCount; }
+    /// Whether any of the others says that it reaches the store.
+    bool isStoreReachedByOthers(common::instant now) const { return m_table.isLogReachableByPeer(now); }
 
 private:
     std::string homeAddressOf(const std::string &gossipAddress) const;
--- a/packages/frontend/src/registration-keeper.cpp
+++ b/packages/frontend/src/registration-keeper.cpp
@@ -86,9 +86,9 @@
     return m_storeLostAt && now - *m_storeLostAt >= storeLossLimit;
 }
 
-std::optional<std::vector<endpoint_record>> registration_keeper::confirmed(instant now) const
+std::optional<std::vector<endpoint_record>> registration_keeper::confirmed() const
 {
-    return m_directory.isStoreSuspect(now) ? std::nullopt : std::optional(m_directory.records());
+    return isStoreLost() ? std::nullopt : std::optional(m_directory.records());
 }
 
 bool registration_keeper::mayDeferRead(instant toldUntil, instant now) const
--- a/packages/frontend/src/registration-keeper.h
+++ b/packages/frontend/src/registration-keeper.h
@@ -42,8 +42,9 @@
     bool isStoreLost() const { return m_storeLostAt.has_value(); }
     /// Whether the store has been lost for longer than a failed call or two.
     bool isStoreAway(common::instant now) const;
-    /// What may be passed on to others; nothing while entries are kept that may have left during an outage.
-    std::optional<std::vector<catalog::endpoint_record>> confirmed(common::instant now) const;
+    /// What may be passed on to others: what the store holds, without entries that are kept here through an outage.
+    /// Nothing while the store cannot be reached.
+    std::optional<std::vector<catalog::endpoint_record>> confirmed() const;
     /// Whether news until \p toldUntil replaces a read of the store. Not while the store is held for lost: only an own
     /// read ends that doubt, and with it the keeping of what has left.
     bool mayDeferRead(common::instant toldUntil, common::instant now) const;
--- a/packages/frontend/src/store-watch.cpp
+++ b/packages/frontend/src/store-watch.cpp
@@ -31,16 +31,28 @@
     }
 }
 
-void store_watch::hurry(common::instant now)
+/// Gives up a call that is older than \p age.
+void store_watch::interrupt(common::duration age, common::instant now)
 {
-    if (m_follower.isWaitingSince(answerLimit, now)) {
+    if (m_follower.isWaitingSince(age, now)) {
         m_isInterrupting = true;
         m_lane.reset();
         m_isInterrupting = false;
     }
+}
+
+void store_watch::hurry(common::instant now)
+{
+    interrupt(answerLimit, now);
     m_follower.hurry(now);
 }
 
+void store_watch::renew(common::duration pause, common::instant now)
+{
+    interrupt({}, now);
+    m_follower.expect(now + pause);
+}
+
 void store_watch::setPolling(bool isPolling, common::instant now)
 {
     if (isPolling != m_follower.isPolling()) {
--- a/packages/frontend/src/store-watch.h
+++ b/packages/frontend/src/store-watch.h
@@ -28,12 +28,17 @@
     /// Something new is known to be there. A call that still waits is not going to tell: it is given up.
     void hurry(common::instant now);
     void defer(common::instant until) { m_follower.defer(until); }
+    /// The store is back: a call that it has taken before is given up. The next one is due after \p pause, unless
+    /// another instance has read by then.
+    void renew(common::duration pause, common::instant now);
+    void holdRetry(common::instant until) { m_follower.holdRetry(until); }
     void setPolling(bool isPolling, common::instant now);
     /// After a pause of the process.
     void restart(common::instant now);
     const topic_follower &follower() const { return m_follower; }
 
 private:
+    void interrupt(common::duration age, common::instant now);
     void send(const follow_call &call, common::instant now);
     void onAnswer(const follow_call &call, common::result<store_lane::store_answer> answer);
 
--- a/packages/frontend/src/topic-follower.cpp
+++ b/packages/frontend/src/topic-follower.cpp
@@ -51,7 +51,7 @@
         m_afterKey.clear();
         news.isWholeListing = true;
         news.listedKeys = std::exchange(m_listedKeys, {});
-        m_dueAt = now + pause();
+        m_dueAt = now + std::max(pause(), m_options.settleTime);
     }
     return news;
 }
@@ -99,6 +99,18 @@
     }
 }
 
+void topic_follower::expect(common::instant at)
+{
+    m_dueAt = m_isUnderWay ? m_dueAt : at;
+}
+
+void topic_follower::holdRetry(common::instant until)
+{
+    if (!m_isReachable && !m_isUnderWay) {
+        m_dueAt = std::max(m_dueAt, until);
+    }
+}
+
 void topic_follower::restart(common::instant now)
 {
     m_isListing = true;
--- a/packages/frontend/test/topic-follower-test.cpp
+++ b/packages/frontend/test/topic-follower-test.cpp
@@ -165,3 +165,68 @@
         CHECK(follower.next(start + 3s));
     }
 }
+
+TEST_CASE("A topic that another instance may read for this one is not read right after its listing")
+{
+    topic_follower_options options;
+    options.wait = 8s;
+    options.settleTime = 1200ms;
+    topic_follower follower(options);
+    REQUIRE(follower.next(start));
+    follower.onListing({10, false, {}}, start);
+    CHECK_FALSE(follower.next(start + 1199ms).has_value());
+    REQUIRE(follower.next(start + 1200ms).has_value());
+}
+
+TEST_CASE("A store that no instance reaches is asked when it is this one's turn")
+{
+    topic_follower follower({});
+    REQUIRE(follower.next(start));
+    follower.onListing({10, false, {}}, start);
+    REQUIRE(follower.next(start + 1s));
+
+    SECTION("not sooner, not even when hurried")
+    {
+        follower.onFailure(start + 1s);
+        follower.holdRetry(start + 6s);
+        follower.hurry(start + 2s);
+        follower.holdRetry(start + 6s);
+        CHECK_FALSE(follower.next(start + 5s).has_value());
+        CHECK(follower.next(start + 6s).has_value());
+    }
+    SECTION("at once when it is not held any more and was hurried")
+    {
+        follower.onFailure(start + 1s);
+        follower.holdRetry(start + 6s);
+        follower.hurry(start + 3s);
+        CHECK(follower.next(start + 3s).has_value());
+    }
+    SECTION("a store that answers is not concerned")
+    {
+        follower.onRecords({11, {}}, start + 1s);
+        follower.holdRetry(start + 6s);
+        CHECK(follower.next(start + 2s).has_value());
+    }
+}
+
+TEST_CASE("A store that is back is asked in a moment, unless another instance has read by then")
+{
+    topic_follower follower({});
+    REQUIRE(follower.next(start));
+    follower.onListing({10, false, {}}, start);
+    REQUIRE(follower.next(start + 1s));
+    follower.onFailure(start + 1s);
+    follower.holdRetry(start + 9s);
+    follower.expect(start + 3s);
+    CHECK_FALSE(follower.next(start + 2900ms).has_value());
+
+    SECTION("it has not")
+    {
+        CHECK(follower.next(start + 3s).has_value());
+    }
+    SECTION("it has")
+    {
+        follower.defer(start + 4s);
+        CHECK_FALSE(follower.next(start + 3900ms).has_value());
+    }
+}
--- a/packages/stages/include/masticlever/stages/home-messages.h
+++ b/packages/stages/include/masticlever/stages/home-messages.h
@@ -67,7 +67,7 @@
 /// What an instance has read from the store.
 struct directory_message {
     std::uint64_t configurationVersion = 0;
-    std::string configuration; ///< of that version; empty: the receiver has it, or reads it for itself
+    std::string configuration; ///< of that version, compressed; empty: the receiver has it, or reads it for itself
     bool isRead = true; ///< the registrations were read just now; otherwise only the configuration is news
     bool isWhole = false; ///< endpoints that \c changed lacks are gone
     std::vector<catalog::endpoint_record> changed;
