--- a/tests/site/endless-test.cpp
+++ b/tests/site/endless-test.cpp
@@ -115,17 +115,10 @@
 TEST_CASE("A maker of stage results that never stops sending does not hold up its pieces", "[site]")
 {
     site_fixture site(1);
-    site.addEndpoint("m1", kind::model, "model");
-    site.addEndpoint("s1", kind::stage, "encode");
-    site.addEndpoint("s2", kind::stage, "rank");
-    const auto chat = [&](const std::string &id) {
-        return site.ask(0, site.request("POST", "/chat/", id, "prompt", "Pieces: 2,3\r\nPiece-Key: abc\r\n")).status;
-    };
-    REQUIRE(site.waitReady(0));
-    REQUIRE(waitFor([&] { return chat("probe") == 200; }));
+    site.addPipeline();
     site.endpoint(1).behaviour.kind
         = GENERATE(fault::endless_head, fault::endless_body, fault::endless_chunks, fault::endless_unframed);
     site.endpoint(1).behaviour.times = 1;
-    CHECK(chat("r1") == 200);
+    CHECK(site.chat(0, "r1").status == 200);
     CHECK(site.endpoint(1).endlessBytes < 48 * megabyte);
 }
--- a/tests/site/leaving-test.cpp
+++ b/tests/site/leaving-test.cpp
@@ -176,14 +176,8 @@
 TEST_CASE("A maker of stage results that says that it leaves gets no more pieces", "[site]")
 {
     site_fixture site(1);
-    site.addEndpoint("m1", kind::model, "model");
-    site.addEndpoint("s1", kind::stage, "encode");
-    site.addEndpoint("s2", kind::stage, "rank");
-    const auto chat = [&](const std::string &id) {
-        return site.ask(0, site.request("POST", "/chat/", id, "prompt", "Pieces: 2,3\r\nPiece-Key: abc\r\n")).status;
-    };
-    REQUIRE(site.waitReady(0));
-    REQUIRE(waitFor([&] { return chat("probe") == 200; }));
+    site.addPipeline();
+    const auto chat = [&](const std::string &id) { return site.chat(0, id).status; };
     site.endpoint(1).behaviour.isLeaving = true;
     REQUIRE(chat("r1") == 200);
     site.addEndpoint("s3", kind::stage, "encode");
--- a/tests/site/quiet-test.cpp
+++ b/tests/site/quiet-test.cpp
@@ -74,14 +74,8 @@
 TEST_CASE("A maker of stage results that rejects and names a time gets no call until then", "[site]")
 {
     site_fixture site(1);
-    site.addEndpoint("m1", kind::model, "model");
-    site.addEndpoint("s1", kind::stage, "encode");
-    site.addEndpoint("s2", kind::stage, "rank");
-    const auto chat = [&](const std::string &id) {
-        return site.ask(0, site.request("POST", "/chat/", id, "prompt", "Pieces: 2,3\r\nPiece-Key: abc\r\n"));
-    };
-    REQUIRE(site.waitReady(0));
-    REQUIRE(waitFor([&] { return chat("probe").status == 200; }));
+    site.addPipeline();
+    const auto chat = [&](const std::string &id) { return site.chat(0, id); };
     site_endpoint &encoder = site.endpoint(1);
     encoder.behaviour.kind = fault::reject;
     encoder.behaviour.times = 1;
--- a/tests/site/site-fixture.cpp
+++ b/tests/site/site-fixture.cpp
@@ -98,6 +98,21 @@
     m_endpoints.push_back(std::move(endpoint));
 }
 
+void site_fixture::addPipeline()
+{
+    addEndpoint("m1", site_endpoint::kind::model, "model");
+    addEndpoint("s1", site_endpoint::kind::stage, "encode");
+    addEndpoint("s2", site_endpoint::kind::stage, "rank");
+    if (!waitReady(0) || !waitFor([&] { return chat(0, "probe").status == 200; })) {
+        throw std::runtime_error("the first daemon does not serve a request with stages");
+    }
+}
+
+site_answer site_fixture::chat(std::size_t daemon, const std::string &id)
+{
+    return ask(daemon, request("POST", "/chat/", id, "prompt", "Pieces: 2,3\r\nPiece-Key: abc\r\n"));
+}
+
 std::size_t site_fixture::startDaemon()
 {
     const std::size_t index = m_daemons.size();
--- a/tests/site/site-fixture.h
+++ b/tests/site/site-fixture.h
@@ -49,6 +49,11 @@
     /// Starts and registers an endpoint beside the daemons.
     void addEndpoint(const std::string &id, site_endpoint::kind kind, const std::string &service);
     site_endpoint &endpoint(std::size_t index) { return *m_endpoints[index]; }
+    /// Starts a model endpoint m1 and makers s1 and s2 of both its stages, and waits until the first daemon serves a
+    /// request with stages.
+    void addPipeline();
+    /// Asks a daemon for a request with two and three pieces in its stages.
+    site_answer chat(std::size_t daemon, const std::string &id);
     /// Writes a configuration with the routes of the tests; \p extra is added to its routes.
     void configure(std::uint64_t version, const std::string &extra = {});
     std::size_t startDaemon();
