--- a/packages/common/include/masticlever/common/time.h
+++ b/packages/common/include/masticlever/common/time.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cmath>
+#include <cstdint>
 
 /// \file
 /// Clock types of the decision objects. They never read a clock: the present time is a parameter.
@@ -22,4 +23,10 @@
     return duration(std::llround(static_cast<double>(time.count()) * factor));
 }
 
+/// Whole milliseconds, for logs.
+inline std::int64_t toMilliseconds(duration time)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+}
+
 } // namespace masticlever::common
--- a/packages/frontend/src/daemon-core.cpp
+++ b/packages/frontend/src/daemon-core.cpp
@@ -23,14 +23,8 @@
 
 constexpr std::chrono::milliseconds tick{25}; ///< deadlines are met to within one tick
 constexpr int backlog = 512;
-constexpr duration probeFollows = std::chrono::seconds(2); ///< of one topic's reads after the other's, at the latest
 constexpr duration fleetInterval = std::chrono::milliseconds(100); ///< half of the time between heartbeats
 constexpr duration pauseLimit = std::chrono::milliseconds(700); ///< a gap between ticks above it is a pause
-/// Between reads of the configuration for others, which hear nothing new for 1.2 s before they read for themselves.
-constexpr duration configurationPoll = std::chrono::milliseconds(400);
-constexpr duration configurationAge = 2 * configurationPoll; ///< an older one is not passed on as recent
-/// For a configuration that another instance has, before it is read here although a reader tells what is new.
-constexpr duration pushPatience = std::chrono::milliseconds(600);
 constexpr double pushSeconds = 0.6; ///< of this instance's link, for telling the others of one configuration
 constexpr duration badRequestInterval = std::chrono::seconds(1); ///< between log lines
 constexpr duration startRetryAfter
@@ -49,16 +43,6 @@
 constexpr int unavailable = 503;
 constexpr int success = 200;
 
-topic_follower_options configurationFollowing()
-{
-    topic_follower_options options;
-    options.pollInterval = configurationPoll;
-    options.settleTime = std::chrono::milliseconds(1200); // the age at which an instance that is told reads itself
-    options.wait = std::chrono::seconds(8); // bounds how long a call that a silent store took can go unnoticed
-    options.longestRetry = std::chrono::milliseconds(1600); // an instance that is cut off must not use up the budget
-    return options;
-}
-
 directory_feed_options feedOptions(const frontend_settings &settings)
 {
     constexpr double bytesPerMegabit = 125000;
@@ -81,22 +65,6 @@
     return std::int64_t{time.tv_sec} * 1000000 + time.tv_nsec / 1000;
 }
 
-std::string_view nameOf(catalog::directory_change::what kind)
-{
-    using what = catalog::directory_change::what;
-    switch (kind) {
-    case what::added:
-        return "added";
-    case what::draining:
-        return "draining";
-    case what::removed:
-        return "removed";
-    case what::returned:
-        break;
-    }
-    return "returned";
-}
-
 std::string pathOf(const std::string &target)
 {
     return target.substr(0, target.find('?'));
@@ -109,6 +77,16 @@
     return std::chrono::time_point_cast<duration>(std::chrono::steady_clock::now());
 }
 
+topic_follower_options daemon_core::configurationFollowing()
+{
+    topic_follower_options options;
+    options.pollInterval = configurationPoll;
+    options.settleTime = std::chrono::milliseconds(1200); // the age at which an instance that is told reads itself
+    options.wait = std::chrono::seconds(8); // bounds how long a call that a silent store took can go unnoticed
+    options.longestRetry = std::chrono::milliseconds(1600); // an instance that is cut off must not use up the budget
+    return options;
+}
+
 daemon_core::daemon_core(frontend_settings settings, const protocol::site_protocol &protocol,
                          common::random_source &random, std::string incarnation)
     : m_settings(std::move(settings)), m_protocol(protocol), m_incarnation(std::move(incarnation)), m_directory({}),
@@ -379,141 +357,6 @@
     }
 }
 
-void daemon_core::onConfigurationNews(const follow_news &news)
-{
-    for (const protocol::store_record &record : news.records) {
-        if (m_protocol.isConfigurationKey(record.key) && record.value) {
-            followConfiguration(*record.value, "store");
-        }
-    }
-}
-
-void daemon_core::followConfiguration(const std::string &text, std::string_view source)
-{
-    auto read = m_protocol.readConfiguration(text);
-    if (!read) {
-        logEvent(event::record_ignored, {{"topic", "configuration"}, {"source", source}, {"reason", "malformed"}});
-        return;
-    }
-    const std::uint64_t former = version();
-    if (m_configuration && read.value().version() <= former) {
-        return;
-    }
-    m_configuration = std::make_shared<const catalog::service_configuration>(std::move(read.value()));
-    m_configurationText = text;
-    m_pieces.setConfiguration(m_configuration);
-    m_feed.onConfiguration({version(), m_configurationText});
-    logEvent(event::configuration_followed,
-             {{"version", m_configuration->version()},
-              {"former", former},
-              {"source", source},
-              {"routes", static_cast<std::uint64_t>(m_configuration->routes().size())}});
-}
-
-void daemon_core::onEndpointNews(const follow_news &news)
-{
-    const instant now = presentInstant();
-    applyChanges(m_registrations.onRead(news, now));
-    // The others read neither while they are told: both have to be recent here.
-    const auto confirmed = m_registrations.confirmed();
-    if (confirmed && m_configurationWatch.follower().isAnsweredWithin(configurationAge, now)) {
-        m_feed.onRead(*confirmed, {version(), m_configurationText});
-    }
-}
-
-void daemon_core::onDirectoryNews(const stages::directory_message &news)
-{
-    const instant now = presentInstant();
-    applyChanges(m_registrations.onTold(news, now));
-    if (!news.configuration.empty()) {
-        followConfiguration(unpackConfiguration(news.configuration), "reader");
-    }
-    if (news.configurationVersion > version()) {
-        m_configurationWatch.hurry(now);
-    }
-}
-
-void daemon_core::applyChanges(const directory_changes &changes)
-{
-    for (const catalog::directory_change &change : changes) {
-        logEvent(event::endpoint_changed,
-                 {{"endpoint", std::string_view(change.id)},
-                  {"service", std::string_view(change.service)},
-                  {"address", std::string_view(change.address)},
-                  {"change", nameOf(change.kind)}});
-        if (change.kind == catalog::directory_change::what::removed) {
-            m_choice.forget(change.id);
-        }
-    }
-    if (!changes.empty()) {
-        m_pieces.onDirectoryChanged();
-    }
-}
-
-/// An endpoint's own answer tells that it leaves: the others are to know it too, as most of them do not hear it soon.
-void daemon_core::onSeenLeaving(const directory_changes &changes)
-{
-    for (const catalog::directory_change &change : changes) {
-        m_fleet.announceEndpointLeaving(change.id, m_directory.bornMsOf(change.id));
-    }
-    applyChanges(changes);
-}
-
-/// Another instance has a newer configuration. The reader tells it in a moment; without one it is read here.
-void daemon_core::onVersionSeen(std::uint64_t seen)
-{
-    if (seen != m_seenVersion) {
-        m_seenVersion = seen;
-        m_versionSeenAt = m_now;
-    }
-    const bool isTold = m_feed.isFollowing() && m_now < m_feed.freshUntil();
-    if (!isTold || m_now - m_versionSeenAt >= pushPatience) {
-        m_configurationWatch.hurry(m_now);
-    }
-}
-
-/// While no instance reaches the store, all of them ask as seldom as one would. The first that is answered is heard of
-/// by gossip, and then each asks for itself at once.
-void daemon_core::paceStoreCalls(instant now)
-{
-    const bool wasReached = std::exchange(m_isStoreReachedByOthers, m_fleet.isStoreReachedByOthers(now));
-    if (!m_registrations.isStoreLost() || m_fleet.liveCount() <= 1) {
-        return;
-    }
-    if (m_isStoreReachedByOthers) {
-        if (!wasReached) {
-            m_endpointWatch.hurry(now);
-        }
-        return;
-    }
-    m_endpointWatch.holdRetry(m_probePace.nextAfter(m_endpointWatch.follower().calledAt(), m_fleet.liveCount()));
-    m_configurationWatch.holdRetry(now + probeFollows); // read when the registrations could be
-}
-
-void daemon_core::onToldLeaving(const std::vector<membership::endpoint_notice> &notices)
-{
-    const instant now = presentInstant();
-    for (const membership::endpoint_notice &notice : notices) {
-        if (const auto bornMs = fleet_host::bornMsOf(notice)) {
-            applyChanges(m_directory.onToldLeaving(notice.address, *bornMs, now));
-        }
-    }
-}
-
-void daemon_core::onStoreReach(bool isReachable)
-{
-    const instant now = presentInstant();
-    if (m_registrations.onStoreReach(isReachable, now)) {
-        // A call that a silent store has taken is not answered any more.
-        m_configurationWatch.renew(m_configuration && m_feed.isFollowing() ? pushPatience : duration{}, now);
-    }
-    const bool isAway = m_registrations.isStoreAway(now);
-    if (isAway == m_isStoreReported) {
-        m_isStoreReported = !isAway;
-        logEvent(isAway ? event::store_unreachable : event::store_reachable, {});
-    }
-}
-
 /// A process that was stopped or a machine that was suspended has missed what happened meanwhile.
 void daemon_core::noticePause(instant now)
 {
--- a/packages/frontend/src/daemon-core.h
+++ b/packages/frontend/src/daemon-core.h
@@ -40,6 +40,13 @@
     void reload(const frontend_settings &settings);
 
 private:
+    /// Between reads of the configuration for others, which hear nothing new for 1.2 s before they read for themselves.
+    static constexpr common::duration configurationPoll = std::chrono::milliseconds(400);
+    static constexpr common::duration configurationAge
+        = 2 * configurationPoll; ///< an older one is not passed on as recent
+
+    static topic_follower_options configurationFollowing();
+
     void onRequestHead(caller_connection &caller, http1::message_head head) override;
     void onRequestBody(caller_connection &caller, std::string_view bytes) override;
     void onRequestEnd(caller_connection &caller) override;
--- a/packages/frontend/src/endpoint-reports.cpp
+++ b/packages/frontend/src/endpoint-reports.cpp
@@ -36,10 +36,9 @@
     }
     const duration quiet = std::min(*answer.quietFor, longestQuiet);
     m_directory.onAskedQuiet(endpointId, now + quiet);
-    logEvent(event::endpoint_quiet,
-             {{"endpoint", endpointId},
-              {"quiet_ms", std::int64_t{std::chrono::duration_cast<std::chrono::milliseconds>(quiet).count()}},
-              {"is_cut", quiet != *answer.quietFor}});
+    logEvent(
+        event::endpoint_quiet,
+        {{"endpoint", endpointId}, {"quiet_ms", common::toMilliseconds(quiet)}, {"is_cut", quiet != *answer.quietFor}});
 }
 
 void endpoint_reports::onAnswerFrom(std::string_view address, int status, const protocol::answer_attributes &answer,
