Log the rate limits that endpoints name, and when requests are sent

E817 says that a limit has begun, changed or ended, E818 that one could not be read, the requests' lines carry sent_ms, and a gauge counts the endpoints with a limit. No request is sent otherwise than before.

A looser limit, or none, needs an answer to a request that was sent after the limit was last confirmed: answers overtake each other. The stand-in endpoint names a limit, and what it says of itself in the answers to releases too.

--- a/packages/frontend/src/daemon-core-updates.cpp
+++ b/packages/frontend/src/daemon-core-updates.cpp
@@ -24,6 +24,9 @@
 /// How long to wait for the reader to send a configuration that another instance has before reading it from the store.
 constexpr duration readerUpdateTimeout = std::chrono::milliseconds(600);
 
+const telemetry::metric_family limitedEndpointsFamily{"masticlever_frontend_limited_endpoints",
+                                                      "Endpoints that name a rate limit."};
+
 std::string_view nameOf(catalog::directory_change::what kind)
 {
     using what = catalog::directory_change::what;
@@ -123,6 +126,21 @@
     applyChanges(changes);
 }
 
+void daemon_core::logRateLimits()
+{
+    for (const membership::rate_limit_change &change : m_fleet.rateLimits().takeChanges()) {
+        const std::string_view kind = !change.rate ? "ended" : change.former ? "changed" : "begun";
+        logEvent(event::rate_limit_changed,
+                 {{"endpoint", std::string_view(change.endpoint)},
+                  {"change", kind},
+                  {"rate", change.rate.value_or(0)},
+                  {"former", change.former.value_or(0)},
+                  {"source", change.isFromPeer ? "peer" : "answer"},
+                  {"age_ms", common::toMilliseconds(change.age)}});
+    }
+    m_metrics.gaugeOf(limitedEndpointsFamily).set(static_cast<double>(m_fleet.rateLimits().limitedCount()));
+}
+
 /// Another instance has a newer configuration. The reader is expected to send it shortly; without a reader, or after
 /// \c readerUpdateTimeout, it is read from the store.
 void daemon_core::onVersionSeen(std::uint64_t seen)
--- a/packages/frontend/src/daemon-core.cpp
+++ b/packages/frontend/src/daemon-core.cpp
@@ -93,10 +93,16 @@
       m_registrations(
           m_directory,
           [this](std::string_view id, std::string_view value) { return m_protocol.readEndpoint(id, value); }),
+      m_fleet(m_settings, m_incarnation,
+              {[this] { return m_configurationText; }, [this] { return version(); },
+               [this](const std::string &text) { applyConfiguration(text, "peer"); },
+               [this](std::uint64_t seen) { onVersionSeen(seen); },
+               [this](const std::vector<membership::endpoint_notice> &notices) { onLeavingNotices(notices); }}),
       m_choice({}),
       m_retries({.ratio = m_settings.retryRatio, .slack = m_settings.retrySlack, .window = m_settings.retryWindow}),
       m_pool({}), m_budget(static_cast<std::size_t>(answerMemoryShare * static_cast<double>(memoryOf(m_settings)))),
-      m_reports(m_directory, [this](const directory_changes &changes) { onLeavingReported(changes); }),
+      m_reports(m_directory, m_fleet.rateLimits(),
+                [this](const directory_changes &changes) { onLeavingReported(changes); }),
       m_latencyEstimator({}),
       m_pieces({}, {m_pool, protocol, m_reports, m_budget}, m_directory,
                [this](std::uint64_t job, stages::piece_ref piece, const protocol::piece_result &result) {
@@ -126,11 +132,6 @@
                   m_configurationWatch.expedite(monotonicNow());
                   m_endpointWatch.expedite(monotonicNow());
               }}),
-      m_fleet(m_settings, m_incarnation,
-              {[this] { return m_configurationText; }, [this] { return version(); },
-               [this](const std::string &text) { applyConfiguration(text, "peer"); },
-               [this](std::uint64_t seen) { onVersionSeen(seen); },
-               [this](const std::vector<membership::endpoint_notice> &notices) { onLeavingNotices(notices); }}),
       m_status([this](const http1::message_head &head) {
           if (m_protocol.isReadinessCheck(head)) {
               return status_answer{isReady() ? success : unavailable, "text/plain", {}};
@@ -386,6 +387,7 @@
     m_fleet.onTick(now);
     m_retries.onFleetSize(m_fleet.liveCount());
     limitStoreProbes(now);
+    logRateLimits();
     const std::vector<stages::home_candidate> members = m_fleet.homes();
     m_pieces.setMembers(members, m_incarnation);
     m_feed.setMembers(members, m_incarnation, version(), now);
--- a/packages/frontend/src/daemon-core.h
+++ b/packages/frontend/src/daemon-core.h
@@ -68,6 +68,7 @@
     void onStoreReachability(bool isReachable);
     void applyChanges(const directory_changes &changes);
     void onLeavingReported(const directory_changes &changes);
+    void logRateLimits();
     void onLeavingNotices(const std::vector<membership::endpoint_notice> &notices);
 
     void onTick();
@@ -89,6 +90,7 @@
     std::string m_configurationText; ///< served to instances that cannot reach the store
     catalog::endpoint_directory m_directory;
     registration_tracker m_registrations;
+    fleet_host m_fleet;
     forwarding::endpoint_choice m_choice;
     forwarding::retry_share m_retries;
     endpoint_pool m_pool;
@@ -102,7 +104,6 @@
     store_probe_schedule m_probeSchedule;
     instance_finder m_finder;
     directory_feed m_feed;
-    fleet_host m_fleet;
     status_server m_status;
     net::listener m_front;
     net::listener m_homes;
--- a/packages/frontend/src/endpoint-reports.cpp
+++ b/packages/frontend/src/endpoint-reports.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cstdint>
 #include <string>
 
 namespace masticlever::frontend
@@ -18,13 +19,15 @@
 {
 
 constexpr int unavailable = 503;
+constexpr int misdirected = 421; ///< sent by another endpoint that uses the address
 constexpr duration maximumPause = std::chrono::minutes(10); ///< longer times are treated as a mistake and cut
 
 } // namespace
 
 void endpoint_reports::onAnswer(std::string_view endpointId, int status, const protocol::answer_attributes &answer,
-                                instant now)
+                                instant sentAt, instant now)
 {
+    updateRateLimit(endpointId, status, answer, sentAt, now);
     if (answer.isLeaving) {
         markLeaving(endpointId, now);
     }
@@ -42,10 +45,23 @@
 }
 
 void endpoint_reports::onAnswerFrom(std::string_view address, int status, const protocol::answer_attributes &answer,
-                                    instant now)
+                                    instant sentAt, instant now)
 {
     for (const std::string &id : m_directory.idsAt(address)) {
-        onAnswer(id, status, answer, now);
+        onAnswer(id, status, answer, sentAt, now);
+    }
+}
+
+void endpoint_reports::updateRateLimit(std::string_view endpointId, int status,
+                                       const protocol::answer_attributes &answer, instant sentAt, instant now)
+{
+    if (answer.isRateLimitMalformed) {
+        logEvent(event::rate_limit_unreadable, {{"endpoint", endpointId}});
+        return;
+    }
+    const std::uint64_t startedAtMs = m_directory.startedAtMsOf(endpointId);
+    if (startedAtMs != 0 && status != misdirected) {
+        m_rateLimits.onAnswer(endpointId, startedAtMs, answer.rateLimit, sentAt, now);
     }
 }
 
--- a/packages/frontend/src/fleet-host.h
+++ b/packages/frontend/src/fleet-host.h
@@ -47,6 +47,8 @@
     /// Returns the incarnation in a notice of a leaving endpoint, or nothing if it is malformed. The notice's address
     /// field holds the endpoint's id.
     static std::optional<std::uint64_t> startedAtMsOf(const membership::endpoint_notice &notice);
+    /// Rate limits of the endpoints, as this instance and its peers know them.
+    membership::rate_limit_table &rateLimits() { return m_table.rateLimits(); }
     void onTick(common::instant now);
 
     /// Live instances that can be homes as of the last tick, including this one unless it is leaving.
--- a/packages/frontend/src/piece-call.cpp
+++ b/packages/frontend/src/piece-call.cpp
@@ -38,7 +38,8 @@
     m_endpointId = endpointId;
     m_address = address;
     m_bodyBudget.restart(address);
-    m_connection = m_access.pool.acquire(endpointId, address, monotonicNow());
+    m_sentAt = monotonicNow();
+    m_connection = m_access.pool.acquire(endpointId, address, m_sentAt);
     if (m_connection == nullptr) {
         return false;
     }
@@ -53,9 +54,9 @@
     m_status = head.status;
     const common::instant now = monotonicNow();
     if (m_endpointId == m_address) {
-        m_access.reports.onAnswerFrom(m_address, m_status, m_attributes, now);
+        m_access.reports.onAnswerFrom(m_address, m_status, m_attributes, m_sentAt, now);
     } else {
-        m_access.reports.onAnswer(m_endpointId, m_status, m_attributes, now);
+        m_access.reports.onAnswer(m_endpointId, m_status, m_attributes, m_sentAt, now);
     }
     return true;
 }
--- a/packages/frontend/src/piece-call.h
+++ b/packages/frontend/src/piece-call.h
@@ -2,6 +2,7 @@
 
 #include "endpoint-access.h"
 
+#include <masticlever/common/time.h>
 #include <masticlever/http1/client-connection.h>
 #include <masticlever/protocol/wire-protocol.h>
 
@@ -49,6 +50,7 @@
     std::string m_address;
     done_handler m_done;
     endpoint_pool::connection *m_connection = nullptr;
+    common::instant m_sentAt;
     protocol::answer_attributes m_attributes;
     int m_status = 0;
     std::string m_body;
--- a/packages/frontend/src/request-session-answer.cpp
+++ b/packages/frontend/src/request-session-answer.cpp
@@ -95,8 +95,10 @@
 bool request_session::onHead(const http1::message_head &head)
 {
     const protocol::answer_attributes attributes = m_context.protocol.readAnswer(head);
-    m_context.reports.onAnswer(m_endpointId, head.status, attributes, monotonicNow());
-    if (attributes.requestId && *attributes.requestId != m_request.attributes.requestId) {
+    const bool isForeign = attributes.requestId && *attributes.requestId != m_request.attributes.requestId;
+    m_context.reports.onAnswer(m_endpointId, head.status, attributes, isForeign ? instant::min() : m_sentAt,
+                               monotonicNow());
+    if (isForeign) {
         logEvent(event::foreign_answer,
                  {{"request", std::string_view(m_request.attributes.requestId)},
                   {"endpoint", std::string_view(m_endpointId)}});
--- a/packages/frontend/src/request-session.cpp
+++ b/packages/frontend/src/request-session.cpp
@@ -376,6 +376,7 @@
               {"endpoint", std::string_view(m_endpointId)},
               {"attempts", static_cast<std::uint64_t>(m_flow.attempts())},
               {"pieces_left", static_cast<std::uint64_t>(m_flow.graph().missingPieces())},
+              {"sent_ms", m_flow.attempts() > 0 ? toMilliseconds(m_sentAt - m_flow.receivedAt()) : std::int64_t{-1}},
               {"first_ms", toMilliseconds(m_firstAnswerDelay)},
               {"total_ms", toMilliseconds(now - m_flow.receivedAt())},
               {"left_ms", toMilliseconds(m_flow.deadline() - now)},
--- a/packages/membership/include/masticlever/membership/membership.h
+++ b/packages/membership/include/masticlever/membership/membership.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <masticlever/common/time.h>
+#include <masticlever/membership/rate-limits.h>
 #include <masticlever/platform/instance-list.h>
 
 #include <compare>
@@ -100,6 +101,8 @@
     /// Whether any other live instance reports that it can reach the log.
     bool isLogReachableByPeer(common::instant now) const;
     bool isEndpointLeaving(std::string_view address) const;
+    rate_limit_table &rateLimits() { return m_rateLimits; }
+    const rate_limit_table &rateLimits() const { return m_rateLimits; }
     std::size_t size() const { return m_instances.size(); }
 
     /// Addresses of at most \p fanOut peers for the next round of heartbeats; rotates through all peers.
@@ -155,6 +158,7 @@
     std::map<std::uint64_t, std::string> m_ring; ///< incarnations of other instances, by ring position
     std::map<endpoint_notice, leaving_entry> m_leavingEndpoints;
     std::map<std::string, listed_endpoint, std::less<>> m_listedEndpoints; ///< by address
+    rate_limit_table m_rateLimits{{}};
     std::optional<common::instant> m_lastAdvanceAt;
     std::optional<std::uint64_t> m_rotation; ///< ring position of the last peer that nextPeers() returned
 };
--- a/packages/membership/src/membership.cpp
+++ b/packages/membership/src/membership.cpp
@@ -95,6 +95,7 @@
     const bool wasPaused = m_lastAdvanceAt && now - *m_lastAdvanceAt > m_options.suspectAfter / 2;
     m_lastAdvanceAt = now;
     removeStale(now);
+    m_rateLimits.advance(now);
     bool anyLost = false;
     for (auto &[incarnation, known] : m_instances) {
         if (wasPaused && known.watchedSince) {
--- a/packages/protocol/include/masticlever/protocol/requests.h
+++ b/packages/protocol/include/masticlever/protocol/requests.h
@@ -47,6 +47,8 @@
     bool isLeaving = false; ///< the endpoint accepts no new work from any instance
     std::optional<common::duration> pauseFor; ///< duration of the requested pause of an overloaded endpoint
     bool isRetryAfterMalformed = false; ///< the endpoint requests a pause, but its duration is malformed
+    std::optional<double> rateLimit; ///< requests per second that the endpoint accepts from all instances together
+    bool isRateLimitMalformed = false; ///< the endpoint states a rate limit that cannot be read
     std::optional<load_report> load;
     std::optional<common::duration> idleLimit; ///< time after which the endpoint closes an idle connection
 };
--- a/packages/telemetry/include/masticlever/telemetry/events.h
+++ b/packages/telemetry/include/masticlever/telemetry/events.h
@@ -77,6 +77,8 @@
     store_reachable = 814,
     endpoint_quiet = 815,
     quiet_unreadable = 816,
+    rate_limit_changed = 817,
+    rate_limit_unreadable = 818,
 
     piece_call_failed = 820,
     home_lost = 821,
--- a/packages/telemetry/src/event-catalogue.cpp
+++ b/packages/telemetry/src/event-catalogue.cpp
@@ -64,6 +64,8 @@
     {store_reachable, "store_reachable", info},
     {endpoint_quiet, "endpoint_quiet", info},
     {quiet_unreadable, "quiet_unreadable", warning},
+    {rate_limit_changed, "rate_limit_changed", info},
+    {rate_limit_unreadable, "rate_limit_unreadable", warning},
     {piece_call_failed, "piece_call_failed", warning},
     {home_lost, "home_lost", warning},
     {piece_call_answered, "piece_call_answered", debug},
--- a/tests/site/site-endpoint.cpp
+++ b/tests/site/site-endpoint.cpp
@@ -62,15 +62,24 @@
     return behaviour.kind;
 }
 
+/// Adds what the endpoint states about itself in every answer.
+void site_endpoint::addStateFields(std::vector<http1::header_field> &fields) const
+{
+    if (behaviour.isLeaving) {
+        fields.push_back({"Server-Leaving", "1"});
+    }
+    if (!behaviour.limit.empty()) {
+        fields.push_back({"Server-Limit", behaviour.limit});
+    }
+}
+
 std::vector<http1::header_field> site_endpoint::answerFields(const std::string &requestId) const
 {
     std::vector<http1::header_field> fields{{"Request-Id", requestId},
                                             {"Server-Signature", "sig-" + requestId},
                                             {"Keep-Alive", behaviour.keepAlive},
                                             {"Instance-Id", m_id}};
-    if (behaviour.isLeaving) {
-        fields.push_back({"Server-Leaving", "1"});
-    }
+    addStateFields(fields);
     return fields;
 }
 
@@ -80,9 +89,7 @@
     if (!behaviour.retryAfter.empty()) {
         fields.push_back({"Retry-After", behaviour.retryAfter});
     }
-    if (behaviour.isLeaving) {
-        fields.push_back({"Server-Leaving", "1"});
-    }
+    addStateFields(fields);
     return fields;
 }
 
@@ -322,9 +329,7 @@
     }
     const std::string body = compact({{QStringLiteral("items"), answered}});
     std::vector<http1::header_field> fields{{"Server-Load", "0,0,1"}, {"Keep-Alive", "timeout=5"}};
-    if (behaviour.isLeaving) {
-        fields.push_back({"Server-Leaving", "1"});
-    }
+    addStateFields(fields);
     QTimer::singleShot(behaviour.serviceTime, &m_timers,
                        [exchange, body, fields] { exchange->answer(200, body, fields); });
 }
@@ -334,7 +339,9 @@
     for (const auto &value : object(exchange->body()).value(QStringLiteral("handles")).toArray()) {
         results.erase(value.toString().toStdString());
     }
-    exchange->answer(200, "", {{"Keep-Alive", "timeout=5"}});
+    std::vector<http1::header_field> fields{{"Keep-Alive", "timeout=5"}};
+    addStateFields(fields);
+    exchange->answer(200, "", fields);
 }
 
 } // namespace masticlever::site
--- a/tests/site/site-endpoint.h
+++ b/tests/site/site-endpoint.h
@@ -53,6 +53,7 @@
     std::chrono::milliseconds eventInterval{1}; ///< time between events
     std::string keepAlive = "timeout=5";
     bool isLeaving = false; ///< sends Server-Leaving with every answer
+    std::string limit; ///< Server-Limit of every answer; empty: no such field
     std::string retryAfter; ///< Retry-After of rejections; empty: no such field
 };
 
@@ -100,6 +101,7 @@
     bool beginEndless(const exchange_pointer &exchange, endpoint_behaviour::fault fault);
     void sendEndless(const exchange_pointer &exchange, const std::string &bytes);
     std::vector<http1::header_field> rejectionFields() const;
+    void addStateFields(std::vector<http1::header_field> &fields) const;
     endpoint_behaviour::fault takeFault();
     std::vector<http1::header_field> answerFields(const std::string &requestId) const;
 
