--- a/packages/membership/include/masticlever/membership/rate-limits.h
+++ b/packages/membership/include/masticlever/membership/rate-limits.h
@@ -54,8 +54,8 @@
 public:
     explicit rate_limit_table(rate_limit_options options) : m_options(options) { }
 
-    /// An answer to a request that was sent at \p sentAt states \p rate, or no limit. A stricter rate applies at once. A
-    /// looser one, or none, applies only if the request was sent after the limit was last confirmed, because answers
+    /// An answer to a request that was sent at \p sentAt states \p rate, or no limit. A stricter rate applies at once.
+    /// A looser one, or none, applies only if the request was sent after the limit was last confirmed, because answers
     /// may overtake each other.
     void onAnswer(std::string_view endpoint, std::uint64_t startedAtMs, std::optional<double> rate,
                   common::instant sentAt, common::instant now);
--- a/packages/membership/src/rate-limits.cpp
+++ b/packages/membership/src/rate-limits.cpp
@@ -73,9 +73,8 @@
         return;
     }
     entry &known = found->second;
-    const auto order = [](const entry &item) {
-        return std::tuple(item.startedAtMs, item.version, -comparable(item.rate));
-    };
+    const auto order
+        = [](const entry &item) { return std::tuple(item.startedAtMs, item.version, -comparable(item.rate)); };
     if (order(told) > order(known)) {
         set(notice.endpoint, told, true, now);
     } else if (order(told) == order(known)) {
--- /dev/null
+++ b/tests/site/rate-limit-test.cpp
@@ -0,0 +1,124 @@
+#include "site-fixture.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+using namespace masticlever::site;
+using namespace std::chrono_literals;
+using clock_type = std::chrono::steady_clock;
+using fault = endpoint_behaviour::fault;
+using kind = site_endpoint::kind;
+
+namespace
+{
+
+constexpr auto window = 4s;
+constexpr auto propagation = 500ms; ///< an instance keeps to a limit this long after it has passed it on
+
+/// What an endpoint may get in any window while it names \p rate.
+std::size_t allowedAt(double rate)
+{
+    return static_cast<std::size_t>(1.5 * rate * 4 + 5);
+}
+
+/// Largest number of arrivals from \p begin on that fall into one window.
+std::size_t largestWindow(const std::vector<clock_type::time_point> &arrivals, clock_type::time_point begin)
+{
+    std::size_t largest = 0;
+    for (auto first = std::ranges::lower_bound(arrivals, begin); first != arrivals.end(); ++first) {
+        const auto last = std::ranges::upper_bound(first, arrivals.end(), *first + window);
+        largest = std::max(largest, static_cast<std::size_t>(last - first));
+    }
+    return largest;
+}
+
+class limited_site : public site_fixture
+{
+public:
+    explicit limited_site(std::size_t daemons) : site_fixture(daemons), m_daemons(daemons)
+    {
+        // The instances have discovered each other once they follow a single reader.
+        REQUIRE(waitFor([&] { return store.pendingReads() == 0; }));
+    }
+
+    int sendOne(std::size_t daemon)
+    {
+        return sendRequest(daemon, request("GET", "/safe/", "r" + std::to_string(++m_sentCount))).status;
+    }
+
+    /// Sends requests to all daemons in turn, a few tens a second; returns how many succeeded.
+    std::size_t sendFor(clock_type::duration length, const std::function<int(std::size_t)> &send)
+    {
+        std::size_t succeeded = 0;
+        const auto end = clock_type::now() + length;
+        for (std::size_t i = 0; clock_type::now() < end; ++i) {
+            succeeded += send(i % m_daemons) == 200 ? 1 : 0;
+            const auto next = clock_type::now() + 20ms;
+            waitFor([&] { return clock_type::now() >= next; });
+        }
+        return succeeded;
+    }
+
+    std::size_t sendFor(clock_type::duration length)
+    {
+        return sendFor(length, [this](std::size_t daemon) { return sendOne(daemon); });
+    }
+
+    void setDaemons(std::size_t daemons) { m_daemons = daemons; }
+
+    /// Lets the endpoint name a limit, and waits until all daemons have passed on answers of it.
+    void beginLimit(std::size_t index, const std::string &rate)
+    {
+        endpoint(index).behaviour.limit = rate;
+        for (std::size_t daemon = 0; daemon < m_daemons; ++daemon) {
+            const std::size_t before = endpoint(index).arrivals.size();
+            const auto end = clock_type::now() + 1s;
+            REQUIRE(waitFor([&] {
+                sendOne(daemon);
+                return endpoint(index).arrivals.size() > before || clock_type::now() > end;
+            }));
+        }
+        m_toldAt = clock_type::now() + propagation;
+    }
+
+    std::size_t largestWindowOf(std::size_t index) { return largestWindow(endpoint(index).arrivals, m_toldAt); }
+
+private:
+    std::size_t m_daemons;
+    std::size_t m_sentCount = 0;
+    clock_type::time_point m_toldAt;
+};
+
+} // namespace
+
+TEST_CASE("An endpoint gets no more requests from all instances together than the rate that it names", "[rate-limit]")
+{
+    limited_site site(4);
+    site.addEndpoint("d1", kind::plain, "desk");
+    site.addEndpoint("d2", kind::plain, "desk");
+    for (std::size_t daemon = 0; daemon < 4; ++daemon) {
+        REQUIRE(site.waitReady(daemon));
+        REQUIRE(waitFor([&] { return site.sendOne(daemon) == 200; }));
+    }
+    site.beginLimit(0, "1");
+    CHECK(site.sendFor(9s) > 100);
+    CHECK(site.largestWindowOf(0) <= allowedAt(1));
+    CHECK(site.largestWindowOf(0) >= 1);
+}
+
+TEST_CASE("A stage endpoint gets no more calls and releases than the rate that it names", "[rate-limit]")
+{
+    limited_site site(3);
+    site.addPipeline();
+    site.addEndpoint("s3", kind::stage, "encode");
+    for (std::size_t daemon = 0; daemon < 3; ++daemon) {
+        REQUIRE(waitFor([&] { return site.chat(daemon, "probe" + std::to_string(daemon)).status == 200; }));
+    }
+    site.endpoint(1).behaviour.limit = "1";
+    REQUIRE(site.chat(0, "first").status == 200);
+    const auto toldAt = clock_type::now() + 3s;
+    std::size_t sent = 0;
+    site.sendFor(10s, [&](std::size_t daemon) { return site.chat(daemon, "r" + std::to_string(++sent)).status; });
+    CHECK(largestWindow(site.endpoint(1).arrivals, toldAt) <= allowedAt(1));
+}
--- a/tests/site/site-endpoint.cpp
+++ b/tests/site/site-endpoint.cpp
@@ -164,6 +164,7 @@
 
 void site_endpoint::onRequest(const exchange_pointer &exchange)
 {
+    arrivals.push_back(std::chrono::steady_clock::now());
     if (exchange->field("Expect-Instance") != m_id && exchange->path() != "/masticlever/stage-free") {
         exchange->answer(421, "", {{"Instance-Id", m_id}});
         return;
--- a/tests/site/site-endpoint.h
+++ b/tests/site/site-endpoint.h
@@ -77,6 +77,7 @@
     std::map<std::string, int> runs; ///< number of runs by request id
     std::vector<std::string> heads; ///< heads of the requests that ran
     std::vector<std::string> bodies;
+    std::vector<std::chrono::steady_clock::time_point> arrivals; ///< of all requests and calls
     std::vector<std::size_t> calls; ///< number of pieces in each stage call
     std::set<std::string> results; ///< handles of stored stage results
     std::size_t protocolViolations = 0; ///< requests that break the platform's protocol
