Tell peers the rate limits of endpoints and their end

With one sender or a few for a limited endpoint, an instance that sends it nothing gets no answer that names the limit or leaves it out: it would keep a limit that has ended, and one that has not asked yet would not spare the endpoint.

The higher version applies, of equal ones the lower rate: no clock decides which of two reports is newer. Peer messages have version 4.

The position of the flag in codec-test follows the new list.

--- a/packages/peers/include/masticlever/peers/messages.h
+++ b/packages/peers/include/masticlever/peers/messages.h
@@ -27,6 +27,7 @@
     std::vector<membership::instance_notice> notices; ///< updates about other instances
     std::vector<membership::lost_notice> losses;
     std::vector<membership::endpoint_notice> leavingEndpoints;
+    std::vector<membership::rate_limit_notice> rateLimits;
     std::vector<std::string> suspects; ///< names of endpoints that do not respond to the sender
     introduction requested = introduction::fleet;
 
--- a/packages/peers/src/codec.cpp
+++ b/packages/peers/src/codec.cpp
@@ -6,6 +6,7 @@
 
 #include <boost/outcome/try.hpp>
 
+#include <algorithm>
 #include <sstream>
 #include <utility>
 
@@ -17,7 +18,7 @@
 
 using common::error;
 
-constexpr char protocolVersion = 3;
+constexpr char protocolVersion = 4;
 constexpr char requestKind = 1;
 constexpr char answerKind = 2;
 constexpr std::size_t frameHeaderBytes = 2; // version and kind
@@ -72,10 +73,14 @@
     }
     const std::size_t notices = message.notices.size();
     const std::size_t losses = message.losses.size();
-    if (notices >= losses && notices >= message.leavingEndpoints.size()) {
+    const std::size_t limits = message.rateLimits.size();
+    const std::size_t leaving = message.leavingEndpoints.size();
+    if (notices >= std::max({losses, limits, leaving})) {
         message.notices.pop_back();
-    } else if (losses >= message.leavingEndpoints.size()) {
+    } else if (losses >= std::max(limits, leaving)) {
         message.losses.pop_back();
+    } else if (limits >= leaving) {
+        message.rateLimits.pop_back();
     } else {
         message.leavingEndpoints.pop_back();
     }
@@ -92,13 +97,14 @@
     std::erase_if(message.losses, [&](const auto &notice) { return isTooLong(notice.incarnation); });
     std::erase_if(message.leavingEndpoints,
                   [&](const auto &notice) { return isTooLong(notice.address) || isTooLong(notice.incarnation); });
+    std::erase_if(message.rateLimits, [&](const auto &notice) { return isTooLong(notice.endpoint); });
     std::erase_if(message.suspects, isTooLong);
 }
 
 bool hasItems(const gossip_message &message)
 {
     return !message.notices.empty() || !message.losses.empty() || !message.leavingEndpoints.empty()
-        || !message.suspects.empty();
+        || !message.rateLimits.empty() || !message.suspects.empty();
 }
 
 template <typename Message>
--- a/packages/peers/src/detail/bodies.h
+++ b/packages/peers/src/detail/bodies.h
@@ -6,6 +6,8 @@
 #include "detail/bounded-archive.h"
 
 #include <chrono>
+#include <cmath>
+#include <optional>
 
 /// \file
 /// Serialization of the message bodies, with a size limit for each field.
@@ -42,6 +44,19 @@
     transferText(archive, notice.incarnation, maximumNameBytes);
 }
 
+template <typename Archive> void transferRateLimit(Archive &archive, membership::rate_limit_notice &notice)
+{
+    transferText(archive, notice.endpoint, maximumNameBytes);
+    bool hasRate = notice.rate.has_value();
+    double rate = notice.rate.value_or(0);
+    archive(notice.startedAtMs, notice.version, notice.ageMs, rate);
+    transferFlag(archive, hasRate);
+    if (!std::isfinite(rate) || rate < 0) {
+        throw cereal::Exception("rate out of range");
+    }
+    notice.rate = hasRate ? std::optional(rate) : std::nullopt;
+}
+
 template <typename Archive> void transferName(Archive &archive, std::string &name)
 {
     transferText(archive, name, maximumNameBytes);
@@ -53,6 +68,7 @@
     transferList(archive, message.notices, maximumListItems, transferNotice<Archive>);
     transferList(archive, message.losses, maximumListItems, transferLoss<Archive>);
     transferList(archive, message.leavingEndpoints, maximumListItems, transferEndpoint<Archive>);
+    transferList(archive, message.rateLimits, maximumListItems, transferRateLimit<Archive>);
     transferList(archive, message.suspects, maximumListItems, transferName<Archive>);
     transferChoice(archive, message.requested, introduction::heartbeats);
 }
--- a/packages/peers/src/gossip.cpp
+++ b/packages/peers/src/gossip.cpp
@@ -81,6 +81,7 @@
     message.losses = rotatingSlice(m_table.recentLosses(candidateLimit, now), m_options.lossLimit, m_roundCount);
     message.leavingEndpoints
         = rotatingSlice(m_table.recentLeavingEndpoints(candidateLimit, now), m_options.endpointLimit, m_roundCount);
+    message.rateLimits = rotatingSlice(m_table.rateLimits().notices(now), m_options.rateLimitLimit, m_roundCount);
     message.suspects = std::exchange(m_suspects, {});
     return message;
 }
@@ -200,6 +201,9 @@
     for (const membership::endpoint_notice &notice : message.leavingEndpoints) {
         m_table.onEndpointLeaving(notice, now);
     }
+    for (const membership::rate_limit_notice &notice : message.rateLimits) {
+        m_table.rateLimits().onNotice(notice, now);
+    }
     return true;
 }
 
--- a/packages/peers/test/codec-test.cpp
+++ b/packages/peers/test/codec-test.cpp
@@ -4,6 +4,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <limits>
 #include <random>
 
 using namespace masticlever::peers;
@@ -29,6 +30,7 @@
     message.notices = {makeNotice(2), makeNotice(3)};
     message.losses = {{"gone", 4}};
     message.leavingEndpoints = {{"10.9.9.9:80", "e-1"}};
+    message.rateLimits = {{"i-7f", 1700000000000, 3, 2.5, 400}, {"i-80", 1700000000001, 4, std::nullopt, 90}};
     message.suspects = {"desk-2"};
     message.requested = introduction::self;
     return message;
@@ -100,6 +102,15 @@
         CHECK(decodeDatagram(encodeDatagram(message, key).value(), key).value() == rest);
     }
 
+    SECTION("a rate limit that is no number of requests is rejected")
+    {
+        for (const double rate :
+             {-1.0, std::numeric_limits<double>::quiet_NaN(), std::numeric_limits<double>::infinity()}) {
+            message.rateLimits.front().rate = rate;
+            CHECK_FALSE(encodeDatagram(message, key).has_value());
+        }
+    }
+
     SECTION("an oversized sender name is an error")
     {
         message.sender.name = std::string(65, 'x');
@@ -156,9 +167,10 @@
         constexpr std::size_t introductionBytes = 1;
         constexpr std::size_t lossListBytes = 1 + (2 + 4) + 8;
         constexpr std::size_t endpointListBytes = 1 + (2 + 11) + (2 + 3);
+        constexpr std::size_t rateLimitListBytes = 1 + 2 * ((2 + 4) + 8 + 8 + 4 + 8 + 1);
         constexpr std::size_t suspectListBytes = 1 + (2 + 6);
-        const auto flag
-            = bytes.size() - macBytes - introductionBytes - suspectListBytes - endpointListBytes - lossListBytes - 1;
+        const auto flag = bytes.size() - macBytes - introductionBytes - suspectListBytes - rateLimitListBytes
+            - endpointListBytes - lossListBytes - 1;
         std::string body = bytes.substr(0, bytes.size() - macBytes);
         int accepted = 0;
         for (int value = 0; value < 256; ++value) {
--- a/packages/peers/test/gossip-test.cpp
+++ b/packages/peers/test/gossip-test.cpp
@@ -184,6 +184,24 @@
         }
     }
 
+    SECTION("an endpoint's rate limit and its end are known everywhere within seconds")
+    {
+        const auto sentAt = instances.now;
+        instances.nodes[1]->table.rateLimits().onAnswer("e1", 7, 2.0, sentAt, instances.now);
+        instances.run(5s);
+        for (const auto &member : instances.nodes) {
+            const auto known = member->table.rateLimits().find("e1", 7);
+            REQUIRE(known.has_value());
+            CHECK(known->rate == 2.0);
+            CHECK(known->confirmedAt >= sentAt);
+        }
+        instances.nodes[3]->table.rateLimits().onAnswer("e1", 7, std::nullopt, instances.now, instances.now);
+        instances.run(5s);
+        for (const auto &member : instances.nodes) {
+            CHECK_FALSE(member->table.rateLimits().find("e1", 7).has_value());
+        }
+    }
+
     SECTION("a leaving instance is known everywhere within seconds and stays live until it stops")
     {
         auto self = instances.nodes[2]->table.self();
--- a/tests/site/rate-limit-test.cpp
+++ b/tests/site/rate-limit-test.cpp
@@ -107,6 +107,69 @@
     CHECK(site.largestWindowOf(0) >= 1);
 }
 
+TEST_CASE("Instances tell each other that an endpoint names a rate limit, and that it no longer does", "[rate-limit]")
+{
+    limited_site site(3);
+    site.addEndpoint("d1", kind::plain, "desk");
+    REQUIRE(site.waitReady(0));
+    REQUIRE(site.waitReady(1));
+    REQUIRE(site.waitReady(2));
+    site.endpoint(0).behaviour.limit = "0.5";
+    REQUIRE(site.sendOne(0) == 200);
+    const auto isRefused = [&](std::size_t daemon) {
+        const auto answer = site.sendRequest(daemon, site.request("POST", "/order/", "o" + std::to_string(daemon)));
+        return answer.status == 503 && answer.head.find("Retry-After") != nullptr;
+    };
+
+    SECTION("those that have not asked it themselves keep to it")
+    {
+        REQUIRE(waitFor([&] { return isRefused(1) && isRefused(2); }));
+        CHECK(site.endpoint(0).runs["o1"] <= 1);
+    }
+    SECTION("one that starts later learns of it")
+    {
+        REQUIRE(waitFor([&] { return isRefused(1) && isRefused(2); }));
+        const std::size_t newInstance = site.startDaemon();
+        REQUIRE(site.waitReady(newInstance));
+        CHECK(waitFor([&] { return isRefused(newInstance); }));
+    }
+    SECTION("all of them use it again once one of them was told of the end")
+    {
+        REQUIRE(waitFor([&] { return isRefused(1) && isRefused(2); }));
+        site.endpoint(0).behaviour.limit.clear();
+        for (std::size_t daemon = 0; daemon < 3; ++daemon) {
+            CHECK(waitFor([&] {
+                site.sendOne(0);
+                return site.sendOne(daemon) == 200 && site.sendOne(daemon) == 200;
+            }));
+        }
+    }
+}
+
+TEST_CASE("Instances that start, stop and die do not add to what a limited endpoint gets", "[rate-limit]")
+{
+    limited_site site(4);
+    site.addEndpoint("d1", kind::plain, "desk");
+    site.addEndpoint("d2", kind::plain, "desk");
+    for (std::size_t daemon = 0; daemon < 4; ++daemon) {
+        REQUIRE(site.waitReady(daemon));
+        REQUIRE(waitFor([&] { return site.sendOne(daemon) == 200; }));
+    }
+    site.beginLimit(0, "1");
+    site.sendFor(3s);
+    site.startDaemon();
+    site.startDaemon();
+    REQUIRE(site.waitReady(5));
+    site.setDaemons(6);
+    site.sendFor(2s);
+    site.daemon(3).stop();
+    site.sendFor(2s);
+    site.killDaemon(5);
+    site.setDaemons(3);
+    site.sendFor(5s);
+    CHECK(site.largestWindowOf(0) <= allowedAt(1));
+}
+
 TEST_CASE("A stage endpoint gets no more calls and releases than the rate that it names", "[rate-limit]")
 {
     limited_site site(3);
