Soak: a variant in which endpoints name rate limits (--limits)

Limits of 0 to 8 requests/s come and go under the other faults; the draws of the other runs do not change.

--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -51,9 +51,9 @@
 class soak_run
 {
 public:
-    soak_run(const QString &program, std::uint32_t seed, std::size_t daemons, QString plantedFault)
-        : m_random(seed), m_plantedFault(std::move(plantedFault)), m_storeProxy(m_store.start()),
-          m_fleet(program, daemons, m_storeProxy.listen())
+    soak_run(const QString &program, std::uint32_t seed, std::size_t daemons, QString plantedFault, bool hasLimits)
+        : m_random(seed), m_plantedFault(std::move(plantedFault)), m_hasLimits(hasLimits),
+          m_storeProxy(m_store.start()), m_fleet(program, daemons, m_storeProxy.listen())
     {
         m_store.put("keyed.op", "config", site::demoConfiguration());
         using kind = site_endpoint::kind;
@@ -176,6 +176,11 @@
 
     void injectEndpointFault(site_endpoint &endpoint)
     {
+        if (m_hasLimits && randomInt(0, 1) == 0) {
+            endpoint.behaviour.limit = std::to_string(randomInt(0, 8));
+            scheduleAction(randomInt(500, 4000), [&endpoint] { endpoint.behaviour.limit.clear(); });
+            return;
+        }
         endpoint.behaviour.kind = static_cast<endpoint_behaviour::fault>(randomInt(1, 12));
         endpoint.behaviour.remainingFaults = static_cast<std::size_t>(randomInt(1, 8));
         scheduleAction(randomInt(200, 1500),
@@ -371,6 +376,7 @@
 
     std::mt19937 m_random;
     QString m_plantedFault;
+    bool m_hasLimits;
     site_store m_store;
     loopback_proxy m_storeProxy;
     soak_fleet m_fleet;
@@ -401,10 +407,12 @@
         {QStringLiteral("daemons"), QStringLiteral("Their number."), QStringLiteral("N"), QStringLiteral("4")});
     parser.addOption({QStringLiteral("plant"), QStringLiteral("Plant a fault: twice, refused, order."),
                       QStringLiteral("NAME"), QString()});
+    parser.addOption({QStringLiteral("limits"), QStringLiteral("Let endpoints name rate limits.")});
     parser.process(application);
     const auto seed = parser.value(QStringLiteral("seed")).toUInt();
     soak_run run(QCoreApplication::applicationDirPath() + QStringLiteral("/masticleverd"), seed,
-                 parser.value(QStringLiteral("daemons")).toUInt(), parser.value(QStringLiteral("plant")));
+                 parser.value(QStringLiteral("daemons")).toUInt(), parser.value(QStringLiteral("plant")),
+                 parser.isSet(QStringLiteral("limits")));
     const std::size_t violations = run.execute(parser.value(QStringLiteral("seconds")).toInt() * 1000);
     std::printf("seed %u: %zu requests, %zu served, %zu faults, %zu broken\n", seed, run.requests(), run.served(),
                 run.faults(), violations);
