Do not let pieces wait for a local endpoint that has a rate limit

Requests with large inputs or results wait for an endpoint in their data centre while their objective allows it. The plan took every call slot there as free again after one call's time; an endpoint that takes one call a second kept them waiting until just before they would be late.

Change: endpoints with a rate limit do not count in the plan of local waits. stages-test: the request started no call while another endpoint was free (0, expected 1); now it does.

--- a/packages/stages/src/batch-queue-plan.cpp
+++ b/packages/stages/src/batch-queue-plan.cpp
@@ -27,22 +27,23 @@
     return prefersLocal(request) && request.dataCentre != endpoint.record.dataCentre;
 }
 
-/// Times at which the call slots in each data centre become free, earliest first.
+/// Times at which the call slots in each data centre become free, earliest first; without endpoints that have a rate
+/// limit, whose slots take no call at most of these times.
 std::map<std::string_view, std::vector<instant>> batch_queue::slotFreeTimes(instant now) const
 {
     std::map<std::string_view, std::vector<instant>> times;
     const double limit = slownessLimit(now);
     for (const auto &[id, endpoint] : m_endpoints) {
-        if (endpoint.isListed && currentSlowness(endpoint, now) <= limit) {
+        if (endpoint.isListed && !endpoint.callsPerSecond && currentSlowness(endpoint, now) <= limit) {
             auto &free = times[endpoint.record.dataCentre];
             free.insert(free.end(), freeCallSlots(endpoint),
-                        std::max({now, endpoint.backoffUntil, endpoint.pausedUntil, endpoint.nextCallAt}));
+                        std::max({now, endpoint.backoffUntil, endpoint.pausedUntil}));
         }
     }
     for (const auto &[number, call] : m_calls) {
         const auto endpoint = m_endpoints.find(call.endpointId);
-        const auto dataCentreTimes
-            = endpoint == m_endpoints.end() ? times.end() : times.find(endpoint->second.record.dataCentre);
+        const bool isCounted = endpoint != m_endpoints.end() && !endpoint->second.callsPerSecond;
+        const auto dataCentreTimes = isCounted ? times.find(endpoint->second.record.dataCentre) : times.end();
         if (dataCentreTimes != times.end()) {
             dataCentreTimes->second.push_back(now + remainingTime(call, now));
         }
--- a/packages/stages/test/batch-queue-test.cpp
+++ b/packages/stages/test/batch-queue-test.cpp
@@ -462,3 +462,66 @@
         }
     }
 }
+
+TEST_CASE("An endpoint with a rate limit counts with the calls that it takes")
+{
+    const test_service service(2);
+    batch_queue queue({}, limits());
+    queue.setEndpoints(service.pointers());
+    const auto limitFirst = [&](common::instant nextCallAt) {
+        const std::vector<call_rate_limit> limited{{"e0", 0.5, nextCallAt}};
+        queue.setRateLimits(limited);
+    };
+    limitFirst(start);
+
+    SECTION("it gets one call, and the next one when it takes it")
+    {
+        queue.onPieceRequest(makeRequest(1, 4), start);
+        queue.onPieceRequest(makeRequest(2, 4), start);
+        queue.onPieceRequest(makeRequest(3, 4), start);
+        const auto calls = queue.takeCalls(start);
+        REQUIRE(calls.size() == 2);
+        for (const batch_call &call : calls) {
+            queue.onAnswer(call.number, successfulResults(call), start + 240ms);
+        }
+        limitFirst(start + 2s);
+        const auto next = queue.takeCalls(start + 240ms);
+        REQUIRE(next.size() == 1);
+        CHECK(next.front().endpointId == "e1");
+        queue.onPieceRequest(makeRequest(4, 4), start + 300ms);
+        CHECK(queue.takeCalls(start + 1900ms).empty());
+        CHECK(queue.takeCalls(start + 2s).size() == 1);
+    }
+    SECTION("requests that need all of its time to be in time are dropped at once")
+    {
+        limitFirst(start + 2s);
+        for (std::uint64_t job = 1; job <= 20; ++job) {
+            auto request = makeRequest(job, 4);
+            request.objective = start + 1500ms;
+            request.deadline = start + 1500ms;
+            queue.onPieceRequest(request, start);
+        }
+        const std::size_t dropped = queue.takeInfeasible(start).size();
+        CHECK(dropped >= std::size_t{4 * 12});
+        CHECK(dropped <= std::size_t{4 * 17});
+    }
+    SECTION("the expected delay includes the time until it takes a call, if it is the only one")
+    {
+        queue.setEndpoints(std::vector{service.pointers().front()});
+        limitFirst(start + 3s);
+        CHECK(queue.expectedDelay(9, start) >= 3s);
+        queue.setRateLimits({});
+        CHECK(queue.expectedDelay(9, start) < 1s);
+    }
+    SECTION("requests do not wait for it in their data centre while another endpoint is free")
+    {
+        limitFirst(start + 1s);
+        auto local = makeRequest(1, 4);
+        local.dataCentre = "west";
+        local.transferBytes = 1e6;
+        queue.onPieceRequest(local, start);
+        const auto calls = queue.takeCalls(start);
+        REQUIRE(calls.size() == 1);
+        CHECK(calls.front().endpointId == "e1");
+    }
+}
