Do not count stage endpoints with a rate limit when requests are placed

A data centre gets requests by its share of the stage endpoints. One whose only endpoint of a service takes a call a second kept its whole share, and its results crossed data centres.

Change: dataCentreWeights leaves out stage endpoints that have a rate limit. request-placement-test has a case.

--- a/packages/frontend/src/endpoint-gate.h
+++ b/packages/frontend/src/endpoint-gate.h
@@ -41,6 +41,7 @@
     common::duration timeUntilAdmitted(std::string_view endpointId, forwarding::sender_role role, common::instant now);
     /// Requests per second that this instance may send; nothing if the endpoint has no limit.
     std::optional<double> ownRate(std::string_view endpointId, forwarding::sender_role role, common::instant now);
+    bool isLimited(std::string_view endpointId) const { return limitOf(endpointId).has_value(); }
     bool hasLimits() const { return m_limits.limitedCount() > 0; }
 
     /// Counts a request to the endpoint, or to those registered at \p address if \p endpointId equals it. Returns false
--- a/packages/frontend/src/request-placement.cpp
+++ b/packages/frontend/src/request-placement.cpp
@@ -15,7 +15,8 @@
 } // namespace
 
 forwarding::data_centre_weights dataCentreWeights(const catalog::endpoint_directory &directory,
-                                                  const catalog::route &route, std::string_view service)
+                                                  const catalog::route &route, std::string_view service,
+                                                  const std::function<bool(std::string_view endpoint)> &isLimited)
 {
     std::map<std::string, double> endpointCounts;
     for (const catalog::endpoint_record *endpoint : directory.usable(service)) {
@@ -26,7 +27,8 @@
         const std::string &dataCentre = entry.first;
         double lowestShare = 1;
         for (const catalog::stage_spec &stage : route.stages) {
-            const auto stageEndpoints = directory.usable(stage.service);
+            auto stageEndpoints = directory.usable(stage.service);
+            std::erase_if(stageEndpoints, [&](const auto *candidate) { return isLimited(candidate->id); });
             const auto local = std::ranges::count_if(
                 stageEndpoints, [&](const auto *candidate) { return candidate->dataCentre == dataCentre; });
             const auto total = static_cast<double>(std::max<std::size_t>(1, stageEndpoints.size()));
--- a/packages/frontend/src/request-placement.h
+++ b/packages/frontend/src/request-placement.h
@@ -21,9 +21,11 @@
 using result_locator = std::function<std::string(std::string_view handle)>;
 
 /// Weights for the data centres that have endpoints of \p service. A data centre receives requests in proportion to its
-/// share of the endpoints of the route's stage service that is scarcest there.
+/// share of the endpoints of the route's stage service that is scarcest there; stage endpoints with a rate limit do not
+/// count.
 forwarding::data_centre_weights dataCentreWeights(const catalog::endpoint_directory &directory,
-                                                  const catalog::route &route, std::string_view service);
+                                                  const catalog::route &route, std::string_view service,
+                                                  const std::function<bool(std::string_view endpoint)> &isLimited);
 
 /// Data centre that holds most of the inputs of a stage; empty when there are none or their location is not known.
 std::string dataCentreOfInputs(const stages::stage_graph &graph, std::size_t stage, const result_locator &locate);
--- a/packages/frontend/src/request-session.cpp
+++ b/packages/frontend/src/request-session.cpp
@@ -142,7 +142,9 @@
         return;
     }
     if (!m_request.route->stages.empty()) {
-        m_dataCentreWeights = dataCentreWeights(m_context.directory, *m_request.route, m_service);
+        m_dataCentreWeights
+            = dataCentreWeights(m_context.directory, *m_request.route, m_service,
+                                [this](std::string_view endpoint) { return m_context.gate.isLimited(endpoint); });
         const catalog::endpoint_record *likely = m_context.directory.findUsable(chooseEndpoint(now));
         m_dataCentre = likely == nullptr ? m_context.settings.dataCentre : likely->dataCentre;
     }
--- a/packages/frontend/test/request-placement-test.cpp
+++ b/packages/frontend/test/request-placement-test.cpp
@@ -47,11 +47,20 @@
         addEndpoint(directory, "r2", "rank", "west");
         addEndpoint(directory, "r3", "rank", "west");
         addEndpoint(directory, "r4", "rank", "east");
-        const auto weights = dataCentreWeights(directory, route, "model");
+        const auto isLimited = [](std::string_view) { return false; };
+        const auto weights = dataCentreWeights(directory, route, "model", isLimited);
         REQUIRE(weights.size() == 3);
         CHECK(weights.at("west") == Approx(0.5));
         CHECK(weights.at("east") == Approx(0.25));
         CHECK(weights.at("north") == Approx(0.01)); // more than zero, since it may be the only one left
+
+        SECTION("without endpoints that have a rate limit")
+        {
+            const auto isFirst = [](std::string_view endpoint) { return endpoint == "e1"; };
+            const auto others = dataCentreWeights(directory, route, "model", isFirst);
+            CHECK(others.at("west") == Approx(0.01));
+            CHECK(others.at("east") == Approx(0.25));
+        }
     }
     SECTION("the preferred data centre of a stage holds most of its inputs")
     {
