Leave releases at a limited stage endpoint to its home

Found while looking for the same cause elsewhere. Callers' instances release results through the service's home. When the home is lost, each instance has no connection to the next one yet and releases by itself, each with the rate of a home: 14 instances sent 14 releases at once to an endpoint that names 1 request/s.

Change: an instance that is not the home leaves results of limited endpoints to expire, as a lost release does.

--- a/packages/frontend/src/home-server.cpp
+++ b/packages/frontend/src/home-server.cpp
@@ -129,6 +129,15 @@
     }
 }
 
+void home_server::releaseWithoutHome(std::vector<std::string> handles)
+{
+    std::erase_if(handles, [&](const std::string &handle) {
+        const auto ids = m_directory.idsAt(producerAddress(handle));
+        return std::ranges::any_of(ids, [&](const auto &id) { return m_access.gate.isLimited(id); });
+    });
+    onRelease(handles);
+}
+
 void home_server::sendRelease(const std::string &address, std::vector<std::string> handles)
 {
     const std::uint64_t number = ++m_lastRelease;
--- a/packages/frontend/src/piece-service.cpp
+++ b/packages/frontend/src/piece-service.cpp
@@ -301,10 +301,12 @@
     for (auto &[service, serviceHandles] : byService) {
         const stages::home_candidate *home = stages::chooseHome(service, m_members);
         const auto link = home == nullptr ? m_links.end() : m_links.find(home->address);
-        if (!service.empty() && home != nullptr && home->incarnation != m_self && link != m_links.end()) {
+        if (home != nullptr && home->incarnation == m_self) {
+            m_server.onRelease(serviceHandles);
+        } else if (!service.empty() && link != m_links.end()) {
             link->second.link->send(stages::release_message{service, std::move(serviceHandles)});
         } else {
-            m_server.onRelease(serviceHandles);
+            m_server.releaseWithoutHome(std::move(serviceHandles));
         }
     }
 }
--- a/tests/site/rate-limit-test.cpp
+++ b/tests/site/rate-limit-test.cpp
@@ -170,6 +170,43 @@
     CHECK(site.largestWindowOf(0) <= allowedAt(1));
 }
 
+TEST_CASE("A limited stage endpoint gets no releases from each instance when its home is lost", "[rate-limit]")
+{
+    constexpr std::size_t others = 14;
+    site_fixture site(0);
+    site.cores = 4; // the strongest instance is the home
+    site.startDaemon();
+    site.cores = 1;
+    for (std::size_t i = 0; i < others; ++i) {
+        site.startDaemon();
+    }
+    site.addPipeline();
+    for (std::size_t daemon = 0; daemon <= others; ++daemon) {
+        REQUIRE(site.waitReady(daemon));
+    }
+    REQUIRE(waitFor([&] { return site.store.pendingReads() == 0; }));
+    site.endpoint(0).behaviour.serviceTime = 3s;
+    site_endpoint &limited = site.endpoint(2);
+    std::vector<std::unique_ptr<site_caller>> callers;
+    for (std::size_t daemon = 1; daemon <= others; ++daemon) {
+        callers.push_back(std::make_unique<site_caller>(site.frontAddressOf(daemon)));
+        callers.back()->send(site_fixture::request("POST", "/chat/", "q" + std::to_string(daemon), "prompt",
+                                                   "Pieces: 2,3\r\nPiece-Key: abc\r\n"));
+    }
+    REQUIRE(waitFor([&] { return site.endpoint(0).inFlight == others; }));
+    limited.behaviour.limit = "1";
+    callers.push_back(std::make_unique<site_caller>(site.frontAddressOf(0)));
+    callers.back()->send(
+        site_fixture::request("POST", "/chat/", "told", "prompt", "Pieces: 2,3\r\nPiece-Key: abc\r\n"));
+    REQUIRE(waitFor([&] { return site.endpoint(0).inFlight == others + 1; }));
+    const auto told = clock_type::now();
+    REQUIRE(waitFor([&] { return clock_type::now() > told + 1500ms; }));
+    site.killDaemon(0);
+    REQUIRE(waitFor([&] { return site.endpoint(0).inFlight == 0; }));
+    REQUIRE(waitFor([&] { return clock_type::now() > told + 7s; }));
+    CHECK(largestWindow(limited.arrivals, told + 1s) <= allowedAt(1));
+}
+
 TEST_CASE("A stage endpoint gets no more calls and releases than the rate that it names", "[rate-limit]")
 {
     limited_site site(3);
--- a/tests/site/site-fixture.cpp
+++ b/tests/site/site-fixture.cpp
@@ -130,6 +130,7 @@
     settings.fleetKey = "a key for the fleet of the tests";
     settings.storeAddress = m_storeAddress;
     settings.memoryBytes = memoryBytes;
+    settings.cores = cores;
     if (index > 0) {
         settings.contacts.push_back(m_frontAddresses.front().substr(0, m_frontAddresses.front().find(':')) + ":"
                                     + std::to_string(basePort + 3));
--- a/tests/site/site-fixture.h
+++ b/tests/site/site-fixture.h
@@ -60,6 +60,8 @@
     void killDaemon(std::size_t index) { m_daemons[index].reset(); }
     /// Memory setting of daemons started later; 0: not set.
     std::size_t memoryBytes = 0;
+    /// Processor cores in the settings of daemons started later; 0: not set.
+    double cores = 0;
     frontend::frontend_daemon &daemon(std::size_t index) { return *m_daemons[index]; }
     const std::string &frontAddressOf(std::size_t index) const { return m_frontAddresses[index]; }
     int readyStatusOf(std::size_t index);
