--- a/packages/frontend/src/endpoint-gate.cpp
+++ b/packages/frontend/src/endpoint-gate.cpp
@@ -55,6 +55,9 @@
 
 bool endpoint_gate::admit(const std::string &endpointId, const std::string &address, sender_role role, instant now)
 {
+    if (!hasLimits()) {
+        return true;
+    }
     const std::vector<std::string> ids
         = endpointId == address ? m_directory.idsAt(address) : std::vector<std::string>{endpointId};
     for (const std::string &id : ids) {
--- a/packages/frontend/src/endpoint-gate.h
+++ b/packages/frontend/src/endpoint-gate.h
@@ -13,8 +13,8 @@
 #include <string_view>
 
 /// \file
-/// The gate that every request to an endpoint passes before it gets a connection: the rate limits and pauses that
-/// endpoints ask for. Choices use it to leave out endpoints that are closed.
+/// The gate that every request to an endpoint passes before it gets a connection: it holds this instance's share of the
+/// rate limits. Choices and queues ask it which endpoints are open, with regard to requested pauses too.
 
 namespace masticlever::frontend
 {
--- a/packages/peers/include/masticlever/peers/gossip.h
+++ b/packages/peers/include/masticlever/peers/gossip.h
@@ -29,7 +29,7 @@
     std::size_t noticeLimit = 8; ///< notices of other instances in one message
     std::size_t lossLimit = 8;
     std::size_t endpointLimit = 8;
-    std::size_t rateLimitLimit = 8;
+    std::size_t rateNoticeLimit = 8;
     std::size_t suspectLimit = 8;
     std::size_t contactPeers = 2; ///< contacts considered in each round; those of live instances are skipped
     std::size_t introductionLimit = 16; ///< messages that introduce the fleet to a new instance
--- a/packages/peers/src/gossip.cpp
+++ b/packages/peers/src/gossip.cpp
@@ -81,7 +81,7 @@
     message.losses = rotatingSlice(m_table.recentLosses(candidateLimit, now), m_options.lossLimit, m_roundCount);
     message.leavingEndpoints
         = rotatingSlice(m_table.recentLeavingEndpoints(candidateLimit, now), m_options.endpointLimit, m_roundCount);
-    message.rateLimits = rotatingSlice(m_table.rateLimits().notices(now), m_options.rateLimitLimit, m_roundCount);
+    message.rateLimits = rotatingSlice(m_table.rateLimits().notices(now), m_options.rateNoticeLimit, m_roundCount);
     message.suspects = std::exchange(m_suspects, {});
     return message;
 }
