--- a/packages/stages/test/batch-queue-test.cpp
+++ b/packages/stages/test/batch-queue-test.cpp
@@ -502,8 +502,8 @@
             queue.onPieceRequest(request, start);
         }
         const std::size_t dropped = queue.takeInfeasible(start).size();
-        CHECK(dropped >= std::size_t{4 * 12});
-        CHECK(dropped <= std::size_t{4 * 17});
+        CHECK(dropped >= std::size_t{48});
+        CHECK(dropped <= std::size_t{68});
     }
     SECTION("the expected delay includes the time until it takes a call, if it is the only one")
     {
