--- a/tests/site/rate-limit-test.cpp
+++ b/tests/site/rate-limit-test.cpp
@@ -3,6 +3,11 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
 
 using namespace masticlever::site;
 using namespace std::chrono_literals;
@@ -90,18 +95,27 @@
     clock_type::time_point m_toldAt;
 };
 
+/// Four daemons and two plain endpoints, of which the first names 1 request per second.
+class limited_desk : public limited_site
+{
+public:
+    limited_desk() : limited_site(4)
+    {
+        addEndpoint("d1", kind::plain, "desk");
+        addEndpoint("d2", kind::plain, "desk");
+        for (std::size_t daemon = 0; daemon < 4; ++daemon) {
+            REQUIRE(waitReady(daemon));
+            REQUIRE(waitFor([&] { return sendOne(daemon) == 200; }));
+        }
+        beginLimit(0, "1");
+    }
+};
+
 } // namespace
 
 TEST_CASE("An endpoint gets no more requests from all instances together than the rate that it names", "[rate-limit]")
 {
-    limited_site site(4);
-    site.addEndpoint("d1", kind::plain, "desk");
-    site.addEndpoint("d2", kind::plain, "desk");
-    for (std::size_t daemon = 0; daemon < 4; ++daemon) {
-        REQUIRE(site.waitReady(daemon));
-        REQUIRE(waitFor([&] { return site.sendOne(daemon) == 200; }));
-    }
-    site.beginLimit(0, "1");
+    limited_desk site;
     CHECK(site.sendFor(9s) > 100);
     CHECK(site.largestWindowOf(0) <= allowedAt(1));
     CHECK(site.largestWindowOf(0) >= 1);
@@ -150,14 +164,7 @@
 
 TEST_CASE("Instances that start, stop and die do not add to what a limited endpoint gets", "[rate-limit]")
 {
-    limited_site site(4);
-    site.addEndpoint("d1", kind::plain, "desk");
-    site.addEndpoint("d2", kind::plain, "desk");
-    for (std::size_t daemon = 0; daemon < 4; ++daemon) {
-        REQUIRE(site.waitReady(daemon));
-        REQUIRE(waitFor([&] { return site.sendOne(daemon) == 200; }));
-    }
-    site.beginLimit(0, "1");
+    limited_desk site;
     site.sendFor(3s);
     site.startDaemon();
     site.startDaemon();
