Rate limits: reports that are passed on do not make a limit younger

Callers could see refusals for a limit that the endpoint no longer has: ages lose the transit time with every instance that passes a notice on, so a limit that nobody confirms never got old enough for the other instances to ask again, nor to be forgotten.

Evidence: rate-limits-test, two tables that exchange notices every 400 ms with 150 ms of transit: an age of 5 s after 20 s without an answer (19 s expected), never forgotten.

Change: the instance that gets an answer counts the confirmation; only a notice with more of them makes an entry younger. Entries are reported for half of their retention, so that nobody gets back what it has removed.

--- a/packages/membership/include/masticlever/membership/rate-limits.h
+++ b/packages/membership/include/masticlever/membership/rate-limits.h
@@ -23,6 +23,7 @@
     std::uint64_t startedAtMs = 0; ///< identifies the incarnation; a later start is newer
     std::uint64_t version = 0; ///< incremented by each instance that sees the endpoint change the limit
     std::optional<double> rate; ///< requests per second; nothing if the limit has ended
+    std::uint32_t confirmations = 0; ///< of this version; incremented by the instance that gets the answer
     std::uint32_t ageMs = 0; ///< time since an answer last confirmed it
 
     bool operator==(const rate_limit_notice &) const = default;
@@ -43,9 +44,12 @@
 };
 
 struct rate_limit_options {
-    common::duration endedRetention = std::chrono::seconds(30); ///< the end of a limit is told to peers for this time
+    common::duration endedRetention = std::chrono::seconds(60); ///< of the end of a limit
     /// Limits that no answer has confirmed for this time are removed, because the endpoint is no longer in use.
     common::duration limitRetention = std::chrono::minutes(5);
+    /// Entries older than this share of their retention are no longer reported to peers. Otherwise instances that have
+    /// removed one would get it back from others.
+    double reportedShare = 0.5;
     std::size_t maximumEntries = 4096; ///< further endpoints, and changes that nobody takes, are ignored
 };
 
@@ -59,7 +63,8 @@
     /// may overtake each other.
     void onAnswer(std::string_view endpoint, std::uint64_t startedAtMs, std::optional<double> rate,
                   common::instant sentAt, common::instant now);
-    /// The higher version applies; of two notices with the same version, the one with the lower rate.
+    /// The higher version applies; of two notices with the same version, the one with the lower rate. Only a notice
+    /// with more confirmations makes the entry younger: ages lose the transit time whenever a notice is passed on.
     void onNotice(const rate_limit_notice &notice, common::instant now);
     /// Removes entries whose retention is over; called at least once a second.
     void advance(common::instant now);
@@ -68,7 +73,7 @@
     std::optional<rate_limit> find(std::string_view endpoint, std::uint64_t startedAtMs) const;
     /// Number of endpoints with a limit.
     std::size_t limitedCount() const;
-    /// All notices for peers, sorted by endpoint.
+    /// The notices for peers, sorted by endpoint.
     std::vector<rate_limit_notice> notices(common::instant now) const;
     /// Returns the changes since the last call.
     std::vector<rate_limit_change> takeChanges();
@@ -78,9 +83,11 @@
         std::uint64_t startedAtMs = 0;
         std::uint64_t version = 0;
         std::optional<double> rate;
+        std::uint32_t confirmations = 0;
         common::instant confirmedAt;
     };
 
+    common::duration retentionOf(const entry &known) const;
     void set(const std::string &endpoint, const entry &updated, bool isFromPeer, common::instant now);
 
     rate_limit_options m_options;
--- a/packages/membership/src/rate-limits.cpp
+++ b/packages/membership/src/rate-limits.cpp
@@ -46,7 +46,7 @@
     const bool isKnown = found != m_entries.end() && found->second.startedAtMs >= startedAtMs;
     if (!isKnown) {
         if (rate) {
-            set(std::string(endpoint), {startedAtMs, 1, rate, now}, false, now);
+            set(std::string(endpoint), {startedAtMs, 1, rate, 0, now}, false, now);
         }
         return;
     }
@@ -55,39 +55,47 @@
         return;
     }
     if (known.rate == rate) {
-        found->second.confirmedAt = rate ? now : known.confirmedAt;
+        if (rate) {
+            found->second.confirmedAt = now;
+            ++found->second.confirmations;
+        }
         return;
     }
     if (comparable(rate) > comparable(known.rate) && sentAt <= known.confirmedAt) {
         return;
     }
-    set(std::string(endpoint), {startedAtMs, known.version + 1, rate, now}, false, now);
+    set(std::string(endpoint), {startedAtMs, known.version + 1, rate, 0, now}, false, now);
 }
 
 void rate_limit_table::onNotice(const rate_limit_notice &notice, common::instant now)
 {
-    const entry told{notice.startedAtMs, notice.version, notice.rate, now - std::chrono::milliseconds(notice.ageMs)};
+    const entry reported{notice.startedAtMs, notice.version, notice.rate, notice.confirmations,
+                         now - std::chrono::milliseconds(notice.ageMs)};
     const auto found = m_entries.find(notice.endpoint);
     if (found == m_entries.end()) {
-        set(notice.endpoint, told, true, now);
+        set(notice.endpoint, reported, true, now);
         return;
     }
     entry &known = found->second;
-    const auto order
-        = [](const entry &item) { return std::tuple(item.startedAtMs, item.version, -comparable(item.rate)); };
-    if (order(told) > order(known)) {
-        set(notice.endpoint, told, true, now);
-    } else if (order(told) == order(known)) {
-        known.confirmedAt = std::max(known.confirmedAt, told.confirmedAt);
+    const auto order = [](const entry &item) {
+        return std::tuple(item.startedAtMs, item.version, -comparable(item.rate), item.confirmations);
+    };
+    if (order(reported) > order(known)) {
+        set(notice.endpoint, reported, true, now);
+    } else if (order(reported) == order(known)) {
+        known.confirmedAt = std::min(known.confirmedAt, reported.confirmedAt);
     }
 }
 
+common::duration rate_limit_table::retentionOf(const entry &known) const
+{
+    return known.rate ? m_options.limitRetention : m_options.endedRetention;
+}
+
 void rate_limit_table::advance(common::instant now)
 {
-    std::erase_if(m_entries, [&](const auto &item) {
-        const auto retention = item.second.rate ? m_options.limitRetention : m_options.endedRetention;
-        return now - item.second.confirmedAt > retention;
-    });
+    std::erase_if(m_entries,
+                  [&](const auto &item) { return now - item.second.confirmedAt > retentionOf(item.second); });
 }
 
 std::optional<rate_limit> rate_limit_table::find(std::string_view endpoint, std::uint64_t startedAtMs) const
@@ -110,8 +118,11 @@
     std::vector<rate_limit_notice> all;
     all.reserve(m_entries.size());
     for (const auto &[endpoint, known] : m_entries) {
-        all.push_back(
-            {endpoint, known.startedAtMs, known.version, known.rate, ageInMilliseconds(now - known.confirmedAt)});
+        const common::duration age = now - known.confirmedAt;
+        if (age <= common::scaled(retentionOf(known), m_options.reportedShare)) {
+            all.push_back(
+                {endpoint, known.startedAtMs, known.version, known.rate, known.confirmations, ageInMilliseconds(age)});
+        }
     }
     return all;
 }
--- a/packages/membership/test/rate-limits-test.cpp
+++ b/packages/membership/test/rate-limits-test.cpp
@@ -133,8 +133,59 @@
     rate_limit_table table(options);
     for (int i = 0; i < 10; ++i) {
         table.onAnswer("e" + std::to_string(i), 7, 1.0, start, start + 1s);
-        table.onNotice({"p" + std::to_string(i), 7, 1, 1.0, 0}, start + 1s);
+        table.onNotice({"p" + std::to_string(i), 7, 1, 1.0, 0, 0}, start + 1s);
     }
     CHECK(table.limitedCount() == 3);
     CHECK(table.takeChanges().size() == 3);
 }
+
+TEST_CASE("A limit that no answer confirms ages, however often instances report it to each other")
+{
+    rate_limit_table first({});
+    rate_limit_table second({});
+    constexpr auto transit = 150ms;
+    instant now = start;
+    const auto exchangeFor = [&](std::chrono::seconds length) {
+        for (const instant end = now + length; now < end; now += 400ms) {
+            const auto fromFirst = first.notices(now);
+            first.advance(now);
+            second.advance(now);
+            for (const auto &notice : fromFirst) {
+                second.onNotice(notice, now + transit);
+            }
+            for (const auto &notice : second.notices(now + transit)) {
+                first.onNotice(notice, now + 2 * transit);
+            }
+        }
+    };
+    first.onAnswer("e1", 7, 2.0, start, start);
+    exchangeFor(20s);
+    REQUIRE(first.find("e1", 7).has_value());
+    REQUIRE(second.find("e1", 7).has_value());
+    CHECK(now - first.find("e1", 7)->confirmedAt >= 19s);
+    CHECK(now - second.find("e1", 7)->confirmedAt >= 19s);
+
+    SECTION("until an answer to either confirms it")
+    {
+        second.onAnswer("e1", 7, 2.0, now - 1s, now);
+        const instant confirmed = now;
+        exchangeFor(1s);
+        CHECK(first.find("e1", 7)->confirmedAt >= confirmed);
+        CHECK(first.find("e1", 7)->confirmedAt <= confirmed + transit);
+    }
+    SECTION("and is forgotten by all of them")
+    {
+        exchangeFor(400s);
+        CHECK(first.notices(now).empty());
+        CHECK(second.notices(now).empty());
+        CHECK_FALSE(first.find("e1", 7).has_value());
+        CHECK_FALSE(second.find("e1", 7).has_value());
+    }
+    SECTION("as is its end")
+    {
+        second.onAnswer("e1", 7, std::nullopt, now, now);
+        exchangeFor(100s);
+        CHECK(first.notices(now).empty());
+        CHECK(second.notices(now).empty());
+    }
+}
--- a/packages/peers/src/detail/bodies.h
+++ b/packages/peers/src/detail/bodies.h
@@ -49,7 +49,7 @@
     transferText(archive, notice.endpoint, maximumNameBytes);
     bool hasRate = notice.rate.has_value();
     double rate = notice.rate.value_or(0);
-    archive(notice.startedAtMs, notice.version, notice.ageMs, rate);
+    archive(notice.startedAtMs, notice.version, notice.confirmations, notice.ageMs, rate);
     transferFlag(archive, hasRate);
     if (!std::isfinite(rate) || rate < 0) {
         throw cereal::Exception("rate out of range");
--- a/packages/peers/test/codec-test.cpp
+++ b/packages/peers/test/codec-test.cpp
@@ -30,7 +30,7 @@
     message.notices = {makeNotice(2), makeNotice(3)};
     message.losses = {{"gone", 4}};
     message.leavingEndpoints = {{"10.9.9.9:80", "e-1"}};
-    message.rateLimits = {{"i-7f", 1700000000000, 3, 2.5, 400}, {"i-80", 1700000000001, 4, std::nullopt, 90}};
+    message.rateLimits = {{"i-7f", 1700000000000, 3, 2.5, 12, 400}, {"i-80", 1700000000001, 4, std::nullopt, 0, 90}};
     message.suspects = {"desk-2"};
     message.requested = introduction::self;
     return message;
@@ -167,7 +167,7 @@
         constexpr std::size_t introductionBytes = 1;
         constexpr std::size_t lossListBytes = 1 + (2 + 4) + 8;
         constexpr std::size_t endpointListBytes = 1 + (2 + 11) + (2 + 3);
-        constexpr std::size_t rateLimitListBytes = 1 + 2 * ((2 + 4) + 8 + 8 + 4 + 8 + 1);
+        constexpr std::size_t rateLimitListBytes = 1 + 2 * ((2 + 4) + 8 + 8 + 4 + 4 + 8 + 1);
         constexpr std::size_t suspectListBytes = 1 + (2 + 6);
         const auto flag = bytes.size() - macBytes - introductionBytes - suspectListBytes - rateLimitListBytes
             - endpointListBytes - lossListBytes - 1;
