Rate limits: one rate for an endpoint that serves a stage and a route

An endpoint of a service that is a stage of one route and the target of another got more than its rate: the home of the service and the senders of its requests each took all of it, and both changed one bucket on an instance that is both.

Change: a share belongs to a role; where the configuration has a service in both, each role has half of the rate. rate-share-test adds up both roles.

--- a/packages/catalog/include/masticlever/catalog/endpoint-directory.h
+++ b/packages/catalog/include/masticlever/catalog/endpoint-directory.h
@@ -89,6 +89,8 @@
     /// Ids of the endpoints registered at \p address, including leaving ones.
     std::vector<std::string> idsAt(std::string_view address) const;
     bool isLeaving(std::string_view id) const;
+    /// Service of \p id; empty for an unknown endpoint.
+    std::string_view serviceOf(std::string_view id) const;
     /// Start of the known incarnation of \p id in Unix milliseconds; 0 for an unknown endpoint.
     std::uint64_t startedAtMsOf(std::string_view id) const;
     /// The registrations believed to be in the store, sorted by id. Expired entries are not included; leaving endpoints
--- a/packages/catalog/src/endpoint-directory.cpp
+++ b/packages/catalog/src/endpoint-directory.cpp
@@ -178,6 +178,12 @@
     return found != m_entries.end() && found->second.isLeaving;
 }
 
+std::string_view endpoint_directory::serviceOf(std::string_view id) const
+{
+    const auto found = m_entries.find(id);
+    return found == m_entries.end() ? std::string_view{} : found->second.record.service;
+}
+
 std::uint64_t endpoint_directory::startedAtMsOf(std::string_view id) const
 {
     const auto found = m_entries.find(id);
--- a/packages/forwarding/include/masticlever/forwarding/rate-share.h
+++ b/packages/forwarding/include/masticlever/forwarding/rate-share.h
@@ -3,6 +3,7 @@
 #include <masticlever/common/time.h>
 #include <masticlever/membership/rate-limits.h>
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -39,6 +40,12 @@
     only, ///< this instance sends on behalf of all others
 };
 
+/// What a share is used for. Each role has a share of its own.
+struct rate_use {
+    sender_role role = sender_role::one_of_fleet;
+    double part = 1; ///< of the rate; less than 1 if the endpoint gets requests in both roles
+};
+
 class rate_share
 {
 public:
@@ -49,13 +56,13 @@
     void setMembers(std::span<const std::uint64_t> rankKeys, std::uint64_t self, common::instant now);
 
     /// Requests per second that this instance may send; 0 if it is not a sender.
-    double ownRate(std::string_view endpoint, const membership::rate_limit &limit, sender_role role,
+    double ownRate(std::string_view endpoint, const membership::rate_limit &limit, const rate_use &use,
                    common::instant now);
     /// Zero if a request may be sent now. If this instance is not a sender, the mean time until a sender may send one.
     common::duration timeUntilAvailable(std::string_view endpoint, const membership::rate_limit &limit,
-                                        sender_role role, common::instant now);
+                                        const rate_use &use, common::instant now);
     /// Takes one request from the share. Returns false if none may be sent now.
-    bool take(std::string_view endpoint, const membership::rate_limit &limit, sender_role role, common::instant now);
+    bool take(std::string_view endpoint, const membership::rate_limit &limit, const rate_use &use, common::instant now);
 
 private:
     /// A token bucket that starts empty.
@@ -69,7 +76,7 @@
         bool isSender = false;
     };
 
-    share &refill(std::string_view endpoint, const membership::rate_limit &limit, sender_role role,
+    share &refill(std::string_view endpoint, const membership::rate_limit &limit, const rate_use &use,
                   common::instant now);
     double usableRate(const membership::rate_limit &limit) const;
     bool isSender(share &state, std::size_t senders) const;
@@ -80,7 +87,7 @@
     std::uint64_t m_generation = 1; ///< incremented when the members change
     std::size_t m_fleetSize = 1; ///< largest number of members within the retention
     common::instant m_fleetSizeAt;
-    std::map<std::string, share, std::less<>> m_shares; ///< by endpoint
+    std::array<std::map<std::string, share, std::less<>>, 2> m_shares; ///< by role and endpoint
 };
 
 } // namespace masticlever::forwarding
--- a/packages/forwarding/src/rate-share.cpp
+++ b/packages/forwarding/src/rate-share.cpp
@@ -39,7 +39,9 @@
         m_fleetSize = std::max<std::size_t>(1, rankKeys.size());
         m_fleetSizeAt = now;
     }
-    std::erase_if(m_shares, [&](const auto &item) { return now - item.second.filledAt > shareRetention; });
+    for (auto &shares : m_shares) {
+        std::erase_if(shares, [&](const auto &item) { return now - item.second.filledAt > shareRetention; });
+    }
     if (self == m_self && std::ranges::equal(rankKeys, m_members)) {
         return;
     }
@@ -67,23 +69,25 @@
     return state.isSender;
 }
 
-rate_share::share &rate_share::refill(std::string_view endpoint, const rate_limit &limit, sender_role role, instant now)
+rate_share::share &rate_share::refill(std::string_view endpoint, const rate_limit &limit, const rate_use &use,
+                                      instant now)
 {
-    auto found = m_shares.find(endpoint);
-    if (found == m_shares.end()) {
+    auto &shares = m_shares[static_cast<std::size_t>(use.role)];
+    auto found = shares.find(endpoint);
+    if (found == shares.end()) {
         share added;
         added.filledAt = now;
         added.hash = common::stableHash(endpoint);
-        found = m_shares.emplace(std::string(endpoint), added).first;
+        found = shares.emplace(std::string(endpoint), added).first;
     }
     share &state = found->second;
-    const double usable = usableRate(limit);
+    const double usable = usableRate(limit) * use.part;
     const double mostSenders = std::floor(std::min(limit.rate, m_options.maximumRate));
     const std::size_t senders
         = std::min(m_fleetSize, static_cast<std::size_t>(mostSenders) + m_options.additionalSenders);
     const bool isUnconfirmed = now - limit.confirmedAt > m_options.confirmationLifetime;
     double rate = 0;
-    if (role == sender_role::only) {
+    if (use.role == sender_role::only) {
         rate = usable;
     } else if (isSender(state, senders)) {
         rate = usable / static_cast<double>(senders) * (isUnconfirmed ? unconfirmedSenderShare : 1);
@@ -102,15 +106,15 @@
     return state;
 }
 
-double rate_share::ownRate(std::string_view endpoint, const rate_limit &limit, sender_role role, instant now)
+double rate_share::ownRate(std::string_view endpoint, const rate_limit &limit, const rate_use &use, instant now)
 {
-    return refill(endpoint, limit, role, now).rate;
+    return refill(endpoint, limit, use, now).rate;
 }
 
-duration rate_share::timeUntilAvailable(std::string_view endpoint, const rate_limit &limit, sender_role role,
+duration rate_share::timeUntilAvailable(std::string_view endpoint, const rate_limit &limit, const rate_use &use,
                                         instant now)
 {
-    const share &state = refill(endpoint, limit, role, now);
+    const share &state = refill(endpoint, limit, use, now);
     if (state.rate == 0) {
         return timeFor(1, usableRate(limit));
     }
@@ -118,9 +122,9 @@
     return state.tokens >= 1 ? duration{} : timeFor(1 - state.tokens, state.rate) + duration(1);
 }
 
-bool rate_share::take(std::string_view endpoint, const rate_limit &limit, sender_role role, instant now)
+bool rate_share::take(std::string_view endpoint, const rate_limit &limit, const rate_use &use, instant now)
 {
-    share &state = refill(endpoint, limit, role, now);
+    share &state = refill(endpoint, limit, use, now);
     if (state.rate == 0 || state.tokens < 1) {
         return false;
     }
--- a/packages/forwarding/test/rate-share-test.cpp
+++ b/packages/forwarding/test/rate-share-test.cpp
@@ -62,7 +62,7 @@
     {
         for (const instant end = m_now + length; m_now < end; m_now += step) {
             for (std::size_t i = 0; i < std::min(active, m_shares.size()); ++i) {
-                if (m_shares[i].take("e1", limit, role, m_now)) {
+                if (m_shares[i].take("e1", limit, {role}, m_now)) {
                     m_sent.push_back(m_now);
                     m_senders.insert(i);
                 }
@@ -167,6 +167,22 @@
     }
 }
 
+TEST_CASE("The shares of both roles add up to no more than an endpoint's rate limit")
+{
+    const double rate = GENERATE(0.3, 1.0, 5.0, 20.0);
+    const rate_limit limit{rate, start + 1min};
+    rate_share share({});
+    share.setMembers(keysUpTo(1), keyOf(0), start);
+    std::size_t sent = 0;
+    for (instant now = start; now < start + 60s; now += 5ms) {
+        for (const sender_role role : {sender_role::one_of_fleet, sender_role::only}) {
+            sent += share.take("e1", limit, {role, 0.5}, now) ? 1 : 0;
+        }
+    }
+    CHECK(static_cast<double>(sent) <= rate * 60);
+    CHECK(static_cast<double>(sent) >= 0.8 * rate * 60 - 2);
+}
+
 TEST_CASE("An instance that may send nothing knows when others can")
 {
     rate_share share({});
@@ -175,10 +191,10 @@
     for (std::size_t i = 0; i < all.size(); ++i) {
         share.setMembers(all, all[i], start);
         const rate_limit limit{1.0, start};
-        if (share.ownRate("e1", limit, sender_role::one_of_fleet, start) == 0) {
+        if (share.ownRate("e1", limit, {}, start) == 0) {
             ++withoutShare;
-            CHECK(share.timeUntilAvailable("e1", limit, sender_role::one_of_fleet, start) > 1s);
-            CHECK(share.timeUntilAvailable("e1", limit, sender_role::one_of_fleet, start) < 2s);
+            CHECK(share.timeUntilAvailable("e1", limit, {}, start) > 1s);
+            CHECK(share.timeUntilAvailable("e1", limit, {}, start) < 2s);
         }
     }
     CHECK(withoutShare == 37);
@@ -186,7 +202,7 @@
     SECTION("and one that leaves, and is no member any more, sends nothing")
     {
         share.setMembers(all, stableHash("leaving"), start);
-        CHECK(share.ownRate("e1", {1.0, start}, sender_role::one_of_fleet, start) == 0);
+        CHECK(share.ownRate("e1", {1.0, start}, {}, start) == 0);
     }
 }
 
@@ -194,7 +210,7 @@
 {
     rate_share share({});
     share.setMembers(keysUpTo(1), keyOf(0), start);
-    CHECK(share.ownRate("e1", {0, start}, sender_role::one_of_fleet, start) > 0);
-    CHECK(share.ownRate("e1", {0, start}, sender_role::one_of_fleet, start) < 0.1);
-    CHECK(share.ownRate("e2", {1e300, start}, sender_role::one_of_fleet, start) <= 1e6);
+    CHECK(share.ownRate("e1", {0, start}, {}, start) > 0);
+    CHECK(share.ownRate("e1", {0, start}, {}, start) < 0.1);
+    CHECK(share.ownRate("e2", {1e300, start}, {}, start) <= 1e6);
 }
--- a/packages/frontend/src/daemon-core-updates.cpp
+++ b/packages/frontend/src/daemon-core-updates.cpp
@@ -67,6 +67,7 @@
     }
     m_configuration = std::make_shared<const catalog::service_configuration>(std::move(read.value()));
     m_configurationText = text;
+    m_gate.setConfiguration(*m_configuration);
     m_pieces.setConfiguration(m_configuration);
     m_feed.onConfiguration({version(), m_configurationText});
     logEvent(event::configuration_followed,
--- a/packages/frontend/src/endpoint-gate.cpp
+++ b/packages/frontend/src/endpoint-gate.cpp
@@ -27,16 +27,41 @@
     return hasLimits() ? m_limits.find(endpointId, m_directory.startedAtMsOf(endpointId)) : std::nullopt;
 }
 
+/// Requests of routes and calls of the home are counted apart, so each gets half of the rate of a service with both.
+forwarding::rate_use endpoint_gate::useOf(std::string_view endpointId, sender_role role) const
+{
+    constexpr double half = 0.5;
+    return {role, m_sharedServices.contains(m_directory.serviceOf(endpointId)) ? half : 1};
+}
+
+void endpoint_gate::setConfiguration(const catalog::service_configuration &configuration)
+{
+    std::set<std::string_view> stageServices;
+    for (const catalog::route &route : configuration.routes()) {
+        for (const catalog::stage_spec &stage : route.stages) {
+            stageServices.insert(stage.service);
+        }
+    }
+    m_sharedServices.clear();
+    for (const catalog::route &route : configuration.routes()) {
+        for (const auto &target : route.services) {
+            if (stageServices.contains(target.service)) {
+                m_sharedServices.insert(target.service);
+            }
+        }
+    }
+}
+
 std::optional<double> endpoint_gate::ownRate(std::string_view endpointId, sender_role role, instant now)
 {
     const auto limit = limitOf(endpointId);
-    return limit ? std::optional(m_share.ownRate(endpointId, *limit, role, now)) : std::nullopt;
+    return limit ? std::optional(m_share.ownRate(endpointId, *limit, useOf(endpointId, role), now)) : std::nullopt;
 }
 
 duration endpoint_gate::timeUntilAdmitted(std::string_view endpointId, sender_role role, instant now)
 {
     const auto limit = limitOf(endpointId);
-    return limit ? m_share.timeUntilAvailable(endpointId, *limit, role, now) : duration{};
+    return limit ? m_share.timeUntilAvailable(endpointId, *limit, useOf(endpointId, role), now) : duration{};
 }
 
 duration endpoint_gate::timeUntilOpen(std::string_view endpointId, sender_role role, instant now)
@@ -68,7 +93,7 @@
     }
     for (const std::string &id : ids) {
         if (const auto limit = limitOf(id)) {
-            m_share.take(id, *limit, role, now);
+            m_share.take(id, *limit, useOf(id, role), now);
             m_metrics.counterOf(limitedCallsFamily, {{"outcome", "sent"}}).add();
         }
     }
@@ -86,7 +111,7 @@
              {{"request", requestId},
               {"endpoint", endpointId},
               {"rate", limit->rate},
-              {"own_rate", m_share.ownRate(endpointId, *limit, role, now)},
+              {"own_rate", m_share.ownRate(endpointId, *limit, useOf(endpointId, role), now)},
               {"open_ms", common::toMilliseconds(timeUntilOpen(endpointId, role, now))},
               {"age_ms", common::toMilliseconds(now - limit->confirmedAt)}});
 }
--- a/packages/frontend/src/endpoint-gate.h
+++ b/packages/frontend/src/endpoint-gate.h
@@ -1,13 +1,16 @@
 #pragma once
 
 #include <masticlever/catalog/endpoint-directory.h>
+#include <masticlever/catalog/service-configuration.h>
 #include <masticlever/common/time.h>
 #include <masticlever/forwarding/rate-share.h>
 #include <masticlever/membership/rate-limits.h>
 #include <masticlever/telemetry/metrics.h>
 
 #include <cstdint>
+#include <functional>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -27,6 +30,7 @@
         : m_directory(directory), m_limits(limits), m_metrics(metrics)
     { }
 
+    void setConfiguration(const catalog::service_configuration &configuration);
     /// See rate_share::setMembers().
     void setMembers(std::span<const std::uint64_t> rankKeys, std::uint64_t self, common::instant now)
     {
@@ -54,11 +58,13 @@
 
 private:
     std::optional<membership::rate_limit> limitOf(std::string_view endpointId) const;
+    forwarding::rate_use useOf(std::string_view endpointId, forwarding::sender_role role) const;
 
     const catalog::endpoint_directory &m_directory;
     const membership::rate_limit_table &m_limits;
     telemetry::metric_registry &m_metrics;
     forwarding::rate_share m_share{{}};
+    std::set<std::string, std::less<>> m_sharedServices; ///< get requests of routes and calls for stage results
 };
 
 } // namespace masticlever::frontend
--- a/tests/site/rate-limit-test.cpp
+++ b/tests/site/rate-limit-test.cpp
@@ -235,3 +235,31 @@
     CHECK(largestWindow(site.endpoint(1).arrivals, toldAt) <= allowedAt(1));
     CHECK((!isOnlyOne || largestWindow(site.endpoint(1).arrivals, toldAt) >= 2));
 }
+
+TEST_CASE("A limited endpoint of a service that is both a stage and the target of a route gets no more than its rate",
+          "[rate-limit]")
+{
+    limited_site site(4);
+    site.configure(
+        2, R"(,{"name":"direct","host":"site.example","path_prefix":"/direct/","kind":"safe","service":"encode"})");
+    site.addPipeline();
+    std::size_t sent = 0;
+    const auto direct = [&](std::size_t daemon) {
+        return site.sendRequest(daemon, site.request("GET", "/direct/", "d" + std::to_string(++sent))).status;
+    };
+    for (std::size_t daemon = 0; daemon < 4; ++daemon) {
+        REQUIRE(waitFor([&] { return direct(daemon) == 200; }));
+    }
+    site.endpoint(1).behaviour.limit = "5";
+    REQUIRE(waitFor([&] { return direct(0) == 200; }));
+    const auto toldAt = clock_type::now() + 2s;
+    std::vector<std::unique_ptr<site_caller>> chats;
+    site.sendFor(10s, [&](std::size_t daemon) {
+        chats.push_back(std::make_unique<site_caller>(site.frontAddressOf(daemon)));
+        chats.back()->send(site_fixture::request("POST", "/chat/", "c" + std::to_string(++sent), "prompt",
+                                                 "Pieces: 2,3\r\nPiece-Key: abc\r\n"));
+        return direct(daemon);
+    });
+    CHECK(largestWindow(site.endpoint(1).arrivals, toldAt) <= allowedAt(5));
+    CHECK(largestWindow(site.endpoint(1).arrivals, toldAt) >= 5);
+}
