Homes: no releases to endpoints without a registration

A result's endpoint that is no longer registered got its release all the same, at an address that has no rate limit, and possibly another endpoint by now. It gets no more calls, so nobody needs the memory of its results.

Change: results are released only at addresses with an endpoint that is in use.

--- a/packages/frontend/src/home-server.cpp
+++ b/packages/frontend/src/home-server.cpp
@@ -115,9 +115,8 @@
     const instant now = monotonicNow();
     for (auto &[address, released] : byProducer) {
         const auto ids = m_directory.idsAt(address);
-        const bool areAllLeaving
-            = !ids.empty() && std::ranges::all_of(ids, [&](const auto &id) { return m_directory.isLeaving(id); });
-        if (areAllLeaving) {
+        const bool isUsed = std::ranges::any_of(ids, [&](const auto &id) { return !m_directory.isLeaving(id); });
+        if (!isUsed) {
             continue; // gets no more calls, so the memory of its results is not needed
         }
         if (m_access.gate.timeUntilAddressOpen(address, now).count() > 0) {
--- a/tests/site/rate-limit-test.cpp
+++ b/tests/site/rate-limit-test.cpp
@@ -263,3 +263,30 @@
     CHECK(largestWindow(site.endpoint(1).arrivals, toldAt) <= allowedAt(5));
     CHECK(largestWindow(site.endpoint(1).arrivals, toldAt) >= 5);
 }
+
+TEST_CASE("An endpoint without a registration gets no releases, which its rate limit could not cover", "[rate-limit]")
+{
+    site_fixture site(1);
+    site.addPipeline();
+    site.endpoint(0).behaviour.serviceTime = 3s;
+    site_caller caller(site.frontAddressOf(0));
+    caller.send(site_fixture::request("POST", "/chat/", "q1", "prompt", "Pieces: 2,3\r\nPiece-Key: abc\r\n"));
+    REQUIRE(waitFor([&] { return site.endpoint(0).inFlight == 1; }));
+    site.store.put("keyed.servers", "s2", std::nullopt);
+    site.addEndpoint("s3", kind::stage, "rank");
+    std::vector<std::unique_ptr<site_caller>> others;
+    auto next = clock_type::now();
+    REQUIRE(waitFor([&] {
+        if (clock_type::now() >= next) {
+            next += 50ms;
+            others.push_back(std::make_unique<site_caller>(site.frontAddressOf(0)));
+            others.back()->send(site_fixture::request("POST", "/chat/", "q" + std::to_string(others.size() + 1),
+                                                      "prompt", "Pieces: 2,3\r\nPiece-Key: abc\r\n"));
+        }
+        return !site.endpoint(3).calls.empty();
+    }));
+    const std::size_t before = site.endpoint(2).arrivals.size();
+    REQUIRE(waitFor([&] { return site.endpoint(0).inFlight == 0; }));
+    REQUIRE(waitFor([&] { return site.endpoint(3).results.empty(); }));
+    CHECK(site.endpoint(2).arrivals.size() == before);
+}
