--- a/tests/site/site-fixture.cpp
+++ b/tests/site/site-fixture.cpp
@@ -140,6 +140,7 @@
         settings, m_protocol, m_random, settings.name + "." + std::to_string(++incarnations)));
     m_frontAddresses.push_back(settings.frontAddress);
     m_readyAddresses.push_back(settings.readyAddress);
+    m_metricsAddresses.push_back(settings.metricsAddress);
     const std::string fault = m_daemons.back()->start();
     if (!fault.empty()) {
         throw std::runtime_error(fault);
@@ -155,6 +156,17 @@
     return caller.heads.empty() ? 0 : caller.heads.front().status;
 }
 
+std::optional<double> site_fixture::metricOf(std::size_t index, const std::string &name)
+{
+    site_caller caller(m_metricsAddresses[index]);
+    caller.send("GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n");
+    waitFor([&] { return caller.completeAnswers > 0 || caller.isClosed; });
+    const std::string text = caller.bodies.empty() ? std::string() : caller.bodies.front();
+    const std::size_t position = text.find("\n" + name + " ");
+    const bool isFound = position != std::string::npos;
+    return isFound ? std::optional(std::stod(text.substr(position + name.size() + 2))) : std::nullopt;
+}
+
 bool site_fixture::waitReady(std::size_t index)
 {
     return waitFor([&] { return readyStatusOf(index) == 200; });
--- a/tests/site/site-fixture.h
+++ b/tests/site/site-fixture.h
@@ -66,6 +66,8 @@
     const std::string &frontAddressOf(std::size_t index) const { return m_frontAddresses[index]; }
     int readyStatusOf(std::size_t index);
     bool waitReady(std::size_t index);
+    /// Value of a metric without labels as the daemon exposes it; nothing if there is no answer or no such metric.
+    std::optional<double> metricOf(std::size_t index, const std::string &name);
 
     /// Formats a request with a Content-Length.
     static std::string request(const std::string &method, const std::string &path, const std::string &id,
@@ -83,6 +85,7 @@
     std::vector<std::unique_ptr<frontend::frontend_daemon>> m_daemons;
     std::vector<std::string> m_frontAddresses;
     std::vector<std::string> m_readyAddresses;
+    std::vector<std::string> m_metricsAddresses;
     std::uint8_t m_network = 0; ///< third octet of the daemons' addresses
 };
 
