Queue's plan: a rate limit delays no calls of other endpoints

Callers were refused, or put behind others, although an endpoint without a limit would have served them in time. The plan takes the mean time until a call slot is free; the time until a limited endpoint takes its next call went into that mean, so the wait of a slow endpoint delayed the expected start of all requests. On a service with three endpoints a limit of 1 call/s adds up to 0.37 s.

Evidence: batch-queue-test, 20 requests of which e1 completes 6 by the deadline: 17 were dropped (68 pieces), now 13 (52). The case had bounds of 12 to 17 requests, which passed; they are 13 to 15 now, around the 14 that cannot be served.

Change: a limited endpoint counts with the call that it takes now and with its rate; its waiting time counts only if all endpoints are limited. Without limits the plan is as before.

--- a/packages/stages/src/batch-queue-plan.cpp
+++ b/packages/stages/src/batch-queue-plan.cpp
@@ -101,23 +101,29 @@
     return waiting;
 }
 
-/// Capacity of the endpoints, computed once per plan so that a plan of n requests takes O(n) steps.
+/// Capacity of the endpoints, computed once per plan so that a plan of n requests takes O(n) steps. Endpoints with a
+/// rate limit count with the call that they take now, and with the time until one only if there are no others.
 batch_queue::capacity batch_queue::currentCapacity(instant now) const
 {
     std::size_t callSlots = 0;
     std::size_t idleSlots = 0;
-    duration limitedTime{}; // until endpoints with a rate limit may take their next call
+    std::optional<duration> untilLimitedCall;
     const duration pause = timeUntilAvailable(now);
     for (const auto &[id, endpoint] : m_endpoints) {
-        if (countsAsCapacity(endpoint, pause.count() > 0, now)) {
-            callSlots += m_limits.parallelCalls;
+        if (!countsAsCapacity(endpoint, pause.count() > 0, now)) {
+            continue;
+        }
+        if (endpoint.callsPerSecond) {
             const duration untilNextCall = timeUntilNextCall(endpoint, now);
-            idleSlots += untilNextCall.count() > 0 ? 0 : freeCallSlots(endpoint);
-            limitedTime += untilNextCall * static_cast<duration::rep>(freeCallSlots(endpoint));
+            untilLimitedCall = std::min(untilLimitedCall.value_or(untilNextCall), untilNextCall);
+            idleSlots += untilNextCall.count() == 0 && freeCallSlots(endpoint) > 0 ? 1 : 0;
+        } else {
+            callSlots += m_limits.parallelCalls;
+            idleSlots += freeCallSlots(endpoint);
         }
     }
     capacity found;
-    if (callSlots == 0) {
+    if (callSlots == 0 && !untilLimitedCall) {
         found.immediatePieces = std::numeric_limits<double>::infinity(); // no endpoints, so no estimate
         return found;
     }
@@ -126,9 +132,14 @@
         return found;
     }
     found.immediatePieces = static_cast<double>(idleSlots * m_limits.batchSize);
-    found.timeUntilFree = limitedTime;
+    if (callSlots == 0) {
+        found.timeUntilFree = *untilLimitedCall;
+        return found;
+    }
     for (const auto &[number, call] : m_calls) {
-        found.timeUntilFree += remainingTime(call, now);
+        const auto endpoint = m_endpoints.find(call.endpointId);
+        const bool isLimited = endpoint != m_endpoints.end() && endpoint->second.callsPerSecond;
+        found.timeUntilFree += isLimited ? duration{} : remainingTime(call, now);
     }
     found.timeUntilFree /= static_cast<duration::rep>(callSlots);
     return found;
--- a/packages/stages/test/batch-queue-test.cpp
+++ b/packages/stages/test/batch-queue-test.cpp
@@ -492,9 +492,9 @@
         CHECK(queue.takeCalls(start + 1900ms).empty());
         CHECK(queue.takeCalls(start + 2s).size() == 1);
     }
-    SECTION("requests that need all of its time to be in time are dropped at once")
+    SECTION("requests that the other endpoint cannot complete are dropped at once, and no others")
     {
-        limitFirst(start + 2s);
+        limitFirst(start + 2s); // e1 completes 6 calls of 240 ms by the deadline
         for (std::uint64_t job = 1; job <= 20; ++job) {
             auto request = makeRequest(job, 4);
             request.objective = start + 1500ms;
@@ -502,8 +502,8 @@
             queue.onPieceRequest(request, start);
         }
         const std::size_t dropped = queue.takeInfeasible(start).size();
-        CHECK(dropped >= std::size_t{48});
-        CHECK(dropped <= std::size_t{68});
+        CHECK(dropped >= std::size_t{52});
+        CHECK(dropped <= std::size_t{60});
     }
     SECTION("the expected delay includes the time until it takes a call, if it is the only one")
     {
