--- a/packages/frontend/src/daemon-core-updates.cpp
+++ b/packages/frontend/src/daemon-core-updates.cpp
@@ -25,7 +25,7 @@
 constexpr duration readerUpdateTimeout = std::chrono::milliseconds(600);
 
 const telemetry::metric_family limitedEndpointsFamily{"masticlever_frontend_limited_endpoints",
-                                                      "Endpoints that name a rate limit."};
+                                                      "Endpoints that state a rate limit."};
 
 std::string_view nameOf(catalog::directory_change::what kind)
 {
--- a/packages/frontend/src/endpoint-gate.h
+++ b/packages/frontend/src/endpoint-gate.h
@@ -52,7 +52,7 @@
     /// if a rate limit does not admit it.
     bool admit(const std::string &endpointId, const std::string &address, forwarding::sender_role role,
                common::instant now);
-    /// A request ends because no endpoint of its service is open; \p endpointId is the one that opens first.
+    /// Logs and counts a request that no endpoint accepts now; \p endpointId is the one that opens first.
     void onHeldBack(std::string_view requestId, std::string_view endpointId, forwarding::sender_role role,
                     common::instant now);
 
--- a/packages/frontend/src/home-server.h
+++ b/packages/frontend/src/home-server.h
@@ -40,8 +40,8 @@
     void onCancel(std::uint64_t owner, std::uint64_t job);
     void onOwnerGone(std::uint64_t owner);
     void onRelease(const std::vector<std::string> &handles);
-    /// Releases results of a service whose home is another instance that cannot be asked. Those of endpoints with a
-    /// rate limit are left to expire, because the limit is the home's.
+    /// Releases results of a service whose home is another instance without a connection. Those of endpoints with a
+    /// rate limit are left to expire, because only the home has a share of it.
     void releaseWithoutHome(std::vector<std::string> handles);
     void onTick(common::instant now);
     /// Reports all waiting pieces as failed, so that their owners resubmit them to the next home. Called when this
--- /dev/null
+++ b/packages/frontend/src/request-session-endpoints.cpp
@@ -0,0 +1,83 @@
+#include "request-session.h"
+
+#include <algorithm>
+#include <cstdint>
+
+/// \file
+/// Choice of the service and the endpoint of a request, and its end if no endpoint accepts it.
+
+namespace masticlever::frontend
+{
+
+using common::duration;
+using common::instant;
+
+std::string request_session::chooseService()
+{
+    const auto &services = m_request.route->services;
+    double total = 0;
+    for (const auto &share : services) {
+        total += share.weight;
+    }
+    constexpr std::uint64_t steps = 1u << 30;
+    double point = total * static_cast<double>(m_context.random.next() % steps) / static_cast<double>(steps);
+    for (const auto &share : services) {
+        point -= share.weight;
+        if (point < 0 && share.weight > 0) {
+            return share.service;
+        }
+    }
+    return services.back().service;
+}
+
+std::string request_session::chooseEndpoint(instant now)
+{
+    const auto inputs = finalInputBytes(*m_request.route, m_flow.graph(), locator());
+    const forwarding::placement place{m_context.settings.dataCentre, m_dataCentreWeights, inputs};
+    auto usable = m_context.directory.usable(m_service);
+    std::erase_if(usable, [&](const auto *endpoint) { return timeUntilOpen(*endpoint, now).count() > 0; });
+    return m_context.choice.choose(usable, m_flow.excluded(), m_request.attributes, place, now, m_context.random);
+}
+
+duration request_session::timeUntilOpen(const catalog::endpoint_record &endpoint, instant now) const
+{
+    return m_context.gate.timeUntilOpen(endpoint.id, forwarding::sender_role::one_of_fleet, now);
+}
+
+/// Whether endpoints are known, but none of the request's service is usable, or this instance may send requests to
+/// none.
+bool request_session::isServiceUnavailable(instant now) const
+{
+    const auto isExcluded = [&](const catalog::endpoint_record *endpoint) {
+        return m_context.gate.ownRate(endpoint->id, forwarding::sender_role::one_of_fleet, now) == 0;
+    };
+    return m_context.directory.size() > 0 && std::ranges::all_of(m_context.directory.usable(m_service), isExcluded);
+}
+
+/// The endpoint that the request may still be sent to and that accepts requests first; nullptr when there is none.
+const catalog::endpoint_record *request_session::firstToOpen(instant now) const
+{
+    const catalog::endpoint_record *first = nullptr;
+    for (const catalog::endpoint_record *endpoint : m_context.directory.usable(m_service)) {
+        const bool isCandidate = std::ranges::find(m_flow.excluded(), endpoint->id) == m_flow.excluded().end()
+            && timeUntilOpen(*endpoint, now).count() > 0;
+        if (isCandidate && (first == nullptr || timeUntilOpen(*endpoint, now) < timeUntilOpen(*first, now))) {
+            first = endpoint;
+        }
+    }
+    return first;
+}
+
+/// Ends the request because no endpoint accepts it now. The caller is told when the first one does.
+void request_session::endWithoutEndpoint(instant now)
+{
+    const catalog::endpoint_record *first = firstToOpen(now);
+    if (first == nullptr) {
+        apply(m_flow.onNoEndpoint());
+        return;
+    }
+    m_context.gate.onHeldBack(m_request.attributes.requestId, first->id, forwarding::sender_role::one_of_fleet, now);
+    apply(m_flow.onNoEndpoint(timeUntilOpen(*first, now)));
+}
+
+} // namespace masticlever::frontend
--- a/packages/membership/include/masticlever/membership/rate-limits.h
+++ b/packages/membership/include/masticlever/membership/rate-limits.h
@@ -17,7 +17,7 @@
 namespace masticlever::membership
 {
 
-/// Rate limit of one incarnation of an endpoint, as one instance tells it to others.
+/// Rate limit of one incarnation of an endpoint, as one instance reports it to others.
 struct rate_limit_notice {
     std::string endpoint;
     std::uint64_t startedAtMs = 0; ///< identifies the incarnation; a later start is newer
--- a/packages/stages/src/batch-queue.cpp
+++ b/packages/stages/src/batch-queue.cpp
@@ -276,7 +276,7 @@
             }
             calls.push_back(std::move(*call));
             if (endpoint->callsPerSecond) {
-                break; // setRateLimits() tells when the next call may be sent
+                break; // until setRateLimits() sets the time of the next call
             }
         }
     }
