Log crashes of endpoints with the requests that they cut off

Change: E803 has 'answer' and 'parts' (fingerprints); after a call is cut off, crash_monitor connects to the endpoint once, and only a refusal counts as a crash (E807, one line a request; a counter). No decision changes.

--- a/packages/frontend/src/daemon-core-updates.cpp
+++ b/packages/frontend/src/daemon-core-updates.cpp
@@ -1,5 +1,6 @@
 #include "daemon-core.h"
 
+#include <masticlever/forwarding/shared-parts.h>
 #include <masticlever/telemetry/events.h>
 
 #include <utility>
@@ -27,6 +28,9 @@
 const telemetry::metric_family limitedEndpointsFamily{"masticlever_frontend_limited_endpoints",
                                                       "Endpoints that state a rate limit."};
 
+const telemetry::metric_family crashesFamily{"masticlever_frontend_endpoint_crashes_total",
+                                             "Crashes of endpoints during requests of this instance."};
+
 std::string_view nameOf(catalog::directory_change::what kind)
 {
     using what = catalog::directory_change::what;
@@ -142,6 +146,22 @@
     m_metrics.gaugeOf(limitedEndpointsFamily).set(static_cast<double>(m_fleet.rateLimits().limitedCount()));
 }
 
+void daemon_core::onEndpointCrash(const endpoint_crash &crash)
+{
+    if (crash.isNew) {
+        m_metrics.counterOf(crashesFamily).add();
+    }
+    for (const interrupted_call &call : crash.calls) {
+        const std::string parts = forwarding::formatParts(call.parts);
+        logEvent(event::endpoint_crashed,
+                 {{"endpoint", std::string_view(crash.endpointId)},
+                  {"request", std::string_view(call.requestId)},
+                  {"parts", std::string_view(parts)},
+                  {"call_ms", common::toMilliseconds(call.endedAt - call.sentAt)},
+                  {"requests", static_cast<std::uint64_t>(crash.calls.size())}});
+    }
+}
+
 /// Another instance has a newer configuration. The reader is expected to send it shortly; without a reader, or after
 /// \c readerUpdateTimeout, it is read from the store.
 void daemon_core::onVersionSeen(std::uint64_t seen)
--- a/packages/frontend/src/daemon-core.cpp
+++ b/packages/frontend/src/daemon-core.cpp
@@ -105,15 +105,16 @@
       m_budget(static_cast<std::size_t>(answerMemoryShare * static_cast<double>(memoryOf(m_settings)))),
       m_reports(m_directory, m_fleet.rateLimits(),
                 [this](const directory_changes &changes) { onLeavingReported(changes); }),
-      m_latencyEstimator({}),
+      m_crashes({}, [this](const endpoint_crash &crash) { onEndpointCrash(crash); }), m_latencyEstimator({}),
       m_pieces({}, {m_pool, m_gate, protocol, m_reports, m_budget}, m_directory,
                [this](std::uint64_t job, stages::piece_ref piece, const protocol::piece_result &result) {
                    if (request_session *session = findSession(job)) {
                        session->onPiece(piece, result);
                    }
                }),
-      m_context{m_settings, protocol,  random,   m_directory, m_choice,           m_retries, m_pool,
-                m_gate,     m_reports, m_budget, m_pieces,    m_latencyEstimator, m_metrics, m_configuration},
+      m_context{m_settings, protocol,  random,    m_directory, m_choice, m_retries,          m_pool,
+                m_gate,     m_reports, m_crashes, m_budget,    m_pieces, m_latencyEstimator, m_metrics,
+                m_configuration},
       m_configurationWatch(
           protocol, protocol::store_topic::configuration, m_settings.storeAddress, m_budget,
           configurationFollowerOptions(), [this](const topic_update &update) { onConfigurationUpdate(update); },
@@ -414,6 +415,7 @@
     m_endpointWatch.onTick(now);
     m_finder.onTick(m_fleet.liveCount(), now);
     applyChanges(m_registrations.advance(now));
+    m_crashes.onTick(now);
     m_pieces.onTick(now);
     m_status.onTick(now);
     sweep(now);
--- a/packages/frontend/src/daemon-core.h
+++ b/packages/frontend/src/daemon-core.h
@@ -69,6 +69,7 @@
     void applyChanges(const directory_changes &changes);
     void onLeavingReported(const directory_changes &changes);
     void logRateLimits();
+    void onEndpointCrash(const endpoint_crash &crash);
     void onLeavingNotices(const std::vector<membership::endpoint_notice> &notices);
 
     void onTick();
@@ -97,6 +98,7 @@
     endpoint_pool m_pool;
     net::receive_budget m_budget;
     endpoint_reports m_reports;
+    crash_monitor m_crashes;
     latency_estimator m_latencyEstimator;
     piece_service m_pieces;
     frontend_context m_context;
--- a/packages/frontend/src/frontend-context.h
+++ b/packages/frontend/src/frontend-context.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "crash-monitor.h"
 #include "endpoint-access.h"
 #include "latency-estimator.h"
 #include "piece-service.h"
@@ -32,6 +33,7 @@
     endpoint_pool &pool;
     endpoint_gate &gate;
     endpoint_reports &reports;
+    crash_monitor &crashes;
     net::receive_budget &budget;
     piece_service &pieces;
     latency_estimator &latencyEstimator;
--- a/packages/frontend/src/request-session-answer.cpp
+++ b/packages/frontend/src/request-session-answer.cpp
@@ -1,5 +1,6 @@
 #include "request-session.h"
 
+#include <masticlever/forwarding/shared-parts.h>
 #include <masticlever/telemetry/events.h>
 
 #include <utility>
@@ -24,6 +25,8 @@
 constexpr int statusConflict = 409;
 constexpr int statusMisdirected = 421;
 constexpr std::size_t maximumEventBytes = std::size_t{1} << 20; ///< of one event in a stream
+/// An answer that has lasted this long since its first byte was not cut off by a crash at its begin.
+constexpr common::duration settlingTime = std::chrono::milliseconds(500);
 constexpr std::size_t slowReaderBytes = 262144; ///< unsent to the caller before reading from the endpoint is paused
 
 const telemetry::metric_family callsFamily{"masticlever_frontend_calls_total", "Calls to endpoints by outcome."};
@@ -66,6 +69,27 @@
     m_context.choice.onCallEnds(m_endpointId, outcome, now);
 }
 
+/// The body of an authentic answer has arrived in part.
+void request_session::onProgress(instant now)
+{
+    if (!m_firstBodyAt) {
+        m_firstBodyAt = now;
+    }
+    if (!m_isAnswerSettled && now - *m_firstBodyAt >= settlingTime) {
+        m_isAnswerSettled = true;
+    }
+}
+
+/// The call was cut off. If its answer had not settled, the request may have crashed the endpoint.
+void request_session::reportInterruption(instant now)
+{
+    const catalog::endpoint_record *endpoint = m_context.directory.findUsable(m_endpointId);
+    if (endpoint != nullptr && !m_isAnswerSettled) {
+        m_context.crashes.onInterrupted(endpoint->id, endpoint->startedAtMs, endpoint->address,
+                                        {m_request.attributes.requestId, m_sharedParts, m_sentAt, now});
+    }
+}
+
 /// Ends a call without an answer for the caller. The flow decides whether to retry.
 void request_session::endCall(call_end end, call_outcome outcome)
 {
@@ -74,14 +98,20 @@
         m_context.pool.release(std::exchange(m_connection, nullptr), m_answerAttributes.idleLimit, now);
         m_context.choice.onCallEnds(m_endpointId, outcome, now);
     }
+    if (end == call_end::broken) {
+        reportInterruption(now);
+    }
     m_context.metrics.counterOf(callsFamily, {{"outcome", nameOf(end)}}).add();
+    const std::string parts = forwarding::formatParts(m_sharedParts);
     logEvent(event::call_failed,
              {{"request", std::string_view(m_request.attributes.requestId)},
               {"endpoint", std::string_view(m_endpointId)},
               {"end", nameOf(end)},
               {"status", std::int64_t{m_answer.status}},
               {"call_ms", toMilliseconds(now - m_sentAt)},
-              {"attempt", static_cast<std::uint64_t>(m_flow.attempts())}});
+              {"attempt", static_cast<std::uint64_t>(m_flow.attempts())},
+              {"answer", m_isAnswerSettled ? "settled" : m_firstBodyAt ? "begun" : "none"},
+              {"parts", std::string_view(parts)}});
     if (end == call_end::misdirected) {
         m_context.reports.onMisdirected(m_endpointId, now);
     }
@@ -125,6 +155,9 @@
 
 void request_session::onBody(std::string_view bytes)
 {
+    if (m_answerMode != answer_mode::discard) {
+        onProgress(monotonicNow());
+    }
     if (exceedsLimit(bytes)) {
         abortOversizedAnswer();
     } else if (m_answerMode == answer_mode::stream) {
--- a/packages/frontend/src/request-session.cpp
+++ b/packages/frontend/src/request-session.cpp
@@ -1,5 +1,6 @@
 #include "request-session.h"
 
+#include <masticlever/forwarding/shared-parts.h>
 #include <masticlever/telemetry/events.h>
 
 #include <algorithm>
@@ -45,7 +46,7 @@
                                  admitted_request request, instant now)
     : m_context(context), m_number(number), m_caller(&caller), m_request(std::move(request)),
       m_flow(*m_request.route, m_request.attributes, now, deadlineOf(*m_request.route, m_request.attributes, now), {}),
-      m_answerBudget(context.budget, {})
+      m_answerBudget(context.budget, {}), m_sharedParts(forwarding::sharedParts(m_request.attributes))
 {
     m_flow.setProducerCheck([this](std::string_view handle) { return m_context.pieces.isProducerGone(handle); });
     m_service = chooseService();
@@ -271,6 +272,8 @@
     m_eventSplitter = {};
     m_bufferedAnswer.clear();
     m_discardedBytes = 0;
+    m_firstBodyAt.reset();
+    m_isAnswerSettled = false;
     m_answerBudget.restart(endpoint.address);
     m_flow.onCallBegins(endpoint.id);
     m_context.choice.onCallBegins(endpoint.id);
--- a/packages/frontend/src/request-session.h
+++ b/packages/frontend/src/request-session.h
@@ -70,6 +70,8 @@
     bool exceedsLimit(std::string_view bytes);
     void abortOversizedAnswer();
     forwarding::call_outcome rejectionOutcome() const;
+    void onProgress(common::instant now);
+    void reportInterruption(common::instant now);
     common::duration timeUntilOpen(const catalog::endpoint_record &endpoint, common::instant now) const;
     bool isServiceUnavailable(common::instant now) const;
     const catalog::endpoint_record *firstToOpen(common::instant now) const;
@@ -112,6 +114,9 @@
     std::size_t m_discardedBytes = 0; ///< body bytes received of a discarded answer
     net::receive_budget::holding m_answerBudget; ///< accounts for the buffered part of the answer
     forwarding::event_splitter m_eventSplitter;
+    std::vector<std::uint64_t> m_sharedParts; ///< fingerprints of the prompt's parts
+    std::optional<common::instant> m_firstBodyAt; ///< of the answer in flight
+    bool m_isAnswerSettled = false; ///< the answer in flight has made progress for a while, or is complete
     common::duration m_firstAnswerDelay{};
     std::vector<stage_timing> m_stageTimings; ///< by stage
 };
--- a/packages/telemetry/include/masticlever/telemetry/events.h
+++ b/packages/telemetry/include/masticlever/telemetry/events.h
@@ -69,6 +69,7 @@
     foreign_answer = 804,
     bad_request = 805,
     received_too_much = 806,
+    endpoint_crashed = 807,
 
     configuration_followed = 810,
     record_ignored = 811,
--- a/packages/telemetry/src/event-catalogue.cpp
+++ b/packages/telemetry/src/event-catalogue.cpp
@@ -57,6 +57,7 @@
     {foreign_answer, "foreign_answer", warning},
     {bad_request, "bad_request", info},
     {received_too_much, "received_too_much", warning},
+    {endpoint_crashed, "endpoint_crashed", warning},
     {configuration_followed, "configuration_followed", info},
     {record_ignored, "record_ignored", warning},
     {endpoint_changed, "endpoint_changed", info},
