Test: requests with a part that crashes endpoints are withheld by all instances (fails)

Four instances on real sockets, six endpoints that crash when they begin an answer on the part and are back after 1 s; each tenth request has it.

--- a/tests/site/site-endpoint.cpp
+++ b/tests/site/site-endpoint.cpp
@@ -7,6 +7,7 @@
 #include <QString>
 #include <QTimer>
 
+#include <algorithm>
 #include <utility>
 
 namespace masticlever::site
@@ -53,6 +54,28 @@
                     {QStringLiteral("born"), static_cast<double>(startedAtMs)}});
 }
 
+void site_endpoint::crash()
+{
+    isCrashed = true;
+    crashes.push_back(std::chrono::steady_clock::now());
+    m_server.stop();
+}
+
+void site_endpoint::restart()
+{
+    isCrashed = false;
+    ++startedAtMs;
+    start(static_cast<std::uint16_t>(std::stoul(m_address.substr(m_address.find(':') + 1))));
+}
+
+bool site_endpoint::hasCrashingPart(const exchange_pointer &exchange) const
+{
+    const std::string prompt = "," + exchange->field("Prompt-Prefix");
+    return std::ranges::any_of(behaviour.crashingParts, [&](const std::string &part) {
+        return prompt.find("," + part + ":") != std::string::npos;
+    });
+}
+
 fault site_endpoint::takeFault()
 {
     if (behaviour.kind == fault::none || behaviour.remainingFaults == 0) {
@@ -195,6 +218,9 @@
     if (exchange->head().find("Authorization") != nullptr || exchange->head().find("Deadline-Ms") == nullptr) {
         ++protocolViolations;
     }
+    if (hasCrashingPart(exchange)) {
+        crashingArrivals.push_back(arrivals.back());
+    }
     ++runs[requestId];
     ++inFlight;
     heads.push_back(http1::requestText(exchange->head()));
@@ -205,6 +231,9 @@
             ++abandonedRequests;
         } else if (beginEndless(exchange, injected)) {
             --inFlight;
+        } else if (hasCrashingPart(exchange)) {
+            --inFlight;
+            crash();
         } else if (m_kind == kind::model) {
             stream(exchange, injected);
         } else {
--- a/tests/site/site-endpoint.h
+++ b/tests/site/site-endpoint.h
@@ -55,6 +55,7 @@
     bool isLeaving = false; ///< sends Server-Leaving with every answer
     std::string limit; ///< Server-Limit of every answer; empty: no such field
     std::string retryAfter; ///< Retry-After of rejections; empty: no such field
+    std::set<std::string> crashingParts; ///< prompt parts on which the endpoint crashes when it begins an answer
 };
 
 class site_endpoint
@@ -67,6 +68,10 @@
     /// Returns "IP:port".
     std::string start(std::uint16_t port = 0);
     void stop() { m_server.stop(); }
+    /// Ends all connections and accepts none, as if the process had ended.
+    void crash();
+    /// Starts a new incarnation after a crash, at the same address.
+    void restart();
     /// Sets the registered address if it differs from the listening address, for instance behind a proxy.
     void setPublicAddress(std::string address) { m_publicAddress = std::move(address); }
     /// Registration record of the endpoint for the store.
@@ -78,6 +83,9 @@
     std::vector<std::string> heads; ///< heads of the requests that ran
     std::vector<std::string> bodies;
     std::vector<std::chrono::steady_clock::time_point> arrivals; ///< of all requests and calls
+    std::vector<std::chrono::steady_clock::time_point> crashingArrivals; ///< of requests with a crashing part
+    std::vector<std::chrono::steady_clock::time_point> crashes;
+    bool isCrashed = false; ///< until restart() is called
     std::vector<std::size_t> calls; ///< number of pieces in each stage call
     std::set<std::string> results; ///< handles of stored stage results
     std::size_t protocolViolations = 0; ///< requests that break the platform's protocol
@@ -96,6 +104,7 @@
     void onStageRun(const exchange_pointer &exchange);
     void onStageFree(const exchange_pointer &exchange);
     void run(const exchange_pointer &exchange);
+    bool hasCrashingPart(const exchange_pointer &exchange) const;
     void answerPlain(const exchange_pointer &exchange, endpoint_behaviour::fault fault);
     void stream(const exchange_pointer &exchange, endpoint_behaviour::fault fault);
     void sendEvent(const exchange_pointer &exchange, std::size_t number, endpoint_behaviour::fault fault);
--- a/tests/site/site-fixture.cpp
+++ b/tests/site/site-fixture.cpp
@@ -98,6 +98,13 @@
     m_endpoints.push_back(std::move(endpoint));
 }
 
+void site_fixture::restartEndpoint(std::size_t index)
+{
+    site_endpoint &crashed = *m_endpoints[index];
+    crashed.restart();
+    store.put("keyed.servers", crashed.id(), crashed.registration());
+}
+
 void site_fixture::addPipeline()
 {
     addEndpoint("m1", site_endpoint::kind::model, "model");
--- a/tests/site/site-fixture.h
+++ b/tests/site/site-fixture.h
@@ -49,6 +49,9 @@
     /// Starts an endpoint and registers it in the store.
     void addEndpoint(const std::string &id, site_endpoint::kind kind, const std::string &service);
     site_endpoint &endpoint(std::size_t index) { return *m_endpoints[index]; }
+    std::size_t endpointCount() const { return m_endpoints.size(); }
+    /// Starts and registers a crashed endpoint again, as a new incarnation.
+    void restartEndpoint(std::size_t index);
     /// Starts model endpoint m1 and stage endpoints s1 and s2, and waits until the first daemon serves a request with
     /// stages.
     void addPipeline();
