Withhold requests with a prompt part that keeps crashing endpoints

Cause: nothing connected the end of an endpoint with what it was answering, so each new request with the part crashed as many endpoints as its route has attempts. Change: prompt_fault_table attributes crashes to the parts of requests without an answer, over all instances; a part with three crashes in sequence (each by a request sent after the crash before) and no answer between them is withheld for 15 minutes after its latest crash. A part that always comes with another one is not blamed alone. Observations, not conclusions, go by gossip in datagrams of their own: instances of version 4 ignore just these. A withheld request is refused at once, before its stages, or ends with 502 if it may have run.

--- a/packages/forwarding/include/masticlever/forwarding/request-flow.h
+++ b/packages/forwarding/include/masticlever/forwarding/request-flow.h
@@ -79,6 +79,8 @@
     flow_step onPieceFailed(stages::piece_ref piece, protocol::piece_failure failure, common::instant now);
     /// There is no endpoint to call. \p availableIn is the time until one accepts requests again, if known.
     flow_step onNoEndpoint(std::optional<common::duration> availableIn = std::nullopt);
+    /// The request must not be sent to any endpoint until \p releasedIn has passed.
+    flow_step onWithheld(common::duration releasedIn);
     void onCallBegins(const std::string &endpointId);
     /// \p takeRetry takes one retry from the budget if it can; called only if a retry is otherwise allowed.
     flow_step onCallEnds(call_end end, common::instant now, const std::function<bool()> &takeRetry);
--- a/packages/forwarding/src/request-flow.cpp
+++ b/packages/forwarding/src/request-flow.cpp
@@ -129,6 +129,11 @@
     return end(badGateway, availableIn ? "endpoints_quiet" : "no_endpoint", availableIn);
 }
 
+flow_step request_flow::onWithheld(common::duration releasedIn)
+{
+    return end(badGateway, "withheld", releasedIn);
+}
+
 void request_flow::onCallBegins(const std::string &endpointId)
 {
     m_isCallInFlight = true;
--- a/packages/frontend/src/daemon-core-updates.cpp
+++ b/packages/frontend/src/daemon-core-updates.cpp
@@ -3,7 +3,9 @@
 #include <masticlever/forwarding/shared-parts.h>
 #include <masticlever/telemetry/events.h>
 
+#include <algorithm>
 #include <utility>
+#include <vector>
 
 /// \file
 /// Handles updates of the configuration, the endpoints and the store's reachability, and forwards them to other
@@ -31,6 +33,43 @@
 const telemetry::metric_family crashesFamily{"masticlever_frontend_endpoint_crashes_total",
                                              "Crashes of endpoints during requests of this instance."};
 
+const telemetry::metric_family withheldPartsFamily{"masticlever_frontend_withheld_parts",
+                                                   "Prompt parts whose requests are withheld from endpoints."};
+
+std::string_view nameOf(membership::prompt_fault_change::what kind)
+{
+    using what = membership::prompt_fault_change::what;
+    switch (kind) {
+    case what::suspected:
+        return "suspected";
+    case what::withheld:
+        return "withheld";
+    case what::cleared:
+        return "cleared";
+    case what::expired:
+        break;
+    }
+    return "expired";
+}
+
+/// The parts of a crash with the time from the latest request of each.
+std::vector<membership::interrupted_part> interruptedParts(const endpoint_crash &crash, instant crashedAt)
+{
+    std::vector<membership::interrupted_part> parts;
+    for (const interrupted_call &call : crash.calls) {
+        for (const std::uint64_t part : call.parts) {
+            const duration time = std::max(crashedAt - call.sentAt, duration{});
+            const auto found = std::ranges::find(parts, part, &membership::interrupted_part::part);
+            if (found == parts.end()) {
+                parts.push_back({part, time});
+            } else {
+                found->call = std::min(found->call, time);
+            }
+        }
+    }
+    return parts;
+}
+
 std::string_view nameOf(catalog::directory_change::what kind)
 {
     using what = catalog::directory_change::what;
@@ -160,6 +199,22 @@
                   {"call_ms", common::toMilliseconds(call.endedAt - call.sentAt)},
                   {"requests", static_cast<std::uint64_t>(crash.calls.size())}});
     }
+    const instant crashedAt = std::ranges::min(crash.calls, {}, &interrupted_call::endedAt).endedAt;
+    m_fleet.promptFaults().onCrash(crash.incarnation, interruptedParts(crash, crashedAt), crashedAt, monotonicNow());
+    m_fleet.announcePromptFaults();
+}
+
+void daemon_core::logPromptFaults(instant now)
+{
+    for (const membership::prompt_fault_change &change : m_fleet.promptFaults().takeChanges()) {
+        const std::string part = forwarding::formatPart(change.part);
+        logEvent(event::prompt_part_changed,
+                 {{"part", std::string_view(part)},
+                  {"change", nameOf(change.kind)},
+                  {"crashes", static_cast<std::uint64_t>(change.crashes)},
+                  {"source", change.isFromPeer ? "peer" : "own"}});
+    }
+    m_metrics.gaugeOf(withheldPartsFamily).set(static_cast<double>(m_fleet.promptFaults().withheldCount(now)));
 }
 
 /// Another instance has a newer configuration. The reader is expected to send it shortly; without a reader, or after
--- a/packages/frontend/src/daemon-core.cpp
+++ b/packages/frontend/src/daemon-core.cpp
@@ -113,8 +113,8 @@
                    }
                }),
       m_context{m_settings, protocol,  random,    m_directory, m_choice, m_retries,          m_pool,
-                m_gate,     m_reports, m_crashes, m_budget,    m_pieces, m_latencyEstimator, m_metrics,
-                m_configuration},
+                m_gate,     m_reports, m_crashes, m_fleet.promptFaults(), m_budget, m_pieces, m_latencyEstimator,
+                m_metrics,  m_configuration},
       m_configurationWatch(
           protocol, protocol::store_topic::configuration, m_settings.storeAddress, m_budget,
           configurationFollowerOptions(), [this](const topic_update &update) { onConfigurationUpdate(update); },
@@ -391,6 +391,7 @@
     m_retries.onFleetSize(m_fleet.liveCount());
     limitStoreProbes(now);
     logRateLimits();
+    logPromptFaults(now);
     const std::vector<stages::home_candidate> members = m_fleet.homes();
     std::vector<std::uint64_t> rankKeys;
     std::ranges::transform(members, std::back_inserter(rankKeys), &stages::home_candidate::rankKey);
--- a/packages/frontend/src/daemon-core.h
+++ b/packages/frontend/src/daemon-core.h
@@ -69,6 +69,7 @@
     void applyChanges(const directory_changes &changes);
     void onLeavingReported(const directory_changes &changes);
     void logRateLimits();
+    void logPromptFaults(common::instant now);
     void onEndpointCrash(const endpoint_crash &crash);
     void onLeavingNotices(const std::vector<membership::endpoint_notice> &notices);
 
--- a/packages/frontend/src/fleet-host.cpp
+++ b/packages/frontend/src/fleet-host.cpp
@@ -123,6 +123,11 @@
     m_service->announceEndpointLeaving({id, std::to_string(startedAtMs)});
 }
 
+void fleet_host::announcePromptFaults()
+{
+    m_service->announcePromptFaults();
+}
+
 std::optional<std::uint64_t> fleet_host::startedAtMsOf(const membership::endpoint_notice &notice)
 {
     std::uint64_t startedAtMs = 0;
--- a/packages/frontend/src/fleet-host.h
+++ b/packages/frontend/src/fleet-host.h
@@ -49,6 +49,10 @@
     static std::optional<std::uint64_t> startedAtMsOf(const membership::endpoint_notice &notice);
     /// Rate limits of the endpoints, as this instance and its peers know them.
     membership::rate_limit_table &rateLimits() { return m_table.rateLimits(); }
+    /// Crashes of endpoints by prompt part, as this instance and its peers know them.
+    membership::prompt_fault_table &promptFaults() { return m_table.promptFaults(); }
+    /// Reports changes in the table of prompt faults to the other instances early.
+    void announcePromptFaults();
     void onTick(common::instant now);
 
     /// Live instances that can be homes as of the last tick, including this one unless it is leaving.
--- a/packages/frontend/src/frontend-context.h
+++ b/packages/frontend/src/frontend-context.h
@@ -13,6 +13,7 @@
 #include <masticlever/forwarding/retry-share.h>
 #include <masticlever/frontend/frontend-settings.h>
 #include <masticlever/protocol/wire-protocol.h>
+#include <masticlever/membership/prompt-faults.h>
 #include <masticlever/telemetry/metrics.h>
 
 #include <memory>
@@ -34,6 +35,7 @@
     endpoint_gate &gate;
     endpoint_reports &reports;
     crash_monitor &crashes;
+    membership::prompt_fault_table &promptFaults;
     net::receive_budget &budget;
     piece_service &pieces;
     latency_estimator &latencyEstimator;
--- a/packages/frontend/src/request-session-answer.cpp
+++ b/packages/frontend/src/request-session-answer.cpp
@@ -77,6 +77,7 @@
     }
     if (!m_isAnswerSettled && now - *m_firstBodyAt >= settlingTime) {
         m_isAnswerSettled = true;
+        m_context.promptFaults.onAnswered(m_sharedParts, now);
     }
 }
 
@@ -134,6 +135,11 @@
                   {"endpoint", std::string_view(m_endpointId)}});
         return false;
     }
+    if (m_context.promptFaults.hasCrashes()) {
+        const std::uint64_t startedAtMs = m_context.directory.startedAtMsOf(m_endpointId);
+        m_context.promptFaults.onAlive(crash_monitor::incarnationOf(m_endpointId, startedAtMs), m_sentAt,
+                                       monotonicNow());
+    }
     m_answer = head;
     m_answerAttributes = attributes;
     const bool isAuthentic = attributes.requestId.has_value() && (attributes.hasSignature || !isSuccess(head.status));
@@ -256,6 +262,10 @@
         return;
     }
     const instant now = monotonicNow();
+    const bool isProvenComplete = m_answer.framing != http1::body_framing::until_close;
+    if (isProvenComplete && isSuccess(m_answer.status)) {
+        m_context.promptFaults.onAnswered(m_sharedParts, now);
+    }
     m_context.pool.release(std::exchange(m_connection, nullptr), m_answerAttributes.idleLimit, now);
     m_context.choice.onCallEnds(m_endpointId, call_outcome::answered, now);
     m_context.metrics.counterOf(callsFamily, {{"outcome", "answered"}}).add();
--- a/packages/frontend/src/request-session-endpoints.cpp
+++ b/packages/frontend/src/request-session-endpoints.cpp
@@ -1,5 +1,8 @@
 #include "request-session.h"
 
+#include <masticlever/forwarding/shared-parts.h>
+#include <masticlever/telemetry/events.h>
+
 #include <algorithm>
 #include <cstdint>
 
@@ -11,6 +14,17 @@
 
 using common::duration;
 using common::instant;
+using telemetry::event;
+using telemetry::logEvent;
+
+namespace
+{
+
+const telemetry::metric_family withheldRequestsFamily{
+    "masticlever_frontend_withheld_requests_total",
+    "Requests that were not sent because a part of their prompt crashes endpoints."};
+
+} // namespace
 
 std::string request_session::chooseService()
 {
@@ -80,4 +94,23 @@
     apply(m_flow.onNoEndpoint(timeUntilOpen(*first, now)));
 }
 
+/// Ends the request if a part of its prompt keeps crashing endpoints. Returns false if it may be sent.
+bool request_session::endIfWithheld(instant now)
+{
+    const auto withheld = m_context.promptFaults.findWithheld(m_sharedParts, now);
+    if (!withheld) {
+        return false;
+    }
+    const std::string part = forwarding::formatPart(withheld->part);
+    m_context.metrics.counterOf(withheldRequestsFamily, {{"route", m_request.route->name}}).add();
+    logEvent(event::request_withheld,
+             {{"request", std::string_view(m_request.attributes.requestId)},
+              {"part", std::string_view(part)},
+              {"crashes", static_cast<std::uint64_t>(withheld->crashes)},
+              {"age_ms", common::toMilliseconds(withheld->sinceCrash)},
+              {"released_ms", common::toMilliseconds(withheld->releasedIn)}});
+    apply(m_flow.onWithheld(withheld->releasedIn));
+    return true;
+}
+
 } // namespace masticlever::frontend
--- a/packages/frontend/src/request-session.cpp
+++ b/packages/frontend/src/request-session.cpp
@@ -70,6 +70,9 @@
 {
     const instant now = monotonicNow();
     m_context.retries.onRequest(m_service, now);
+    if (endIfWithheld(now)) {
+        return;
+    }
     if (isServiceUnavailable(now)) {
         endWithoutEndpoint(now);
         return;
@@ -236,6 +239,9 @@
 void request_session::callEndpoint()
 {
     const instant now = monotonicNow();
+    if (endIfWithheld(now)) {
+        return;
+    }
     const catalog::endpoint_record *endpoint = m_context.directory.findUsable(chooseEndpoint(now));
     if (endpoint == nullptr) {
         endWithoutEndpoint(now);
--- a/packages/frontend/src/request-session.h
+++ b/packages/frontend/src/request-session.h
@@ -76,6 +76,7 @@
     bool isServiceUnavailable(common::instant now) const;
     const catalog::endpoint_record *firstToOpen(common::instant now) const;
     void endWithoutEndpoint(common::instant now);
+    bool endIfWithheld(common::instant now);
     void endCall(forwarding::call_end end, forwarding::call_outcome outcome);
     void abandonCall(forwarding::call_outcome outcome);
     void forwardEvents(std::string_view bytes);
--- a/packages/membership/include/masticlever/membership/membership.h
+++ b/packages/membership/include/masticlever/membership/membership.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <masticlever/common/time.h>
+#include <masticlever/membership/prompt-faults.h>
 #include <masticlever/membership/rate-limits.h>
 #include <masticlever/platform/instance-list.h>
 
@@ -103,6 +104,8 @@
     bool isEndpointLeaving(std::string_view address) const;
     rate_limit_table &rateLimits() { return m_rateLimits; }
     const rate_limit_table &rateLimits() const { return m_rateLimits; }
+    prompt_fault_table &promptFaults() { return m_promptFaults; }
+    const prompt_fault_table &promptFaults() const { return m_promptFaults; }
     std::size_t size() const { return m_instances.size(); }
 
     /// Addresses of at most \p fanOut peers for the next round of heartbeats; rotates through all peers.
@@ -159,6 +162,7 @@
     std::map<endpoint_notice, leaving_entry> m_leavingEndpoints;
     std::map<std::string, listed_endpoint, std::less<>> m_listedEndpoints; ///< by address
     rate_limit_table m_rateLimits{{}};
+    prompt_fault_table m_promptFaults{{}};
     std::optional<common::instant> m_lastAdvanceAt;
     std::optional<std::uint64_t> m_rotation; ///< ring position of the last peer that nextPeers() returned
 };
--- a/packages/membership/src/membership.cpp
+++ b/packages/membership/src/membership.cpp
@@ -96,6 +96,7 @@
     m_lastAdvanceAt = now;
     removeStale(now);
     m_rateLimits.advance(now);
+    m_promptFaults.advance(now);
     bool anyLost = false;
     for (auto &[incarnation, known] : m_instances) {
         if (wasPaused && known.watchedSince) {
--- a/packages/peers/include/masticlever/peers/gossip.h
+++ b/packages/peers/include/masticlever/peers/gossip.h
@@ -30,6 +30,8 @@
     std::size_t lossLimit = 8;
     std::size_t endpointLimit = 8;
     std::size_t rateNoticeLimit = 8;
+    std::size_t promptFaultLimit = 10;
+    std::size_t roundsToRepeatWithheld = 10; ///< rounds between repeated reports of withheld prompt parts
     std::size_t suspectLimit = 8;
     std::size_t contactPeers = 2; ///< contacts considered in each round; those of live instances are skipped
     std::size_t introductionLimit = 16; ///< messages that introduce the fleet to a new instance
@@ -53,6 +55,8 @@
     /// Returns the next round if it is due. Also advances the table's failure detection, so it must be called several
     /// times within suspectAfter even when no round is due.
     std::optional<gossip_round> onTime(common::instant now);
+    /// Returns the reports of prompt parts that belong to the last round, if any; to be called after onTime().
+    std::optional<gossip_round> takePromptFaultReport(common::instant now);
     common::instant nextDueAt() const { return m_nextRoundAt; }
 
     /// Schedules the next round early and sends it to more peers, for example when this instance or an endpoint is
@@ -100,6 +104,7 @@
     common::instant m_heartbeatsRequestedAt;
     bool m_isUrgent = false;
     std::uint64_t m_roundCount = 0;
+    std::vector<std::string> m_reportAddresses; ///< peers of the last round, until its report is taken
     std::map<std::string, std::uint64_t, std::less<>> m_lastHeartbeats; ///< received, by sender's incarnation
 };
 
--- a/packages/peers/include/masticlever/peers/messages.h
+++ b/packages/peers/include/masticlever/peers/messages.h
@@ -21,13 +21,15 @@
     heartbeats, ///< the receiver's own notice, and heartbeats for a while: the sender watches it but received none
 };
 
-/// One datagram. It always contains the sender's own notice, whose heartbeat is the sequence number of the datagram.
+/// One datagram. Instances of version 4 of the protocol ignore messages with prompt faults, which are therefore sent
+/// apart from the others. It always contains the sender's own notice, whose heartbeat is the sequence number of the datagram.
 struct gossip_message {
     membership::instance_notice sender;
     std::vector<membership::instance_notice> notices; ///< updates about other instances
     std::vector<membership::lost_notice> losses;
     std::vector<membership::endpoint_notice> leavingEndpoints;
     std::vector<membership::rate_limit_notice> rateLimits;
+    std::vector<membership::prompt_fault_notice> promptFaults;
     std::vector<std::string> suspects; ///< names of endpoints that do not respond to the sender
     introduction requested = introduction::fleet;
 
--- a/packages/peers/include/masticlever/peers/peer-service.h
+++ b/packages/peers/include/masticlever/peers/peer-service.h
@@ -81,6 +81,9 @@
     /// Notifies peers immediately that an endpoint has announced its leaving.
     void announceEndpointLeaving(const membership::endpoint_notice &notice);
 
+    /// Notifies peers immediately of changes in the table of prompt faults.
+    void announcePromptFaults();
+
     /// Notifies peers immediately of endpoints that do not respond to this instance.
     void announceSuspects(std::vector<std::string> endpoints);
 
--- a/packages/peers/src/codec.cpp
+++ b/packages/peers/src/codec.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <sstream>
+#include <type_traits>
 #include <utility>
 
 namespace masticlever::peers
@@ -19,6 +20,7 @@
 using common::error;
 
 constexpr char protocolVersion = 4;
+constexpr char promptFaultVersion = 5; ///< of datagrams with prompt faults, which follow the fields of version 4
 constexpr char requestKind = 1;
 constexpr char answerKind = 2;
 constexpr std::size_t frameHeaderBytes = 2; // version and kind
@@ -36,19 +38,29 @@
     return common::hmacSha256(key, covered);
 }
 
+bool hasPromptFaults(const gossip_message &message)
+{
+    return !message.promptFaults.empty();
+}
+
 template <typename Message> common::result<std::string> encodeBody(Message &message)
 {
     try {
         std::ostringstream stream;
         cereal::PortableBinaryOutputArchive archive(stream);
         detail::transferBody(archive, message);
+        if constexpr (std::is_same_v<Message, gossip_message>) {
+            if (hasPromptFaults(message)) {
+                detail::transferPromptFaults(archive, message);
+            }
+        }
         return std::move(stream).str();
     } catch (const cereal::Exception &) {
         return make_error_code(error::too_large);
     }
 }
 
-template <typename Message> common::result<Message> decodeBody(std::string_view body)
+template <typename Message> common::result<Message> decodeBody(std::string_view body, char version = protocolVersion)
 {
     try {
         detail::view_buffer buffer(body);
@@ -56,6 +68,11 @@
         cereal::PortableBinaryInputArchive archive(stream);
         Message message;
         detail::transferBody(archive, message);
+        if constexpr (std::is_same_v<Message, gossip_message>) {
+            if (version == promptFaultVersion) {
+                detail::transferPromptFaults(archive, message);
+            }
+        }
         if (buffer.remaining() != 0) {
             return make_error_code(error::malformed);
         }
@@ -71,6 +88,10 @@
         message.suspects.pop_back();
         return;
     }
+    if (hasPromptFaults(message)) {
+        message.promptFaults.pop_back();
+        return;
+    }
     const std::size_t notices = message.notices.size();
     const std::size_t losses = message.losses.size();
     const std::size_t limits = message.rateLimits.size();
@@ -104,7 +125,7 @@
 bool hasItems(const gossip_message &message)
 {
     return !message.notices.empty() || !message.losses.empty() || !message.leavingEndpoints.empty()
-        || !message.rateLimits.empty() || !message.suspects.empty();
+        || !message.rateLimits.empty() || hasPromptFaults(message) || !message.suspects.empty();
 }
 
 template <typename Message>
@@ -153,7 +174,7 @@
         BOOST_OUTCOME_TRY(shorter, encodeBody(message));
         body = std::move(shorter);
     }
-    std::string datagram(1, protocolVersion);
+    std::string datagram(1, hasPromptFaults(message) ? promptFaultVersion : protocolVersion);
     datagram += body;
     datagram += computeMac(key, datagramContext, {}, datagram);
     return datagram;
@@ -164,14 +185,16 @@
     if (bytes.size() > maximumDatagramBytes) {
         return make_error_code(error::too_large);
     }
-    if (bytes.size() <= 1 + macBytes || bytes.front() != protocolVersion) {
+    const bool isKnownVersion
+        = !bytes.empty() && (bytes.front() == protocolVersion || bytes.front() == promptFaultVersion);
+    if (bytes.size() <= 1 + macBytes || !isKnownVersion) {
         return make_error_code(error::malformed);
     }
     const std::string_view covered = bytes.substr(0, bytes.size() - macBytes);
     if (!common::equalConstantTime(computeMac(key, datagramContext, {}, covered), macOf(bytes))) {
         return make_error_code(error::unauthenticated);
     }
-    return decodeBody<gossip_message>(covered.substr(1));
+    return decodeBody<gossip_message>(covered.substr(1), bytes.front());
 }
 
 common::result<std::string> encodeRequest(const records_request &request, std::string_view key,
--- a/packages/peers/src/detail/bodies.h
+++ b/packages/peers/src/detail/bodies.h
@@ -57,6 +57,21 @@
     notice.rate = hasRate ? std::optional(rate) : std::nullopt;
 }
 
+template <typename Archive> void transferPartCrash(Archive &archive, membership::part_crash_notice &notice)
+{
+    archive(notice.incarnation, notice.ageUs, notice.callUs);
+}
+
+template <typename Archive> void transferPromptFault(Archive &archive, membership::prompt_fault_notice &notice)
+{
+    bool isAnswered = notice.answeredAgeUs.has_value();
+    std::uint64_t answeredAgeUs = notice.answeredAgeUs.value_or(0);
+    archive(notice.part, answeredAgeUs);
+    transferFlag(archive, isAnswered);
+    transferList(archive, notice.crashes, maximumListItems, transferPartCrash<Archive>);
+    notice.answeredAgeUs = isAnswered ? std::optional(answeredAgeUs) : std::nullopt;
+}
+
 template <typename Archive> void transferName(Archive &archive, std::string &name)
 {
     transferText(archive, name, maximumNameBytes);
@@ -73,6 +88,12 @@
     transferChoice(archive, message.requested, introduction::heartbeats);
 }
 
+/// Follows the body of a gossip_message that has prompt faults.
+template <typename Archive> void transferPromptFaults(Archive &archive, gossip_message &message)
+{
+    transferList(archive, message.promptFaults, maximumListItems, transferPromptFault<Archive>);
+}
+
 template <typename Archive> void transferBody(Archive &archive, records_request &request)
 {
     archive(request.from, request.limit);
--- a/packages/peers/src/gossip.cpp
+++ b/packages/peers/src/gossip.cpp
@@ -44,12 +44,36 @@
     m_table.incrementHeartbeat();
     gossip_round round{selectPeers(now), buildMessage(now)};
     ++m_roundCount;
+    m_reportAddresses = round.addresses;
     m_isUrgent = false;
     m_lastRoundAt = now;
     m_nextRoundAt = now + m_options.interval;
     return round;
 }
 
+std::optional<gossip_round> gossip::takePromptFaultReport(common::instant now)
+{
+    std::vector<std::string> addresses = std::exchange(m_reportAddresses, {});
+    if (addresses.empty() || !m_table.promptFaults().hasCrashes()) {
+        return std::nullopt;
+    }
+    const bool includesWithheld = m_roundCount % m_options.roundsToRepeatWithheld == 0;
+    std::vector<membership::prompt_fault_notice> notices = m_table.promptFaults().notices(includesWithheld, now);
+    if (notices.empty()) {
+        return std::nullopt;
+    }
+    // The first half is always sent: it has the parts with most crashes.
+    const std::size_t fixed = std::min(notices.size(), m_options.promptFaultLimit / 2);
+    const auto rest = notices.begin() + static_cast<std::ptrdiff_t>(fixed);
+    const std::vector<membership::prompt_fault_notice> others
+        = rotatingSlice(std::vector(rest, notices.end()), m_options.promptFaultLimit - fixed, m_roundCount);
+    notices.erase(rest, notices.end());
+    gossip_round round = makeSelfRound(std::move(addresses), introduction::none);
+    round.message.promptFaults = std::move(notices);
+    round.message.promptFaults.insert(round.message.promptFaults.end(), others.begin(), others.end());
+    return round;
+}
+
 std::vector<std::string> gossip::selectPeers(common::instant now)
 {
     std::vector<std::string> peers = m_table.watcherPeers(now);
@@ -204,6 +228,9 @@
     for (const membership::rate_limit_notice &notice : message.rateLimits) {
         m_table.rateLimits().onNotice(notice, now);
     }
+    for (const membership::prompt_fault_notice &notice : message.promptFaults) {
+        m_table.promptFaults().onNotice(notice, now);
+    }
     return true;
 }
 
--- a/packages/peers/src/peer-service.cpp
+++ b/packages/peers/src/peer-service.cpp
@@ -159,6 +159,9 @@
     if (auto round = m_gossip.onTime(now)) {
         sendRound(std::move(*round));
     }
+    if (auto report = m_gossip.takePromptFaultReport(now)) {
+        sendRound(std::move(*report));
+    }
     sendGreeting(now);
     if (const auto request = m_catchUp.next(now)) {
         ++m_counters.recordRequestsSent;
@@ -321,6 +324,11 @@
     m_implementation->sendEarly();
 }
 
+void peer_service::announcePromptFaults()
+{
+    m_implementation->sendEarly();
+}
+
 void peer_service::announceSuspects(std::vector<std::string> endpoints)
 {
     m_implementation->announceSuspects(std::move(endpoints));
--- a/packages/telemetry/include/masticlever/telemetry/events.h
+++ b/packages/telemetry/include/masticlever/telemetry/events.h
@@ -70,6 +70,8 @@
     bad_request = 805,
     received_too_much = 806,
     endpoint_crashed = 807,
+    prompt_part_changed = 808,
+    request_withheld = 809,
 
     configuration_followed = 810,
     record_ignored = 811,
--- a/packages/telemetry/src/event-catalogue.cpp
+++ b/packages/telemetry/src/event-catalogue.cpp
@@ -58,6 +58,8 @@
     {bad_request, "bad_request", info},
     {received_too_much, "received_too_much", warning},
     {endpoint_crashed, "endpoint_crashed", warning},
+    {prompt_part_changed, "prompt_part_changed", warning},
+    {request_withheld, "request_withheld", info},
     {configuration_followed, "configuration_followed", info},
     {record_ignored, "record_ignored", warning},
     {endpoint_changed, "endpoint_changed", info},
