Prompt faults: time to object, crashes that coincide, and cleared parts first in reports

Cause: an instance withheld a part before it could hear of an answer elsewhere; notices of cleared parts came last and did not fit; endpoints that fail milliseconds apart looked like a sequence when a repeat hit the next one. Change: a part is withheld from 1 s after its third crash; crashes within 50 ms count as one; parts with the longest sequences are reported first, whether cleared or not. Dropping old crashes does not postpone the withholding.

--- a/packages/forwarding/include/masticlever/forwarding/shared-parts.h
+++ b/packages/forwarding/include/masticlever/forwarding/shared-parts.h
@@ -13,8 +13,8 @@
 namespace masticlever::forwarding
 {
 
-/// Returns the fingerprints of all parts of the prompt but the last, which belongs to a single request or session. Equal
-/// parts for different models have different fingerprints.
+/// Returns the fingerprints of all parts of the prompt but the last, which belongs to a single request or session.
+/// Equal parts for different models have different fingerprints.
 std::vector<std::uint64_t> sharedParts(const protocol::request_attributes &request);
 
 /// Formats a fingerprint as it appears in logs.
--- a/packages/frontend/src/frontend-context.h
+++ b/packages/frontend/src/frontend-context.h
@@ -12,8 +12,8 @@
 #include <masticlever/forwarding/endpoint-choice.h>
 #include <masticlever/forwarding/retry-share.h>
 #include <masticlever/frontend/frontend-settings.h>
-#include <masticlever/protocol/wire-protocol.h>
 #include <masticlever/membership/prompt-faults.h>
+#include <masticlever/protocol/wire-protocol.h>
 #include <masticlever/telemetry/metrics.h>
 
 #include <memory>
--- a/packages/frontend/src/request-session-answer.cpp
+++ b/packages/frontend/src/request-session-answer.cpp
@@ -111,7 +111,10 @@
               {"status", std::int64_t{m_answer.status}},
               {"call_ms", toMilliseconds(now - m_sentAt)},
               {"attempt", static_cast<std::uint64_t>(m_flow.attempts())},
-              {"answer", m_isAnswerSettled ? "settled" : m_firstBodyAt ? "begun" : "none"},
+              {"answer",
+               m_isAnswerSettled   ? "settled"
+                   : m_firstBodyAt ? "begun"
+                                   : "none"},
               {"parts", std::string_view(parts)}});
     if (end == call_end::misdirected) {
         m_context.reports.onMisdirected(m_endpointId, now);
--- a/packages/membership/include/masticlever/membership/prompt-faults.h
+++ b/packages/membership/include/masticlever/membership/prompt-faults.h
@@ -64,6 +64,9 @@
 struct prompt_fault_options {
     /// Crashes in sequence, without an answer between them, after which a part is withheld.
     std::size_t crashesToWithhold = 3;
+    common::duration coincidence = std::chrono::milliseconds(50); ///< crashes closer together count as one
+    /// Time from the last of these crashes in which peers may report answers that this instance does not know of.
+    common::duration objectionTime = std::chrono::seconds(1);
     std::size_t maximumCrashes = 8; ///< of one part that are kept; the oldest ones are dropped
     std::size_t reportedCrashes = 4; ///< the latest ones, in a notice
     /// A part is withheld for this time after its latest crash.
@@ -98,7 +101,7 @@
     /// Number of parts that are withheld.
     std::size_t withheldCount(common::instant now) const;
     /// Returns the notices of parts that changed within the reporting time, and with \p includesWithheld those of all
-    /// withheld parts, the longest sequences first.
+    /// withheld parts. Those that had the longest sequences come first, whether they were cleared since or not.
     std::vector<prompt_fault_notice> notices(bool includesWithheld, common::instant now) const;
     /// Returns the changes since the last call.
     std::vector<prompt_fault_change> takeChanges();
@@ -115,16 +118,18 @@
         std::optional<common::instant> answeredAt;
         common::instant changedAt;
         std::size_t sequence = 0; ///< length of the current sequence of crashes
+        std::size_t longest = 0; ///< of all sequences so far
+        common::instant withheldFrom; ///< if the sequence is long enough
     };
 
     using part_map = std::map<std::uint64_t, entry>;
 
     static std::vector<crash> openCrashes(const entry &known);
-    static std::size_t longestSequence(std::span<const crash> sorted);
+    std::vector<common::instant> longestSequence(std::span<const crash> sorted) const;
     static std::pair<bool, std::size_t> evidenceOf(const entry &known);
     bool isWithheld(const entry &known, common::instant now) const;
-    std::vector<crash> unexplainedCrashes(std::uint64_t part, const entry &known,
-                                          std::span<const std::uint64_t> parts, common::instant now) const;
+    std::vector<crash> unexplainedCrashes(std::uint64_t part, const entry &known, std::span<const std::uint64_t> parts,
+                                          common::instant now) const;
     std::optional<common::instant> lastAnswer(std::uint64_t part) const;
     entry *findOrAdd(std::uint64_t part);
     bool addCrash(entry &known, const crash &added) const;
--- a/packages/membership/src/prompt-faults.cpp
+++ b/packages/membership/src/prompt-faults.cpp
@@ -19,7 +19,8 @@
 
 std::uint64_t toMicroseconds(duration time)
 {
-    return static_cast<std::uint64_t>(std::max(std::chrono::duration_cast<microseconds>(time), microseconds(0)).count());
+    return static_cast<std::uint64_t>(
+        std::max(std::chrono::duration_cast<microseconds>(time), microseconds(0)).count());
 }
 
 duration fromMicroseconds(std::uint64_t time)
@@ -43,24 +44,25 @@
     return open;
 }
 
-/// Number of crashes of which each was caused by a request that was sent after the previous one. Endpoints that fail
+/// Times of crashes of which each was caused by a request that was sent after the previous one. Endpoints that fail
 /// together, for example with their rack, count as one.
-std::size_t prompt_fault_table::longestSequence(std::span<const crash> sorted)
+std::vector<instant> prompt_fault_table::longestSequence(std::span<const crash> sorted) const
 {
-    std::size_t length = 0;
-    instant last = instant::min();
+    std::vector<instant> sequence;
     for (const crash &item : sorted) {
-        if (item.at - item.call > last) {
-            ++length;
-            last = item.at;
+        const bool isSeparate = sequence.empty()
+            || (item.at - item.call > sequence.back() && item.at - sequence.back() >= m_options.coincidence);
+        if (isSeparate) {
+            sequence.push_back(item.at);
         }
     }
-    return length;
+    return sequence;
 }
 
 bool prompt_fault_table::isWithheld(const entry &known, instant now) const
 {
-    return known.sequence >= m_options.crashesToWithhold && now - known.crashes.back().at < m_options.withholdingTime;
+    return known.sequence >= m_options.crashesToWithhold && now >= known.withheldFrom
+        && now - known.crashes.back().at < m_options.withholdingTime;
 }
 
 /// Order of parts that may have caused the same crashes: one that was never answered comes after one that was.
@@ -76,13 +78,14 @@
                                                                               instant now) const
 {
     std::vector<crash> open = openCrashes(known);
-    for (const auto &[otherPart, other] : m_parts) {
-        if (otherPart == part || contains(parts, otherPart) || !isWithheld(other, now)
+    for (const auto &item : m_parts) {
+        const entry &other = item.second;
+        if (item.first == part || contains(parts, item.first) || !isWithheld(other, now)
             || evidenceOf(other) < evidenceOf(known)) {
             continue;
         }
-        std::erase_if(open, [&](const crash &item) {
-            return std::ranges::find(other.crashes, item.incarnation, &crash::incarnation) != other.crashes.end();
+        std::erase_if(open, [&](const crash &explained) {
+            return std::ranges::find(other.crashes, explained.incarnation, &crash::incarnation) != other.crashes.end();
         });
     }
     return open;
@@ -100,7 +103,7 @@
         const entry &known = found->second;
         const std::vector<crash> crashes = unexplainedCrashes(part, known, parts, now);
         const bool isFirst = !likeliest || evidence < evidenceOf(known);
-        if (isFirst && longestSequence(crashes) >= m_options.crashesToWithhold) {
+        if (isFirst && longestSequence(crashes).size() >= m_options.crashesToWithhold) {
             const duration age = now - known.crashes.back().at;
             likeliest = {part, known.sequence, age, m_options.withholdingTime - age};
             evidence = evidenceOf(known);
@@ -133,9 +136,8 @@
         return &found->second;
     }
     if (m_parts.size() >= m_options.maximumParts) {
-        const auto least = std::ranges::min_element(m_parts, {}, [](const auto &item) {
-            return std::tuple(item.second.sequence, item.second.changedAt);
-        });
+        const auto least = std::ranges::min_element(
+            m_parts, {}, [](const auto &item) { return std::tuple(item.second.sequence, item.second.changedAt); });
         if (least->second.sequence >= m_options.crashesToWithhold) {
             return nullptr;
         }
@@ -175,14 +177,21 @@
     using what = prompt_fault_change::what;
     constexpr std::size_t crashesToLog = 2; // one crash interrupts many parts
     known.changedAt = now;
-    const std::size_t sequence = longestSequence(openCrashes(known));
+    const std::vector<instant> times = longestSequence(openCrashes(known));
+    const std::size_t sequence = times.size();
     const std::size_t former = std::exchange(known.sequence, sequence);
+    known.longest = std::max(known.longest, sequence);
+    if (sequence >= m_options.crashesToWithhold) {
+        const instant from = times[m_options.crashesToWithhold - 1] + m_options.objectionTime;
+        const bool isContinued = former >= m_options.crashesToWithhold; // older crashes may have been dropped since
+        known.withheldFrom = isContinued ? std::min(from, known.withheldFrom) : from;
+    }
     if (sequence == former || std::max(sequence, former) < crashesToLog || m_changes.size() >= m_options.maximumParts) {
         return;
     }
-    const what kind = sequence < former                ? what::cleared
+    const what kind = sequence < former           ? what::cleared
         : sequence >= m_options.crashesToWithhold ? what::withheld
-                                                       : what::suspected;
+                                                  : what::suspected;
     m_changes.push_back({kind, part, std::max(sequence, former), isFromPeer});
 }
 
@@ -298,9 +307,8 @@
         }
         all.push_back(std::move(notice));
     }
-    std::ranges::stable_sort(all, std::ranges::greater(), [this](const prompt_fault_notice &notice) {
-        return m_parts.at(notice.part).sequence;
-    });
+    std::ranges::stable_sort(all, std::ranges::greater(),
+                             [this](const prompt_fault_notice &notice) { return m_parts.at(notice.part).longest; });
     return all;
 }
 
--- a/packages/peers/include/masticlever/peers/messages.h
+++ b/packages/peers/include/masticlever/peers/messages.h
@@ -22,7 +22,8 @@
 };
 
 /// One datagram. Instances of version 4 of the protocol ignore messages with prompt faults, which are therefore sent
-/// apart from the others. It always contains the sender's own notice, whose heartbeat is the sequence number of the datagram.
+/// apart from the others. It always contains the sender's own notice, whose heartbeat is the sequence number of the
+/// datagram.
 struct gossip_message {
     membership::instance_notice sender;
     std::vector<membership::instance_notice> notices; ///< updates about other instances
--- a/tests/site/crashing-part-test.cpp
+++ b/tests/site/crashing-part-test.cpp
@@ -98,11 +98,9 @@
     std::size_t soundAnsweredFrom(std::size_t first)
     {
         waitFor([&] { return std::ranges::all_of(m_soundCallers, isDone); });
-        return static_cast<std::size_t>(std::ranges::count_if(m_soundCallers.begin() + static_cast<std::ptrdiff_t>(first),
-                                                              m_soundCallers.end(), [](const auto &caller) {
-                                                                  return caller->completeAnswers == 1
-                                                                      && caller->heads[0].status == 200;
-                                                              }));
+        return static_cast<std::size_t>(std::ranges::count_if(
+            m_soundCallers.begin() + static_cast<std::ptrdiff_t>(first), m_soundCallers.end(),
+            [](const auto &caller) { return caller->completeAnswers == 1 && caller->heads[0].status == 200; }));
     }
 
     bool withholds(std::size_t daemon, double parts)
@@ -119,7 +117,8 @@
     std::string chatWith(const std::string &shared)
     {
         const std::string id = std::to_string(++m_sent);
-        return request("POST", "/chat/", "r" + id, "prompt", "Model: m\r\nPrompt-Prefix: " + shared + ",own" + id + ":1\r\n");
+        return request("POST", "/chat/", "r" + id, "prompt",
+                       "Model: m\r\nPrompt-Prefix: " + shared + ",own" + id + ":1\r\n");
     }
 
     std::size_t m_daemons;
