Streams: one without length or chunks that ends before its first event is cut off

What callers saw: such a stream, for example of an endpoint that ends as it begins its answer, reached the caller as a complete stream without events. Cause: only bytes of an unfinished event counted as a cut; with neither length nor chunks the end of the connection is the only framing, so an orderly close before the first event passed for an end. Chunked streams without events are complete as before. Why it works: an unframed stream needs at least one whole event to be complete.

--- a/packages/frontend/src/request-session-answer.cpp
+++ b/packages/frontend/src/request-session-answer.cpp
@@ -232,6 +232,7 @@
     std::string complete;
     apply(m_flow.onProgress());
     for (const forwarding::whole_event &entry : m_eventSplitter.feed(bytes)) {
+        m_hasEvents = true;
         if (entry.id && m_flow.resumeAfter() && *entry.id <= *m_flow.resumeAfter()) {
             continue; // a resumed stream may repeat events that the caller already has
         }
@@ -250,13 +251,20 @@
     }
 }
 
+/// Whether a stream ended inside an event, or before the first one if nothing but its end frames it.
+bool request_session::isStreamCutOff() const
+{
+    const bool isUnframed = m_answer.framing == http1::body_framing::until_close;
+    return m_isEventStream && (m_eventSplitter.pendingBytes() > 0 || (isUnframed && !m_hasEvents));
+}
+
 void request_session::onEnd()
 {
     if (m_answerMode == answer_mode::discard) {
         endCall(m_endIfDiscarded, m_endIfDiscarded == call_end::broken ? call_outcome::failed : rejectionOutcome());
         return;
     }
-    if (m_isEventStream && m_eventSplitter.pendingBytes() > 0) {
+    if (isStreamCutOff()) {
         endCall(call_end::broken, call_outcome::failed);
         return;
     }
--- a/packages/frontend/src/request-session.cpp
+++ b/packages/frontend/src/request-session.cpp
@@ -278,6 +278,7 @@
     m_eventSplitter = {};
     m_bufferedAnswer.clear();
     m_discardedBytes = 0;
+    m_hasEvents = false;
     m_firstBodyAt.reset();
     m_isAnswerSettled = false;
     m_answerBudget.restart(endpoint.address);
--- a/packages/frontend/src/request-session.h
+++ b/packages/frontend/src/request-session.h
@@ -67,6 +67,7 @@
     void recordFirstAnswer(common::instant now);
     void callEndpoint();
     void send(const catalog::endpoint_record &endpoint);
+    bool isStreamCutOff() const;
     bool exceedsLimit(std::string_view bytes);
     void abortOversizedAnswer();
     forwarding::call_outcome rejectionOutcome() const;
@@ -110,6 +111,7 @@
     answer_mode m_answerMode = answer_mode::none;
     forwarding::call_end m_endIfDiscarded = forwarding::call_end::broken; ///< end of a call whose answer is discarded
     bool m_isEventStream = false;
+    bool m_hasEvents = false; ///< a complete event of the answer in flight has arrived
     bool m_isHeadSent = false;
     std::string m_bufferedAnswer;
     std::size_t m_discardedBytes = 0; ///< body bytes received of a discarded answer
--- a/tests/site/site-endpoint.cpp
+++ b/tests/site/site-endpoint.cpp
@@ -23,6 +23,11 @@
     return QJsonDocument::fromJson(QByteArray::fromStdString(text)).object();
 }
 
+bool isUnframed(fault injected)
+{
+    return injected == fault::unframed_stream || injected == fault::unframed_event || injected == fault::unframed_empty;
+}
+
 std::string compact(const QJsonObject &value)
 {
     return QJsonDocument(value).toJson(QJsonDocument::Compact).toStdString();
@@ -300,7 +305,9 @@
     head.status = 200;
     head.fields = answerFields(exchange->field("Request-Id"));
     head.fields.push_back({"Content-Type", "text/event-stream"});
-    head.fields.push_back({"Transfer-Encoding", "chunked"});
+    if (!isUnframed(injected)) {
+        head.fields.push_back({"Transfer-Encoding", "chunked"});
+    }
     exchange->write(http1::answerText(head));
     const std::string last = exchange->field("Last-Event-Id");
     sendEvent(exchange, last.empty() ? 1 : std::stoul(last) + 1, injected);
@@ -314,18 +321,24 @@
         return;
     }
     const std::string text = "id: " + std::to_string(number) + "\ndata: event " + std::to_string(number) + "\n\n";
-    if (injected == fault::truncated_event && number > behaviour.events / 2) {
+    const auto framed = [&](const std::string &bytes) { return isUnframed(injected) ? bytes : http1::chunkText(bytes); };
+    const bool isCutInEvent = injected == fault::truncated_event || injected == fault::unframed_event;
+    if (isCutInEvent && number > behaviour.events / 2) {
         --inFlight;
-        exchange->write(http1::chunkText(text.substr(0, text.size() / 2)));
+        exchange->write(framed(text.substr(0, text.size() / 2)));
         exchange->closeWhenSent();
         return;
     }
-    if (number > behaviour.events) {
+    if (number > behaviour.events || injected == fault::unframed_empty) {
         --inFlight;
-        exchange->write(http1::lastChunk);
+        if (isUnframed(injected)) {
+            exchange->closeWhenSent();
+        } else {
+            exchange->write(http1::lastChunk);
+        }
         return;
     }
-    exchange->write(http1::chunkText(text));
+    exchange->write(framed(text));
     QTimer::singleShot(behaviour.eventInterval, &m_timers,
                        [this, exchange, number, injected] { sendEvent(exchange, number + 1, injected); });
 }
--- a/tests/site/streams-test.cpp
+++ b/tests/site/streams-test.cpp
@@ -107,6 +107,47 @@
     }
 }
 
+TEST_CASE("A stream without length or chunks that ends with its connection", "[site]")
+{
+    model_site site;
+    constexpr int requests = 12;
+    int unframed = 0;
+
+    SECTION("is complete if it ends after an event")
+    {
+        site.injectFault(fault::unframed_stream, requests);
+        for (int i = 0; i < requests; ++i) {
+            const auto answer = site.sendRequest(0, site.request("POST", "/note/", "n" + std::to_string(i), "prompt"));
+            CHECK(answer.isComplete);
+            CHECK(answer.body == model_site::events(1, 4));
+        }
+        CHECK(site.endpoint(0).behaviour.remainingFaults < requests);
+    }
+    SECTION("continues at another endpoint if it ends inside an event or before the first one")
+    {
+        site.injectFault(GENERATE(fault::unframed_event, fault::unframed_empty), 3);
+        for (int i = 0; i < requests; ++i) {
+            const std::string id = "r" + std::to_string(i);
+            const auto answer = site.sendRequest(0, site.request("POST", "/chat/", id, "prompt"));
+            CHECK(answer.isComplete);
+            CHECK(answer.body == model_site::events(1, 4));
+            unframed += site.totalRuns(id) == 2 ? 1 : 0;
+        }
+        CHECK(unframed > 0);
+    }
+    SECTION("never looks complete to the caller if it was cut off and is not resumable")
+    {
+        site.injectFault(GENERATE(fault::unframed_event, fault::unframed_empty), requests);
+        for (int i = 0; i < requests; ++i) {
+            const auto answer = site.sendRequest(0, site.request("POST", "/note/", "n" + std::to_string(i), "prompt"));
+            const bool isWhole = answer.body == model_site::events(1, 4);
+            CHECK((answer.status != 200 || answer.isComplete == isWhole));
+            unframed += isWhole ? 0 : 1;
+        }
+        CHECK(unframed > 0);
+    }
+}
+
 TEST_CASE("A caller that resumes after an event gets only the later events", "[site]")
 {
     model_site site;
