--- a/packages/forwarding/test/request-flow-test.cpp
+++ b/packages/forwarding/test/request-flow-test.cpp
@@ -128,6 +128,29 @@
     CHECK(step.answer->retryAfter.has_value());
 }
 
+TEST_CASE("A request that is withheld from endpoints")
+{
+    const catalog::route route = routeWithoutStages(catalog::request_kind::idempotent, 2);
+
+    SECTION("is refused as not run if it was never sent")
+    {
+        request_flow flow = makeFlow(route);
+        const flow_step step = flow.onWithheld(10min);
+        REQUIRE(step.answer);
+        CHECK(step.answer->status == 503);
+        CHECK(step.answer->retryAfter == 10min);
+    }
+    SECTION("fails without a promise if it may have run")
+    {
+        request_flow flow = flowInCall(route);
+        REQUIRE(flow.onCallEnds(call_end::broken, start, always).call);
+        const flow_step step = flow.onWithheld(10min);
+        REQUIRE(step.answer);
+        CHECK(step.answer->status == 502);
+        CHECK_FALSE(step.answer->retryAfter.has_value());
+    }
+}
+
 TEST_CASE("An idempotent request is retried")
 {
     const catalog::route route = routeWithoutStages(catalog::request_kind::idempotent, 2);
--- a/packages/membership/test/prompt-faults-test.cpp
+++ b/packages/membership/test/prompt-faults-test.cpp
@@ -235,7 +235,7 @@
         const std::size_t instance = m_random() % m_tables.size();
         const bool hasDeadly = sendsDeadly && m_random() % 20 == 0;
         const parts request = hasDeadly ? parts{100 + m_random() % 4, sound, deadly}
-                                       : parts{100 + m_random() % 4, 200 + m_random() % 80};
+                                        : parts{100 + m_random() % 4, 200 + m_random() % 80};
         if (m_tables[instance].findWithheld(request, m_now)) {
             withheldSound += hasDeadly ? 0 : 1;
         } else {
@@ -272,10 +272,7 @@
 
     bool isUp(std::size_t index) const { return m_endpoints[index].upAt <= m_now; }
 
-    static bool isDeadly(const call &item)
-    {
-        return std::ranges::find(item.request, deadly) != item.request.end();
-    }
+    static bool isDeadly(const call &item) { return std::ranges::find(item.request, deadly) != item.request.end(); }
 
     void beginAnswers()
     {
--- a/packages/peers/test/codec-test.cpp
+++ b/packages/peers/test/codec-test.cpp
@@ -132,6 +132,17 @@
         CHECK(decodeDatagram(std::string(1201, '\1'), key).error() == error::too_large);
     }
 
+    SECTION("prompt faults make it a datagram of the next version, which older instances ignore")
+    {
+        constexpr char versionWithoutFaults = 4;
+        CHECK(bytes.front() == versionWithoutFaults);
+        gossip_message report = message;
+        report.promptFaults = {{17, {{1, 2, 3}, {4, 5, 6}}, 7}, {18, {{1, 2, 3}}, std::nullopt}};
+        const std::string encoded = encodeDatagram(report, key).value();
+        CHECK(encoded.front() == versionWithoutFaults + 1);
+        CHECK(decodeDatagram(encoded, key).value() == report);
+    }
+
     SECTION("any single changed byte is detected")
     {
         for (std::size_t i = 0; i < bytes.size(); ++i) {
--- a/packages/peers/test/gossip-test.cpp
+++ b/packages/peers/test/gossip-test.cpp
@@ -125,6 +125,9 @@
         if (const auto round = sender.protocol.onTime(now)) {
             deliver(from, *round);
         }
+        if (const auto report = sender.protocol.takePromptFaultReport(now)) {
+            deliver(from, *report);
+        }
     }
 
     void deliver(std::size_t from, const gossip_round &round)
@@ -184,6 +187,25 @@
         }
     }
 
+    SECTION("a prompt part that crashes endpoints is withheld everywhere within seconds, by instances that restart too")
+    {
+        const std::vector<std::uint64_t> request{7};
+        const std::vector<interrupted_part> parts{{7, 100ms}};
+        for (std::uint64_t crash = 0; crash < 3; ++crash) {
+            membership_table &table = instances.nodes[crash]->table;
+            table.promptFaults().onCrash(crash + 1, parts, instances.now, instances.now);
+            instances.run(1s);
+        }
+        instances.run(2s);
+        for (const auto &member : instances.nodes) {
+            CHECK(member->table.promptFaults().findWithheld(request, instances.now).has_value());
+        }
+        instances.run(1min);
+        instances.nodes[2]->table.promptFaults() = prompt_fault_table({});
+        instances.run(5s);
+        CHECK(instances.nodes[2]->table.promptFaults().findWithheld(request, instances.now).has_value());
+    }
+
     SECTION("an endpoint's rate limit and its end are known everywhere within seconds")
     {
         const auto sentAt = instances.now;
--- a/tests/site/crashing-part-test.cpp
+++ b/tests/site/crashing-part-test.cpp
@@ -45,7 +45,11 @@
     std::string crashing() { return chatWith("system:10,deadly:5"); }
 
     /// Sends to the daemons in turn, each tenth request with the crashing part, and restarts crashed endpoints.
-    void play(clock_type::duration length)
+    void play(clock_type::duration length) { playWith(length, 10); }
+    void playSound(clock_type::duration length) { playWith(length, 0); }
+
+    /// \p interval is the number of requests for each crashing one; 0: none.
+    void playWith(clock_type::duration length, std::size_t interval)
     {
         const auto end = clock_type::now() + length;
         auto next = clock_type::now();
@@ -53,7 +57,8 @@
             const auto now = clock_type::now();
             if (now >= next) {
                 next = now + sendInterval;
-                const bool isCrashing = ++m_turn % 10 == 0;
+                ++m_turn;
+                const bool isCrashing = interval > 0 && m_turn % interval == 0;
                 auto &callers = isCrashing ? m_crashingCallers : m_soundCallers;
                 callers.push_back(std::make_unique<site_caller>(frontAddressOf(m_turn % m_daemons)));
                 callers.back()->send(isCrashing ? crashing() : sound());
@@ -145,3 +150,35 @@
     // Sound requests with the same first part are served meanwhile.
     CHECK(site.soundAnsweredFrom(sentBefore) >= (site.soundSent() - sentBefore) * 9 / 10);
 }
+
+TEST_CASE("An instance that starts later withholds what crashed endpoints before", "[crashing-part]")
+{
+    crashing_site site(3);
+    site.play(4s);
+    REQUIRE(waitFor([&] { return site.withholds(0, 1); }));
+    const std::size_t newInstance = site.startDaemon();
+    REQUIRE(site.waitReady(newInstance));
+    REQUIRE(waitFor([&] { return site.withholds(newInstance, 1); }));
+    const auto before = clock_type::now();
+    const auto answer = site.sendRequest(newInstance, site.crashing());
+    CHECK(answer.status == 503);
+    CHECK(answer.head.find("Retry-After") != nullptr);
+    CHECK(site.crashingArrivalsAfter(before) == 0);
+    CHECK(site.sendRequest(newInstance, site.sound()).status == 200);
+}
+
+TEST_CASE("Endpoints that end together again and again withhold nothing", "[crashing-part]")
+{
+    crashing_site site(3);
+    for (int round = 0; round < 4; ++round) {
+        for (std::size_t i = 0; i + 2 < site.endpointCount(); ++i) {
+            site.endpoint(i).crash();
+        }
+        site.playSound(1500ms);
+    }
+    CHECK(site.crashes().size() >= 12);
+    for (std::size_t daemon = 0; daemon < 3; ++daemon) {
+        CHECK(site.metricOf(daemon, "masticlever_frontend_withheld_requests_total") == std::nullopt);
+        CHECK(site.withholds(daemon, 0));
+    }
+}
--- a/tests/site/site-endpoint.cpp
+++ b/tests/site/site-endpoint.cpp
@@ -321,7 +321,8 @@
         return;
     }
     const std::string text = "id: " + std::to_string(number) + "\ndata: event " + std::to_string(number) + "\n\n";
-    const auto framed = [&](const std::string &bytes) { return isUnframed(injected) ? bytes : http1::chunkText(bytes); };
+    const auto framed
+        = [&](const std::string &bytes) { return isUnframed(injected) ? bytes : http1::chunkText(bytes); };
     const bool isCutInEvent = injected == fault::truncated_event || injected == fault::unframed_event;
     if (isCutInEvent && number > behaviour.events / 2) {
         --inFlight;
--- a/tests/soak/loopback-proxy.cpp
+++ b/tests/soak/loopback-proxy.cpp
@@ -98,8 +98,19 @@
         }
         m_pairs.emplace(added.get(), std::move(added));
     });
-    const auto port = m_listener->listen({loopback, 0}, backlog);
-    return "127.0.0.1:" + std::to_string(port.value());
+    m_port = m_listener->listen({loopback, m_port}, backlog).value();
+    return "127.0.0.1:" + std::to_string(m_port);
+}
+
+void loopback_proxy::stop()
+{
+    m_listener.reset();
+    resetAll();
+}
+
+void loopback_proxy::resume()
+{
+    listen();
 }
 
 void loopback_proxy::resetAll()
--- a/tests/soak/loopback-proxy.h
+++ b/tests/soak/loopback-proxy.h
@@ -5,6 +5,7 @@
 #include <QObject>
 
 #include <chrono>
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <string>
@@ -34,11 +35,15 @@
     void setState(link_state state) { m_state = state; }
     /// Resets all connections.
     void resetAll();
+    /// Resets all connections and accepts none until resume() is called, like a process that has ended.
+    void stop();
+    void resume();
 
 private:
     class pair;
 
     std::string m_target;
+    std::uint16_t m_port = 0; ///< any free one at first
     link_state m_state = link_state::open;
     std::unique_ptr<net::listener> m_listener;
     std::map<pair *, std::unique_ptr<pair>> m_pairs;
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -45,15 +45,18 @@
     std::string kind;
     std::size_t daemon = 0;
     std::unique_ptr<site_caller> caller;
+    bool isCrashing = false; ///< has a part that crashes endpoints
     bool isReported = false;
 };
 
 class soak_run
 {
 public:
-    soak_run(const QString &program, std::uint32_t seed, std::size_t daemons, QString plantedFault, bool hasLimits)
+    soak_run(const QString &program, std::uint32_t seed, std::size_t daemons, QString plantedFault, bool hasLimits,
+             bool hasCrashingParts)
         : m_random(seed), m_plantedFault(std::move(plantedFault)), m_hasLimits(hasLimits),
-          m_storeProxy(m_store.start()), m_fleet(program, daemons, m_storeProxy.listen())
+          m_hasCrashingParts(hasCrashingParts), m_storeProxy(m_store.start()),
+          m_fleet(program, daemons, m_storeProxy.listen())
     {
         m_store.put("keyed.op", "config", site::demoConfiguration());
         using kind = site_endpoint::kind;
@@ -90,6 +93,7 @@
             processPendingEvents();
             revertFaults(timer.elapsed());
             m_elapsedMs = timer.elapsed();
+            stopCrashedEndpoints();
         }
         revertFaults(std::numeric_limits<qint64>::max());
         if (!waitUntilAllServe(recoveryLimitMs)) {
@@ -113,6 +117,9 @@
         auto endpoint = std::make_unique<site_endpoint>(id, kind, service, "west");
         endpoint->behaviour.events = streamEvents;
         endpoint->behaviour.eventInterval = std::chrono::milliseconds(10);
+        if (m_hasCrashingParts) {
+            endpoint->behaviour.crashingParts = {"crashing"};
+        }
         auto proxy = std::make_unique<loopback_proxy>(endpoint->start());
         endpoint->setPublicAddress(proxy->listen());
         m_store.put("keyed.servers", id, endpoint->registration());
@@ -187,6 +194,21 @@
                        [&endpoint] { endpoint.behaviour.kind = endpoint_behaviour::fault::none; });
     }
 
+    void stopCrashedEndpoints()
+    {
+        for (std::size_t i = 0; i < m_endpoints.size(); ++i) {
+            if (!m_endpoints[i]->isCrashed) {
+                continue;
+            }
+            m_proxies[i]->stop();
+            m_endpoints[i]->restart();
+            scheduleAction(randomInt(300, 1500), [this, i] {
+                m_proxies[i]->resume();
+                m_store.put("keyed.servers", m_endpoints[i]->id(), m_endpoints[i]->registration());
+            });
+        }
+    }
+
     void injectStoreFault()
     {
         if (randomInt(0, 2) == 0) {
@@ -224,9 +246,9 @@
     std::string text(const observed_request &request)
     {
         const bool isSafe = request.kind == "safe";
-        const std::string stages = request.kind == "chat"
-            ? "Pieces: 1,2\r\nPiece-Key: k\r\nPrompt-Prefix: p:9," + request.id + ":9\r\n"
-            : "";
+        const std::string stages = request.kind == "chat" ? "Pieces: 1,2\r\nPiece-Key: k\r\nPrompt-Prefix: p:9,"
+                + std::string(request.isCrashing ? "crashing:9," : "") + request.id + ":9\r\n"
+                                                          : "";
         const std::string body = isSafe ? "" : "body of " + request.id;
         return (isSafe ? "GET /" : "POST /") + request.kind + "/ HTTP/1.1\r\nHost: site.example\r\nRequest-Id: "
             + request.id + "\r\nDeadline-Ms: 4000\r\nAuthorization: Bearer key-1\r\n" + stages
@@ -246,6 +268,7 @@
                 endpoint->behaviour.kind = endpoint_behaviour::fault::reset_after_reading;
             }
         }
+        request.isCrashing = m_hasCrashingParts && request.kind == "chat" && randomInt(0, 5) == 0;
         request.caller->send(text(request));
         if (m_plantedFault == QStringLiteral("twice") && request.kind == "order") {
             m_duplicateCallers.push_back(std::make_unique<site_caller>(m_fleet.frontAddressOf(0)));
@@ -377,6 +400,7 @@
     std::mt19937 m_random;
     QString m_plantedFault;
     bool m_hasLimits;
+    bool m_hasCrashingParts;
     site_store m_store;
     loopback_proxy m_storeProxy;
     soak_fleet m_fleet;
@@ -408,11 +432,12 @@
     parser.addOption({QStringLiteral("plant"), QStringLiteral("Plant a fault: twice, refused, order."),
                       QStringLiteral("NAME"), QString()});
     parser.addOption({QStringLiteral("limits"), QStringLiteral("Let endpoints name rate limits.")});
+    parser.addOption({QStringLiteral("crashing-parts"), QStringLiteral("Send requests that crash model endpoints.")});
     parser.process(application);
     const auto seed = parser.value(QStringLiteral("seed")).toUInt();
     soak_run run(QCoreApplication::applicationDirPath() + QStringLiteral("/masticleverd"), seed,
                  parser.value(QStringLiteral("daemons")).toUInt(), parser.value(QStringLiteral("plant")),
-                 parser.isSet(QStringLiteral("limits")));
+                 parser.isSet(QStringLiteral("limits")), parser.isSet(QStringLiteral("crashing-parts")));
     const std::size_t violations = run.execute(parser.value(QStringLiteral("seconds")).toInt() * 1000);
     std::printf("seed %u: %zu requests, %zu served, %zu faults, %zu broken\n", seed, run.requests(), run.served(),
                 run.faults(), violations);
