Prompt faults: endpoints that crash at the same time as others are no evidence

Cause: a sequence needed requests sent after the crash before, but a crash of several endpoints at once counted too. Change: crashes within 20 ms of another endpoint's, as any instance knows them, do not count. The time is short enough for a repeat at another endpoint to count: an engine reads the prompt before it crashes.

--- a/packages/forwarding/test/shared-parts-test.cpp
+++ b/packages/forwarding/test/shared-parts-test.cpp
@@ -35,9 +35,9 @@
     }
     SECTION("a prompt with very many parts is cut")
     {
-        std::vector<std::string> many;
-        for (int i = 0; i < 1000; ++i) {
-            many.push_back(std::to_string(i));
+        std::vector<std::string> many(1000);
+        for (std::size_t i = 0; i < many.size(); ++i) {
+            many[i] = std::to_string(i);
         }
         CHECK(sharedParts(requestWith(many)).size() == 64);
     }
--- a/packages/membership/include/masticlever/membership/prompt-faults.h
+++ b/packages/membership/include/masticlever/membership/prompt-faults.h
@@ -64,7 +64,8 @@
 struct prompt_fault_options {
     /// Crashes in sequence, without an answer between them, after which a part is withheld.
     std::size_t crashesToWithhold = 3;
-    common::duration coincidence = std::chrono::milliseconds(50); ///< crashes closer together count as one
+    /// Endpoints that crash within this time of each other have another cause than a request.
+    common::duration coincidence = std::chrono::milliseconds(20);
     /// Time from the last of these crashes in which peers may report answers that this instance does not know of.
     common::duration objectionTime = std::chrono::seconds(1);
     std::size_t maximumCrashes = 8; ///< of one part that are kept; the oldest ones are dropped
@@ -124,19 +125,22 @@
 
     using part_map = std::map<std::uint64_t, entry>;
 
-    static std::vector<crash> openCrashes(const entry &known);
-    std::vector<common::instant> longestSequence(std::span<const crash> sorted) const;
+    std::vector<crash> openCrashes(const entry &known) const;
+    bool isCoincident(const crash &item) const;
+    static std::vector<common::instant> longestSequence(std::span<const crash> sorted);
     static std::pair<bool, std::size_t> evidenceOf(const entry &known);
     bool isWithheld(const entry &known, common::instant now) const;
     std::vector<crash> unexplainedCrashes(std::uint64_t part, const entry &known, std::span<const std::uint64_t> parts,
                                           common::instant now) const;
     std::optional<common::instant> lastAnswer(std::uint64_t part) const;
     entry *findOrAdd(std::uint64_t part);
-    bool addCrash(entry &known, const crash &added) const;
+    bool addCrash(entry &known, const crash &added);
+    void recordCrash(std::uint64_t incarnation, common::instant at, common::instant now);
     void update(std::uint64_t part, entry &known, bool isFromPeer, common::instant now);
 
     prompt_fault_options m_options;
     part_map m_parts; ///< parts with crashes
+    std::map<std::uint64_t, common::instant> m_crashes; ///< times by incarnation
     std::set<std::uint64_t> m_retracted; ///< incarnations that answered after their supposed crash
     /// Times of answers by part. The older half is dropped as a whole when the newer one is full.
     std::unordered_map<std::uint64_t, common::instant> m_answers;
--- a/packages/membership/src/prompt-faults.cpp
+++ b/packages/membership/src/prompt-faults.cpp
@@ -36,23 +36,30 @@
 
 } // namespace
 
-/// The crashes after the last answer.
-std::vector<prompt_fault_table::crash> prompt_fault_table::openCrashes(const entry &known)
+/// Whether another endpoint crashed at the same time, for example in the same rack.
+bool prompt_fault_table::isCoincident(const crash &item) const
+{
+    return std::ranges::any_of(m_crashes, [&](const auto &other) {
+        return other.first != item.incarnation && std::chrono::abs(other.second - item.at) < m_options.coincidence;
+    });
+}
+
+/// The crashes after the last answer that a request may have caused.
+std::vector<prompt_fault_table::crash> prompt_fault_table::openCrashes(const entry &known) const
 {
     std::vector<crash> open = known.crashes;
-    std::erase_if(open, [&](const crash &item) { return known.answeredAt && item.at <= *known.answeredAt; });
+    std::erase_if(open, [&](const crash &item) {
+        return (known.answeredAt && item.at <= *known.answeredAt) || isCoincident(item);
+    });
     return open;
 }
 
-/// Times of crashes of which each was caused by a request that was sent after the previous one. Endpoints that fail
-/// together, for example with their rack, count as one.
-std::vector<instant> prompt_fault_table::longestSequence(std::span<const crash> sorted) const
+/// Times of crashes of which each was caused by a request that was sent after the previous one.
+std::vector<instant> prompt_fault_table::longestSequence(std::span<const crash> sorted)
 {
     std::vector<instant> sequence;
     for (const crash &item : sorted) {
-        const bool isSeparate = sequence.empty()
-            || (item.at - item.call > sequence.back() && item.at - sequence.back() >= m_options.coincidence);
-        if (isSeparate) {
+        if (sequence.empty() || item.at - item.call > sequence.back()) {
             sequence.push_back(item.at);
         }
     }
@@ -149,7 +156,7 @@
 }
 
 /// Several instances observe the same crash: the earliest time and the latest request count.
-bool prompt_fault_table::addCrash(entry &known, const crash &added) const
+bool prompt_fault_table::addCrash(entry &known, const crash &added)
 {
     const auto found = std::ranges::find(known.crashes, added.incarnation, &crash::incarnation);
     if (found != known.crashes.end()) {
@@ -195,9 +202,31 @@
     m_changes.push_back({kind, part, std::max(sequence, former), isFromPeer});
 }
 
+/// Adds the time of a crash and counts the sequences anew of parts whose crashes coincide with it.
+void prompt_fault_table::recordCrash(std::uint64_t incarnation, instant at, instant now)
+{
+    const auto [found, isNew] = m_crashes.try_emplace(incarnation, at);
+    if ((!isNew && found->second <= at) || m_retracted.contains(incarnation)) {
+        return;
+    }
+    found->second = at;
+    if (m_crashes.size() > m_options.maximumParts) {
+        m_crashes.erase(std::ranges::min_element(m_crashes, {}, [](const auto &item) { return item.second; }));
+    }
+    for (auto &[part, known] : m_parts) {
+        const bool isAffected = std::ranges::any_of(known.crashes, [&, at](const crash &item) {
+            return item.incarnation != incarnation && std::chrono::abs(item.at - at) < m_options.coincidence;
+        });
+        if (isAffected) {
+            update(part, known, true, now);
+        }
+    }
+}
+
 void prompt_fault_table::onCrash(std::uint64_t incarnation, std::span<const interrupted_part> parts, instant at,
                                  instant now)
 {
+    recordCrash(incarnation, at, now);
     for (const interrupted_part &item : parts) {
         entry *known = findOrAdd(item.part);
         if (known != nullptr && addCrash(*known, {incarnation, at, item.call})) {
@@ -239,6 +268,7 @@
             m_retracted.insert(incarnation);
         }
         known.crashes.erase(found);
+        m_crashes.erase(incarnation);
         update(part, known, false, now);
     }
     std::erase_if(m_parts, [](const auto &item) { return item.second.crashes.empty(); });
@@ -256,6 +286,7 @@
     bool isNews = false;
     for (const part_crash_notice &item : notice.crashes) {
         const duration age = fromMicroseconds(item.ageUs);
+        recordCrash(item.incarnation, now - age, now);
         isNews |= age < m_options.retention
             && addCrash(*known, {item.incarnation, now - age, fromMicroseconds(item.callUs)});
     }
@@ -284,6 +315,7 @@
         }
         return isOver;
     });
+    std::erase_if(m_crashes, [&](const auto &item) { return now - item.second >= m_options.retention; });
     if (m_parts.empty()) {
         m_retracted.clear();
     }
--- a/packages/membership/test/prompt-faults-test.cpp
+++ b/packages/membership/test/prompt-faults-test.cpp
@@ -102,6 +102,25 @@
     }
     CHECK_FALSE(isWithheld(table, {common, sound}, start + 1s));
 
+    SECTION("nor a second and a third time, although no request is answered between")
+    {
+        for (std::uint64_t incarnation = 21; incarnation < 24; ++incarnation) {
+            crash(table, incarnation, {common, sound}, start + 3s);
+            crash(table, incarnation + 10, {common, sound}, start + 6s);
+        }
+        CHECK_FALSE(isWithheld(table, {common, sound}, start + 8s));
+    }
+    SECTION("even if it is learnt later that another endpoint failed with one of them")
+    {
+        crash(table, 31, {sound}, start + 2s);
+        crash(table, 32, {sound}, start + 3s);
+        crash(table, 33, {sound}, start + 4s);
+        CHECK(isWithheld(table, {sound}, start + 5s));
+        prompt_fault_table other({});
+        crash(other, 41, {common}, start + 3s + 1ms);
+        exchange(other, table, start + 5s, 5ms);
+        CHECK_FALSE(isWithheld(table, {sound}, start + 6s));
+    }
     SECTION("nor a second and a third time, if requests are answered between")
     {
         table.onAnswered(parts{common, sound}, start + 2s);
