Prompt faults: another endpoint's answer at the address does not retract a crash

Found by reading the diff: a crash is retracted when its incarnation answers later, but a 421 of an endpoint that uses the address by then, or an answer with another id, counted as its answer. Change: such answers are left out. Evidence: no test fails before it.

--- a/packages/frontend/src/request-session-answer.cpp
+++ b/packages/frontend/src/request-session-answer.cpp
@@ -138,7 +138,8 @@
                   {"endpoint", std::string_view(m_endpointId)}});
         return false;
     }
-    if (m_context.promptFaults.hasCrashes()) {
+    const bool isFromOther = !attributes.endpointId.empty() && attributes.endpointId != m_endpointId;
+    if (m_context.promptFaults.hasCrashes() && head.status != statusMisdirected && !isFromOther) {
         const std::uint64_t startedAtMs = m_context.directory.startedAtMsOf(m_endpointId);
         m_context.promptFaults.onAlive(crash_monitor::incarnationOf(m_endpointId, startedAtMs), m_sentAt,
                                        monotonicNow());
--- a/packages/membership/src/prompt-faults.cpp
+++ b/packages/membership/src/prompt-faults.cpp
@@ -259,6 +259,9 @@
 
 void prompt_fault_table::onAlive(std::uint64_t incarnation, instant sentAt, instant now)
 {
+    if (!m_crashes.contains(incarnation)) {
+        return;
+    }
     for (auto &[part, known] : m_parts) {
         const auto found = std::ranges::find(known.crashes, incarnation, &crash::incarnation);
         if (found == known.crashes.end() || sentAt <= found->at) {
