Soak: endpoints that crash while the fleet recovers are back at once; plain names in the tests of crashing parts

Cause: the stand-in's endpoints were restarted in the loop of faults only, so that requests that were still in their stages crashed model endpoints for good. The check and its time are as before.

--- a/packages/membership/test/prompt-faults-test.cpp
+++ b/packages/membership/test/prompt-faults-test.cpp
@@ -19,8 +19,8 @@
 
 using parts = std::vector<std::uint64_t>;
 
-constexpr std::uint64_t deadly = 1;
-constexpr std::uint64_t sound = 2; ///< in all requests with the deadly part, and in others
+constexpr std::uint64_t crashing = 1;
+constexpr std::uint64_t sound = 2; ///< in all requests with the crashing part, and in others
 constexpr std::uint64_t common = 3; ///< in most requests
 const instant start(1h);
 
@@ -52,37 +52,37 @@
 TEST_CASE("A part that crashes three endpoints in sequence is withheld")
 {
     prompt_fault_table table({});
-    crash(table, 11, {deadly, common}, start);
-    crash(table, 12, {deadly, common}, start + 1s);
-    CHECK_FALSE(isWithheld(table, {deadly, common}, start + 1s));
-    crash(table, 13, {deadly}, start + 2s);
-    CHECK_FALSE(isWithheld(table, {deadly}, start + 2900ms)); // peers may know of an answer
-    REQUIRE(isWithheld(table, {deadly, 9}, start + 3s));
+    crash(table, 11, {crashing, common}, start);
+    crash(table, 12, {crashing, common}, start + 1s);
+    CHECK_FALSE(isWithheld(table, {crashing, common}, start + 1s));
+    crash(table, 13, {crashing}, start + 2s);
+    CHECK_FALSE(isWithheld(table, {crashing}, start + 2900ms)); // peers may know of an answer
+    REQUIRE(isWithheld(table, {crashing, 9}, start + 3s));
     CHECK_FALSE(isWithheld(table, {common, 9}, start + 3s));
-    CHECK(table.findWithheld(parts{deadly}, start + 3s)->part == deadly);
+    CHECK(table.findWithheld(parts{crashing}, start + 3s)->part == crashing);
     CHECK(table.withheldCount(start + 3s) == 1);
 
     SECTION("until a while after the latest crash")
     {
-        CHECK(isWithheld(table, {deadly}, start + 14min));
-        CHECK(table.findWithheld(parts{deadly}, start + 14min)->releasedIn == 62s);
-        CHECK_FALSE(isWithheld(table, {deadly}, start + 16min));
-        crash(table, 14, {deadly}, start + 17min);
-        CHECK(isWithheld(table, {deadly}, start + 17min)); // one more crash is enough
+        CHECK(isWithheld(table, {crashing}, start + 14min));
+        CHECK(table.findWithheld(parts{crashing}, start + 14min)->releasedIn == 62s);
+        CHECK_FALSE(isWithheld(table, {crashing}, start + 16min));
+        crash(table, 14, {crashing}, start + 17min);
+        CHECK(isWithheld(table, {crashing}, start + 17min)); // one more crash is enough
     }
     SECTION("until a request with it is answered")
     {
-        table.onAnswered(parts{deadly}, start + 3s);
-        CHECK_FALSE(isWithheld(table, {deadly}, start + 3s));
-        crash(table, 14, {deadly}, start + 4s);
-        CHECK_FALSE(isWithheld(table, {deadly}, start + 4s));
+        table.onAnswered(parts{crashing}, start + 3s);
+        CHECK_FALSE(isWithheld(table, {crashing}, start + 3s));
+        crash(table, 14, {crashing}, start + 4s);
+        CHECK_FALSE(isWithheld(table, {crashing}, start + 4s));
     }
     SECTION("unless one of the endpoints answers later and was only unreachable")
     {
         table.onAlive(13, start + 3s, start + 4s);
-        CHECK_FALSE(isWithheld(table, {deadly}, start + 4s));
-        crash(table, 13, {deadly}, start + 2s);
-        CHECK_FALSE(isWithheld(table, {deadly}, start + 4s));
+        CHECK_FALSE(isWithheld(table, {crashing}, start + 4s));
+        crash(table, 13, {crashing}, start + 2s);
+        CHECK_FALSE(isWithheld(table, {crashing}, start + 4s));
     }
     SECTION("and forgotten when its retention is over")
     {
@@ -132,45 +132,45 @@
     }
 }
 
-TEST_CASE("A part that was in all requests with the deadly one")
+TEST_CASE("A part that was in all requests with the crashing one")
 {
     prompt_fault_table table({});
     for (std::uint64_t i = 0; i < 3; ++i) {
-        crash(table, 11 + i, {sound, deadly}, start + i * 1s);
+        crash(table, 11 + i, {sound, crashing}, start + i * 1s);
     }
     const instant now = start + 4s;
 
     SECTION("is not withheld by itself")
     {
-        CHECK(isWithheld(table, {sound, deadly}, now));
+        CHECK(isWithheld(table, {sound, crashing}, now));
         CHECK_FALSE(isWithheld(table, {sound}, now));
     }
-    SECTION("does not protect the deadly one, which is withheld by itself after one more crash")
+    SECTION("does not protect the crashing one, which is withheld by itself after one more crash")
     {
-        crash(table, 14, {deadly}, now);
-        CHECK(isWithheld(table, {deadly}, now));
+        crash(table, 14, {crashing}, now);
+        CHECK(isWithheld(table, {crashing}, now));
         CHECK_FALSE(isWithheld(table, {sound}, now));
     }
     SECTION("is cleared by an answer")
     {
         table.onAnswered(parts{sound}, now);
-        CHECK(isWithheld(table, {sound, deadly}, now));
-        CHECK(isWithheld(table, {deadly}, now));
+        CHECK(isWithheld(table, {sound, crashing}, now));
+        CHECK(isWithheld(table, {crashing}, now));
         CHECK_FALSE(isWithheld(table, {sound}, now));
     }
 }
 
-TEST_CASE("A part that was answered before is not blamed for the crashes of two deadly ones")
+TEST_CASE("A part that was answered before is not blamed for the crashes of two crashing ones")
 {
     constexpr std::uint64_t other = 4;
     prompt_fault_table table({});
     table.onAnswered(parts{common}, start);
     for (std::uint64_t i = 1; i <= 3; ++i) {
-        crash(table, 10 + i, {common, deadly}, start + i * 1s);
+        crash(table, 10 + i, {common, crashing}, start + i * 1s);
         crash(table, 20 + i, {common, other}, start + i * 1s + 500ms);
     }
     const instant now = start + 6s;
-    CHECK(isWithheld(table, {common, deadly}, now));
+    CHECK(isWithheld(table, {common, crashing}, now));
     CHECK(isWithheld(table, {common, other}, now));
     CHECK_FALSE(isWithheld(table, {common, sound}, now));
 }
@@ -179,35 +179,35 @@
 {
     prompt_fault_table first({});
     prompt_fault_table second({});
-    crash(first, 11, {deadly}, start);
-    crash(second, 11, {deadly}, start + 1ms, 400ms); // the same crash
-    crash(second, 12, {deadly}, start + 1s);
+    crash(first, 11, {crashing}, start);
+    crash(second, 11, {crashing}, start + 1ms, 400ms); // the same crash
+    crash(second, 12, {crashing}, start + 1s);
     exchange(first, second, start + 1s);
     exchange(second, first, start + 1s);
-    CHECK_FALSE(isWithheld(first, {deadly}, start + 2s));
-    crash(first, 13, {deadly}, start + 2s);
-    CHECK(isWithheld(first, {deadly}, start + 3s));
+    CHECK_FALSE(isWithheld(first, {crashing}, start + 2s));
+    crash(first, 13, {crashing}, start + 2s);
+    CHECK(isWithheld(first, {crashing}, start + 3s));
     exchange(first, second, start + 2s);
-    CHECK(isWithheld(second, {deadly}, start + 3100ms));
+    CHECK(isWithheld(second, {crashing}, start + 3100ms));
 
     SECTION("an instance that starts later learns of withheld parts")
     {
         prompt_fault_table third({});
         exchange(second, third, start + 5min);
-        CHECK(isWithheld(third, {deadly}, start + 5min));
+        CHECK(isWithheld(third, {crashing}, start + 5min));
     }
     SECTION("an answer to one of them clears the part for all, whatever is repeated")
     {
         const auto outdated = first.notices(true, start + 3s);
-        second.onAnswered(parts{deadly}, start + 3s);
+        second.onAnswered(parts{crashing}, start + 3s);
         exchange(second, first, start + 3s);
-        CHECK_FALSE(isWithheld(first, {deadly}, start + 4s));
+        CHECK_FALSE(isWithheld(first, {crashing}, start + 4s));
         for (const prompt_fault_notice &notice : outdated) {
             first.onNotice(notice, start + 3s);
             second.onNotice(notice, start + 3s);
         }
-        CHECK_FALSE(isWithheld(first, {deadly}, start + 4s));
-        CHECK_FALSE(isWithheld(second, {deadly}, start + 4s));
+        CHECK_FALSE(isWithheld(first, {crashing}, start + 4s));
+        CHECK_FALSE(isWithheld(second, {crashing}, start + 4s));
     }
 }
 
@@ -218,16 +218,16 @@
     options.maximumAnsweredParts = 16;
     prompt_fault_table table(options);
     for (std::uint64_t i = 0; i < 3; ++i) {
-        crash(table, 1 + i, {deadly}, start + i * 1s);
+        crash(table, 1 + i, {crashing}, start + i * 1s);
     }
     for (std::uint64_t part = 100; part < 200; ++part) {
         crash(table, part, {part}, start + 4s);
         table.onAnswered(parts{part + 1000}, start + 4s);
     }
     CHECK(table.notices(true, start + 4s).size() <= options.maximumParts);
-    CHECK(isWithheld(table, {deadly}, start + 4s));
+    CHECK(isWithheld(table, {crashing}, start + 4s));
     for (std::uint64_t i = 10; i < 100; ++i) {
-        crash(table, i, {deadly}, start + i * 1s);
+        crash(table, i, {crashing}, start + i * 1s);
     }
     CHECK(table.notices(true, start + 99s).front().crashes.size() <= options.reportedCrashes);
 }
@@ -244,21 +244,21 @@
     { }
 
     std::size_t crashes = 0;
-    std::size_t arrivals = 0; ///< of requests with the deadly part, while its crashes are known well enough
+    std::size_t arrivals = 0; ///< of requests with the crashing part, while its crashes are known well enough
     std::size_t withheldSound = 0;
     std::size_t sentSound = 0;
 
-    void step(bool sendsDeadly)
+    void step(bool sendsCrashing)
     {
         m_now += 10ms;
         const std::size_t instance = m_random() % m_tables.size();
-        const bool hasDeadly = sendsDeadly && m_random() % 20 == 0;
-        const parts request = hasDeadly ? parts{100 + m_random() % 4, sound, deadly}
-                                        : parts{100 + m_random() % 4, 200 + m_random() % 80};
+        const bool hasCrashing = sendsCrashing && m_random() % 20 == 0;
+        const parts request = hasCrashing ? parts{100 + m_random() % 4, sound, crashing}
+                                          : parts{100 + m_random() % 4, 200 + m_random() % 80};
         if (m_tables[instance].findWithheld(request, m_now)) {
-            withheldSound += hasDeadly ? 0 : 1;
+            withheldSound += hasCrashing ? 0 : 1;
         } else {
-            sentSound += hasDeadly ? 0 : 1;
+            sentSound += hasCrashing ? 0 : 1;
             send(instance, request, 2);
         }
         beginAnswers();
@@ -291,7 +291,7 @@
 
     bool isUp(std::size_t index) const { return m_endpoints[index].upAt <= m_now; }
 
-    static bool isDeadly(const call &item) { return std::ranges::find(item.request, deadly) != item.request.end(); }
+    static bool isCrashing(const call &item) { return std::ranges::find(item.request, crashing) != item.request.end(); }
 
     void beginAnswers()
     {
@@ -299,7 +299,7 @@
             const call begun = m_inFlight[i];
             if (begun.answerAt > m_now) {
                 ++i;
-            } else if (isDeadly(begun)) {
+            } else if (isCrashing(begun)) {
                 endIncarnation(begun.endpoint);
                 i = 0;
             } else {
@@ -317,7 +317,7 @@
                 continue;
             }
             m_inFlight.push_back({instance, target, request, m_now, m_now + 150ms, attempts});
-            arrivals += isDeadly(m_inFlight.back()) && isBound() ? 1 : 0;
+            arrivals += isCrashing(m_inFlight.back()) && isBound() ? 1 : 0;
             return;
         }
     }
@@ -338,9 +338,9 @@
             }
         }
         m_endpoints[target].upAt = m_now + 1s;
-        const bool isDeadlyCrash = std::ranges::any_of(cut, isDeadly);
-        crashes += isDeadlyCrash ? 1 : 0;
-        if (isDeadlyCrash && crashes == 5) {
+        const bool isCausedCrash = std::ranges::any_of(cut, isCrashing);
+        crashes += isCausedCrash ? 1 : 0;
+        if (isCausedCrash && crashes == 5) {
             m_fifthCrash = m_now;
         }
         for (const call &item : cut) {
@@ -391,7 +391,7 @@
 
 } // namespace
 
-TEST_CASE("Fleets of 12 to 340 instances withhold a deadly part in time, and nothing else")
+TEST_CASE("Fleets of 12 to 340 instances withhold a crashing part in time, and nothing else")
 {
     for (const std::size_t instances : {12, 30, 120, 340}) {
         for (unsigned seed = 1; seed <= 5; ++seed) {
--- a/tests/site/crashing-part-test.cpp
+++ b/tests/site/crashing-part-test.cpp
@@ -23,7 +23,7 @@
 constexpr auto downTime = 1s; ///< of a crashed endpoint
 constexpr auto sendInterval = 20ms;
 
-/// Daemons and model endpoints that crash on the part "deadly", with callers of sound and of crashing requests.
+/// Daemons and model endpoints that crash on the part "crashing", with callers of sound and of crashing requests.
 class crashing_site : public site_fixture
 {
 public:
@@ -31,7 +31,7 @@
     {
         for (std::size_t i = 0; i < endpoints; ++i) {
             addEndpoint("m" + std::to_string(i + 1), kind::model, "model");
-            endpoint(i).behaviour.crashingParts = {"deadly"};
+            endpoint(i).behaviour.crashingParts = {"crashing"};
             endpoint(i).behaviour.serviceTime = 100ms;
         }
         for (std::size_t daemon = 0; daemon < daemons; ++daemon) {
@@ -42,7 +42,7 @@
     }
 
     std::string sound() { return chatWith("system:10,document" + std::to_string(m_sent % 5) + ":5"); }
-    std::string crashing() { return chatWith("system:10,deadly:5"); }
+    std::string crashing() { return chatWith("system:10,crashing:5"); }
 
     /// Sends to the daemons in turn, each tenth request with the crashing part, and restarts crashed endpoints.
     void play(clock_type::duration length) { playWith(length, 10); }
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -93,8 +93,8 @@
             processPendingEvents();
             revertFaults(timer.elapsed());
             m_elapsedMs = timer.elapsed();
-            stopCrashedEndpoints();
         }
+        m_isRecovering = true;
         revertFaults(std::numeric_limits<qint64>::max());
         if (!waitUntilAllServe(recoveryLimitMs)) {
             report("liveness", "not all daemons serve after the faults");
@@ -133,7 +133,11 @@
         return static_cast<std::size_t>(randomInt(0, static_cast<int>(size) - 1));
     }
 
-    void processPendingEvents() { QCoreApplication::processEvents(QEventLoop::AllEvents, 5); }
+    void processPendingEvents()
+    {
+        QCoreApplication::processEvents(QEventLoop::AllEvents, 5);
+        restartCrashedEndpoints();
+    }
 
     void scheduleAction(int after, std::function<void()> revert)
     {
@@ -194,7 +198,8 @@
                        [&endpoint] { endpoint.behaviour.kind = endpoint_behaviour::fault::none; });
     }
 
-    void stopCrashedEndpoints()
+    /// Endpoints that crashed are back after a while, or at once when no more faults are injected.
+    void restartCrashedEndpoints()
     {
         for (std::size_t i = 0; i < m_endpoints.size(); ++i) {
             if (!m_endpoints[i]->isCrashed) {
@@ -202,10 +207,15 @@
             }
             m_proxies[i]->stop();
             m_endpoints[i]->restart();
-            scheduleAction(randomInt(300, 1500), [this, i] {
+            const auto resume = [this, i] {
                 m_proxies[i]->resume();
                 m_store.put("keyed.servers", m_endpoints[i]->id(), m_endpoints[i]->registration());
-            });
+            };
+            if (m_isRecovering) {
+                resume();
+            } else {
+                scheduleAction(randomInt(300, 1500), resume);
+            }
         }
     }
 
@@ -401,6 +411,7 @@
     QString m_plantedFault;
     bool m_hasLimits;
     bool m_hasCrashingParts;
+    bool m_isRecovering = false; ///< no more faults are injected
     site_store m_store;
     loopback_proxy m_storeProxy;
     soak_fleet m_fleet;
