--- a/tests/site/site-endpoint.cpp
+++ b/tests/site/site-endpoint.cpp
@@ -70,7 +70,9 @@
 {
     isCrashed = false;
     ++startedAtMs;
-    start(static_cast<std::uint16_t>(std::stoul(m_address.substr(m_address.find(':') + 1))));
+    if (start(static_cast<std::uint16_t>(std::stoul(m_address.substr(m_address.find(':') + 1)))).empty()) {
+        start(); // the port is in use by now
+    }
 }
 
 bool site_endpoint::hasCrashingPart(const exchange_pointer &exchange) const
--- a/tests/site/site-endpoint.h
+++ b/tests/site/site-endpoint.h
@@ -73,7 +73,7 @@
     void stop() { m_server.stop(); }
     /// Ends all connections and accepts none, as if the process had ended.
     void crash();
-    /// Starts a new incarnation after a crash, at the same address.
+    /// Starts a new incarnation after a crash, at the same address if its port is still free.
     void restart();
     /// Sets the registered address if it differs from the listening address, for instance behind a proxy.
     void setPublicAddress(std::string address) { m_publicAddress = std::move(address); }
--- a/tests/soak/loopback-proxy.cpp
+++ b/tests/soak/loopback-proxy.cpp
@@ -100,7 +100,8 @@
         }
         m_pairs.emplace(added.get(), std::move(added));
     });
-    m_port = m_listener->listen({loopback, m_port}, backlog).value();
+    const auto port = m_listener->listen({loopback, m_port}, backlog);
+    m_port = port ? port.value() : m_listener->listen({loopback, 0}, backlog).value(); // it may be in use by now
     return "127.0.0.1:" + std::to_string(m_port);
 }
 
@@ -110,9 +111,9 @@
     resetAll();
 }
 
-void loopback_proxy::resume()
+std::string loopback_proxy::resume()
 {
-    listen();
+    return listen();
 }
 
 void loopback_proxy::resetAll()
--- a/tests/soak/loopback-proxy.h
+++ b/tests/soak/loopback-proxy.h
@@ -37,7 +37,7 @@
     void resetAll();
     /// Resets all connections and accepts none until resume() is called, like a process that has ended.
     void stop();
-    void resume();
+    std::string resume(); ///< returns the address, which may be a new one
 
 private:
     class pair;
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -208,7 +208,7 @@
             m_proxies[i]->stop();
             m_endpoints[i]->restart();
             const auto resume = [this, i] {
-                m_proxies[i]->resume();
+                m_endpoints[i]->setPublicAddress(m_proxies[i]->resume());
                 m_store.put("keyed.servers", m_endpoints[i]->id(), m_endpoints[i]->registration());
             };
             if (m_isRecovering) {
