Log restores of the store, complete listings, failed reads and published addresses

The platform's answers carry a counter of restores; it is decoded as the store's generation and logged.

E825 store_restored, E826 topic_listed (with its reason), E827 store_call_failed, E828 instance_published. No decision uses them yet.

--- a/packages/frontend/include/masticlever/frontend/topic-follower.h
+++ b/packages/frontend/include/masticlever/frontend/topic-follower.h
@@ -28,6 +28,13 @@
     common::duration expediteInterval = std::chrono::milliseconds(200); ///< minimum time between expedited reads
 };
 
+/// Why a topic is listed in full.
+enum class listing_reason {
+    start, ///< it was not listed before
+    truncated, ///< the records at the read position are not available
+    paused, ///< the process did not run for a while
+};
+
 struct topic_call {
     bool isListing = false;
     std::string afterKey; ///< a listing continues after this key
@@ -40,6 +47,8 @@
     std::vector<protocol::store_record> records;
     bool isCompleteListing = false; ///< keys missing from \c listedKeys no longer exist
     std::vector<std::string> listedKeys;
+    listing_reason reason = listing_reason::start; ///< of a complete listing
+    std::uint64_t position = 0; ///< offset at which reading continues
 };
 
 class topic_follower
@@ -80,7 +89,7 @@
     void delayRetry(common::instant until);
     common::instant calledAt() const { return m_calledAt; }
     /// Discards the read position and lists the topic again, because the state that was read may be outdated.
-    void restart(common::instant now);
+    void restart(listing_reason reason, common::instant now);
 
     bool isReachable() const { return m_isReachable; }
     bool hasListed() const { return m_hasListed; }
@@ -93,6 +102,7 @@
     topic_follower_options m_options;
     bool m_isInFlight = false;
     bool m_isListing = true;
+    listing_reason m_reason = listing_reason::start;
     bool m_hasListed = false;
     bool m_isReachable = false;
     std::string m_afterKey;
--- a/packages/frontend/src/daemon-core-updates.cpp
+++ b/packages/frontend/src/daemon-core-updates.cpp
@@ -260,6 +260,18 @@
     }
 }
 
+/// A higher generation means that the store was restored from a copy.
+void daemon_core::onStoreGeneration(std::uint64_t generation, std::string_view source)
+{
+    if (generation <= m_storeGeneration) {
+        return;
+    }
+    const std::uint64_t former = std::exchange(m_storeGeneration, generation);
+    if (former != 0) {
+        logEvent(event::store_restored, {{"generation", generation}, {"former", former}, {"source", source}});
+    }
+}
+
 void daemon_core::onStoreReachability(bool isReachable)
 {
     const instant now = monotonicNow();
--- a/packages/frontend/src/daemon-core.cpp
+++ b/packages/frontend/src/daemon-core.cpp
@@ -130,12 +130,15 @@
                 m_configuration},
       m_configurationWatch(
           protocol, protocol::store_topic::configuration, m_settings.storeAddress, m_budget,
-          configurationFollowerOptions(), [this](const topic_update &update) { onConfigurationUpdate(update); },
-          [this](bool isReachable) { onStoreReachability(isReachable); }),
+          configurationFollowerOptions(),
+          {[this](const topic_update &update) { onConfigurationUpdate(update); },
+           [this](bool isReachable) { onStoreReachability(isReachable); },
+           [this](std::uint64_t generation) { onStoreGeneration(generation, "store"); }}),
       m_endpointWatch(
           protocol, protocol::store_topic::endpoints, m_settings.storeAddress, m_budget, {},
-          [this](const topic_update &update) { onEndpointUpdate(update); },
-          [this](bool isReachable) { onStoreReachability(isReachable); }),
+          {[this](const topic_update &update) { onEndpointUpdate(update); },
+           [this](bool isReachable) { onStoreReachability(isReachable); },
+           [this](std::uint64_t generation) { onStoreGeneration(generation, "store"); }}),
       m_probeSchedule({}, common::stableHash(m_incarnation)),
       m_finder(protocol, m_settings, m_budget,
                [this](std::vector<std::string> contacts) { m_fleet.setContacts(std::move(contacts)); }),
@@ -388,8 +391,8 @@
              {{"pause_ms", std::int64_t{std::chrono::duration_cast<std::chrono::milliseconds>(gap).count()}}});
     m_pool.closeIdle();
     m_pieces.onPause();
-    m_configurationWatch.restart(now);
-    m_endpointWatch.restart(now);
+    m_configurationWatch.restart(listing_reason::paused, now);
+    m_endpointWatch.restart(listing_reason::paused, now);
 }
 
 /// Updates the set of live instances. The cost is proportional to the fleet size, so this does not run at every tick.
--- a/packages/frontend/src/daemon-core.h
+++ b/packages/frontend/src/daemon-core.h
@@ -66,6 +66,7 @@
     void onEndpointUpdate(const topic_update &update);
     void onDirectoryUpdate(const stages::directory_message &update);
     void onStoreReachability(bool isReachable);
+    void onStoreGeneration(std::uint64_t generation, std::string_view source);
     void applyChanges(const directory_changes &changes);
     void onLeavingReported(const directory_changes &changes);
     void logRateLimits();
@@ -121,6 +122,7 @@
     std::optional<common::instant> m_stoppingSince;
     bool m_hasHandedBack = false;
     bool m_isStoreReachedByOthers = false;
+    std::uint64_t m_storeGeneration = 0; ///< the newest generation of the store that is known; 0: none
     std::uint64_t m_seenVersion = 0; ///< the newest configuration version that another instance has
     common::instant m_versionSeenAt;
     bool m_isReachableLogged = true; ///< the reachability of the store that was last logged
--- a/packages/frontend/src/instance-finder.cpp
+++ b/packages/frontend/src/instance-finder.cpp
@@ -3,12 +3,16 @@
 #include "frontend-context.h"
 
 #include <masticlever/net/stream-socket.h>
+#include <masticlever/telemetry/events.h>
 
 #include <utility>
 
 namespace masticlever::frontend
 {
 
+using telemetry::event;
+using telemetry::logEvent;
+
 namespace
 {
 
@@ -45,9 +49,12 @@
         call, callTimeout,
         [this](const common::result<store_connection::store_answer> &answer) {
             const common::instant answeredAt = monotonicNow();
-            m_hasPublished = answer && answer.value().status == success;
+            m_hasPublished = answer && answer.value().head.status == success;
             m_dueAt = answeredAt + listingInterval;
             if (m_hasPublished) {
+                logEvent(event::instance_published,
+                         {{"generation", m_protocol.storeGeneration(answer.value().head).value_or(0)},
+                          {"address", std::string_view(m_settings.gossipAddress)}});
                 list(m_settings.contacts, {}, answeredAt);
             }
         },
@@ -72,7 +79,7 @@
     if (!answer) {
         return;
     }
-    const auto page = m_protocol.readListing(answer.value().status, answer.value().body);
+    const auto page = m_protocol.readListing(answer.value().head.status, answer.value().body);
     if (!page) {
         return;
     }
--- a/packages/frontend/src/store-connection.cpp
+++ b/packages/frontend/src/store-connection.cpp
@@ -69,7 +69,7 @@
 
 bool store_connection::onHead(const http1::message_head &head)
 {
-    m_answer.status = head.status;
+    m_answer.head = head;
     return true;
 }
 
--- a/packages/frontend/src/store-connection.h
+++ b/packages/frontend/src/store-connection.h
@@ -21,7 +21,7 @@
 {
 public:
     struct store_answer {
-        int status = 0;
+        http1::message_head head;
         std::string body;
     };
     /// With error::lost_answer the call may have been executed.
--- a/packages/frontend/src/store-watch.cpp
+++ b/packages/frontend/src/store-watch.cpp
@@ -3,24 +3,55 @@
 #include "frontend-context.h"
 
 #include <masticlever/common/errors.h>
+#include <masticlever/telemetry/events.h>
 
+#include <string_view>
 #include <utility>
 
 namespace masticlever::frontend
 {
 
+using telemetry::event;
+using telemetry::logEvent;
+
 namespace
 {
 
 constexpr common::duration answerTimeout = std::chrono::milliseconds(400); ///< for a slow store and the network
 
+std::string_view nameOf(protocol::store_topic topic)
+{
+    switch (topic) {
+    case protocol::store_topic::configuration:
+        return "configuration";
+    case protocol::store_topic::endpoints:
+        return "endpoints";
+    case protocol::store_topic::instances:
+        break;
+    }
+    return "instances";
+}
+
+std::string_view nameOf(listing_reason reason)
+{
+    switch (reason) {
+    case listing_reason::start:
+        return "start";
+    case listing_reason::truncated:
+        return "truncated";
+    case listing_reason::paused:
+        break;
+    }
+    return "pause";
+}
+
 } // namespace
 
 store_watch::store_watch(const protocol::wire_protocol &protocol, protocol::store_topic topic,
                          const std::string &address, net::receive_budget &budget, topic_follower_options options,
-                         update_handler onUpdate, reachability_handler onReachability)
+                         event_handlers handlers)
     : m_protocol(protocol), m_topic(topic), m_connection(address, budget), m_follower(options),
-      m_onUpdate(std::move(onUpdate)), m_onReachability(std::move(onReachability))
+      m_handlers(std::move(handlers))
 { }
 
 void store_watch::onTick(common::instant now)
@@ -61,10 +92,10 @@
     }
 }
 
-void store_watch::restart(common::instant now)
+void store_watch::restart(listing_reason reason, common::instant now)
 {
     m_connection.reset();
-    m_follower.restart(now);
+    m_follower.restart(reason, now);
 }
 
 void store_watch::send(const topic_call &call, common::instant now)
@@ -84,16 +115,21 @@
         m_follower.onCancelled(now);
         return;
     }
+    const int status = answer ? answer.value().head.status : 0;
+    if (const auto generation = answer ? m_protocol.storeGeneration(answer.value().head) : std::nullopt) {
+        m_generation = *generation;
+        m_handlers.onGeneration(*generation);
+    }
     topic_update update;
     bool isValid = false;
     if (answer && call.isListing) {
-        auto page = m_protocol.readListing(answer.value().status, answer.value().body);
+        auto page = m_protocol.readListing(status, answer.value().body);
         isValid = page.has_value();
         if (page) {
             update = m_follower.onListing(std::move(page.value()), now);
         }
     } else if (answer) {
-        auto page = m_protocol.readRecords(answer.value().status, answer.value().body, call.from);
+        auto page = m_protocol.readRecords(status, answer.value().body, call.from);
         isValid = page.has_value();
         if (page) {
             update = m_follower.onRecords(std::move(page.value()), now);
@@ -103,12 +139,37 @@
         }
     }
     if (!isValid) {
+        logFailure(call, status, now);
         m_follower.onFailure(now);
     }
-    m_onReachability(isValid);
+    m_handlers.onReachability(isValid);
     if (isValid) {
-        m_onUpdate(std::move(update));
+        logListing(update);
+        m_handlers.onUpdate(std::move(update));
+    }
+}
+
+void store_watch::logFailure(const topic_call &call, int status, common::instant now) const
+{
+    logEvent(event::store_call_failed,
+             {{"topic", nameOf(m_topic)},
+              {"from", call.from},
+              {"listing", call.isListing},
+              {"call_ms", common::toMilliseconds(now - m_follower.calledAt())},
+              {"status", std::int64_t{status}}});
+}
+
+void store_watch::logListing(const topic_update &update) const
+{
+    if (!update.isCompleteListing) {
+        return;
     }
+    logEvent(event::topic_listed,
+             {{"topic", nameOf(m_topic)},
+              {"reason", nameOf(update.reason)},
+              {"generation", m_generation},
+              {"keys", static_cast<std::uint64_t>(update.listedKeys.size())},
+              {"end", update.position}});
 }
 
 } // namespace masticlever::frontend
--- a/packages/frontend/src/store-watch.h
+++ b/packages/frontend/src/store-watch.h
@@ -5,6 +5,7 @@
 #include <masticlever/frontend/topic-follower.h>
 #include <masticlever/protocol/wire-protocol.h>
 
+#include <cstdint>
 #include <functional>
 #include <string>
 
@@ -17,12 +18,15 @@
 class store_watch
 {
 public:
-    using update_handler = std::function<void(topic_update update)>;
-    using reachability_handler = std::function<void(bool isReachable)>;
+    struct event_handlers {
+        std::function<void(topic_update update)> onUpdate;
+        std::function<void(bool isReachable)> onReachability;
+        /// Generation of the store that sent an answer; called before the answer is used.
+        std::function<void(std::uint64_t generation)> onGeneration;
+    };
 
     store_watch(const protocol::wire_protocol &protocol, protocol::store_topic topic, const std::string &address,
-                net::receive_budget &budget, topic_follower_options options, update_handler onUpdate,
-                reachability_handler onReachability);
+                net::receive_budget &budget, topic_follower_options options, event_handlers handlers);
 
     void onTick(common::instant now);
     /// A newer record is known to exist. A call that is still waiting will not return it and is cancelled.
@@ -34,20 +38,22 @@
     void delayRetry(common::instant until) { m_follower.delayRetry(until); }
     void setPolling(bool isPolling, common::instant now);
     /// Drops the connection and lists the topic again, for example after a pause of the process.
-    void restart(common::instant now);
+    void restart(listing_reason reason, common::instant now);
     const topic_follower &follower() const { return m_follower; }
 
 private:
     void cancelOlderThan(common::duration age, common::instant now);
     void send(const topic_call &call, common::instant now);
     void onAnswer(const topic_call &call, common::result<store_connection::store_answer> answer);
+    void logFailure(const topic_call &call, int status, common::instant now) const;
+    void logListing(const topic_update &update) const;
 
     const protocol::wire_protocol &m_protocol;
     protocol::store_topic m_topic;
     store_connection m_connection;
     topic_follower m_follower;
-    update_handler m_onUpdate;
-    reachability_handler m_onReachability;
+    event_handlers m_handlers;
+    std::uint64_t m_generation = 0; ///< of the store that sent the latest answer
     bool m_isCancelling = false;
 };
 
--- a/packages/frontend/src/topic-follower.cpp
+++ b/packages/frontend/src/topic-follower.cpp
@@ -51,6 +51,8 @@
         m_afterKey.clear();
         update.isCompleteListing = true;
         update.listedKeys = std::exchange(m_listedKeys, {});
+        update.reason = m_reason;
+        update.position = m_from;
         m_dueAt = now + std::max(readDelay(), m_options.firstReadDelay);
     }
     return update;
@@ -61,13 +63,15 @@
     onAnswered(now);
     m_from = std::max(m_from, page.end);
     m_dueAt = now + readDelay();
-    return {std::move(page.records), false, {}};
+    topic_update update;
+    update.records = std::move(page.records);
+    return update;
 }
 
 void topic_follower::onTruncated(common::instant now)
 {
     m_isReachable = true;
-    restart(now);
+    restart(listing_reason::truncated, now);
     m_isInFlight = false;
 }
 
@@ -111,8 +115,9 @@
     }
 }
 
-void topic_follower::restart(common::instant now)
+void topic_follower::restart(listing_reason reason, common::instant now)
 {
+    m_reason = reason;
     m_isListing = true;
     m_afterKey.clear();
     m_listedEnd.reset();
--- a/packages/protocol/include/masticlever/protocol/wire-protocol.h
+++ b/packages/protocol/include/masticlever/protocol/wire-protocol.h
@@ -87,6 +87,10 @@
     virtual common::result<listing_page> readListing(int status, std::string_view body) const = 0;
     virtual store_call publishCall(store_topic topic, std::string_view key, std::string_view value) const = 0;
 
+    /// Generation of the store that responded, which rises whenever the store is restored from a copy; nothing if the
+    /// response does not say.
+    virtual std::optional<std::uint64_t> storeGeneration(const http1::message_head &head) const = 0;
+
     /// Whether \p key is the key of the service configuration in the configuration topic.
     virtual bool isConfigurationKey(std::string_view key) const = 0;
     virtual common::result<catalog::service_configuration> readConfiguration(std::string_view value) const = 0;
--- a/packages/telemetry/include/masticlever/telemetry/events.h
+++ b/packages/telemetry/include/masticlever/telemetry/events.h
@@ -89,6 +89,10 @@
     piece_call_answered = 822,
     reader_followed = 823,
     reader_lost = 824,
+    store_restored = 825,
+    topic_listed = 826,
+    store_call_failed = 827,
+    instance_published = 828,
 
     stop_began = 830,
     stopped = 831,
