--- a/tests/site/site-store.cpp
+++ b/tests/site/site-store.cpp
@@ -75,6 +75,12 @@
     log.records.clear();
 }
 
+void site_store::restore()
+{
+    m_topics = m_copy;
+    ++m_generation;
+}
+
 std::optional<std::string> site_store::newest(const std::string &topic, const std::string &key) const
 {
     const auto log = m_topics.find(topic);
@@ -84,6 +90,16 @@
     return log->second.newest.at(key).second;
 }
 
+void site_store::answer(const exchange_pointer &exchange, int status, const std::string &body) const
+{
+    exchange->answer(status, body, {{"Store-Era", std::to_string(m_generation)}});
+}
+
+void site_store::answerTruncated(const exchange_pointer &exchange, const topic_log &log) const
+{
+    answer(exchange, 410, R"({"first":)" + std::to_string(log.first) + "}");
+}
+
 void site_store::onRequest(const exchange_pointer &exchange)
 {
     ++m_calls;
@@ -92,10 +108,10 @@
     case state::up:
         break;
     case state::busy:
-        exchange->answer(503, "");
+        answer(exchange, 503, "");
         return;
     case state::rate_limited:
-        exchange->answer(429, "");
+        answer(exchange, 429, "");
         return;
     case state::silent:
         return;
@@ -105,7 +121,7 @@
     case state::answers_lost:
         break;
     case state::malformed:
-        exchange->answer(200, "{\"items\":3");
+        answer(exchange, 200, "{\"items\":3");
         return;
     }
     if (path == "/masticlever/log-append") {
@@ -115,7 +131,7 @@
     } else if (path == "/masticlever/log-newest") {
         onNewest(exchange);
     } else {
-        exchange->answer(404, "");
+        answer(exchange, 404, "");
     }
 }
 
@@ -138,7 +154,7 @@
         exchange->reset();
         return;
     }
-    exchange->answer(200, R"({"offset":0,"end":1})");
+    answer(exchange, 200, R"({"offset":0,"end":1})");
 }
 
 void site_store::answerRead(const exchange_pointer &exchange, const topic_log &log, std::uint64_t from)
@@ -149,7 +165,7 @@
         const std::string content = bigEndian(entry.key.size(), 1) + entry.key + entry.value.value_or("");
         body += bigEndian(content.size(), lengthBytes) + content;
     }
-    exchange->answer(200, body);
+    answer(exchange, 200, body);
 }
 
 void site_store::onRead(const exchange_pointer &exchange)
@@ -157,8 +173,8 @@
     const std::string topic = exchange->query("topic");
     const std::uint64_t from = number(exchange->query("from"));
     const topic_log &log = m_topics[topic];
-    if (from < log.first) {
-        exchange->answer(410, R"({"first":)" + std::to_string(log.first) + "}");
+    if (from < log.first || from > log.end()) {
+        answerTruncated(exchange, log);
         return;
     }
     const auto wait = static_cast<int>(number(exchange->query("wait_ms")));
@@ -173,8 +189,8 @@
             return;
         }
         const topic_log &present = m_topics[topic];
-        if (from < present.first) { // compacted while the read was waiting
-            exchange->answer(410, R"({"first":)" + std::to_string(present.first) + "}");
+        if (from < present.first || from > present.end()) { // compacted or restored while the read was waiting
+            answerTruncated(exchange, present);
         } else {
             answerRead(exchange, present, from);
         }
@@ -189,7 +205,7 @@
     std::list<long_poll> answerable;
     for (auto it = m_longPolls.begin(); it != m_longPolls.end();) {
         const auto current = it++;
-        if (current->topic == topic) {
+        if (current->topic == topic && current->from < m_topics[topic].end()) {
             answerable.splice(answerable.end(), m_longPolls, current);
         }
     }
@@ -213,10 +229,10 @@
                                  {QStringLiteral("value"), QString::fromLatin1(value)},
                                  {QStringLiteral("offset"), static_cast<qint64>(it->second.first)}});
     }
-    exchange->answer(200,
-                     json({{QStringLiteral("items"), items},
-                           {QStringLiteral("has_more"), hasMore},
-                           {QStringLiteral("end"), static_cast<qint64>(log.end())}}));
+    answer(exchange, 200,
+           json({{QStringLiteral("items"), items},
+                 {QStringLiteral("has_more"), hasMore},
+                 {QStringLiteral("end"), static_cast<qint64>(log.end())}}));
 }
 
 } // namespace masticlever::site
--- a/tests/site/site-store.h
+++ b/tests/site/site-store.h
@@ -38,6 +38,10 @@
     void put(const std::string &topic, const std::string &key, const std::optional<std::string> &value);
     /// Drops all records of the topic but the newest one of each key.
     void compact(const std::string &topic);
+    /// Saves a copy of all topics for restore().
+    void saveCopy() { m_copy = m_topics; }
+    /// Replaces all topics with the copy and starts a new generation.
+    void restore();
 
     std::size_t calls() const { return m_calls; }
     std::size_t pendingReads() const { return m_longPolls.size(); }
@@ -64,6 +68,8 @@
     };
 
     void onRequest(const exchange_pointer &exchange);
+    void answer(const exchange_pointer &exchange, int status, const std::string &body) const;
+    void answerTruncated(const exchange_pointer &exchange, const topic_log &log) const;
     void onAppend(const exchange_pointer &exchange);
     void onRead(const exchange_pointer &exchange);
     void onNewest(const exchange_pointer &exchange);
@@ -74,6 +80,8 @@
     QObject m_timers; ///< context object of the timers; cancels them on destruction
     state m_state = state::up;
     std::map<std::string, topic_log> m_topics;
+    std::map<std::string, topic_log> m_copy;
+    std::uint64_t m_generation = 1;
     std::list<long_poll> m_longPolls;
     std::size_t m_calls = 0;
 };
