Topic followers: read positions belong to one generation of the store

Cause: offsets go back when the store is restored and are given out again. A follower kept its position, and if the partition had reached that position by the next read, the records that had been written again below it were skipped without an error. Only a position beyond the end is answered with 410. Change: each answer is compared with the newest known generation. A position, a page of a listing or an answer of an earlier generation is not used, and the topic is listed again; one watch tells the other, and a subscriber lists only if the reader's updates end. An answer without a generation is used as before, with the position kept against an older end.

--- a/packages/frontend/include/masticlever/frontend/topic-follower.h
+++ b/packages/frontend/include/masticlever/frontend/topic-follower.h
@@ -32,6 +32,7 @@
 enum class listing_reason {
     start, ///< it was not listed before
     truncated, ///< the records at the read position are not available
+    restored, ///< the store was restored from a copy, so offsets stand for other records
     paused, ///< the process did not run for a while
 };
 
@@ -58,6 +59,13 @@
 
     /// Returns the call that is due, if any. It is in flight until one of the following functions reports its outcome.
     std::optional<topic_call> next(common::instant now);
+    /// Compares the generation of the store that answered the call in flight with the newest one that is known.
+    /// \returns whether the answer may be used. If not, the call has ended and the next one is scheduled: positions and
+    /// pages of different generations must not be combined.
+    bool acceptGeneration(std::uint64_t generation, common::instant now);
+    /// Another call has shown that the store was restored: lists the topic again. No call may be in flight.
+    void onStoreRestored(std::uint64_t generation, common::instant now);
+    std::uint64_t generation() const { return m_generation; }
     topic_update onListing(protocol::listing_page page, common::instant now);
     topic_update onRecords(protocol::record_page page, common::instant now);
     /// The store no longer keeps the records at the read position, so the topic is listed again.
@@ -107,7 +115,8 @@
     bool m_isReachable = false;
     std::string m_afterKey;
     std::vector<std::string> m_listedKeys;
-    std::uint64_t m_from = 0;
+    std::uint64_t m_generation = 0; ///< newest known generation of the store; 0: none
+    std::uint64_t m_from = 0; ///< read position in that generation
     std::optional<std::uint64_t> m_listedEnd; ///< end offset of the first page; pages are not a consistent snapshot
     common::instant m_dueAt;
     common::instant m_calledAt;
--- a/packages/frontend/src/daemon-core-updates.cpp
+++ b/packages/frontend/src/daemon-core-updates.cpp
@@ -270,6 +270,9 @@
     if (former != 0) {
         logEvent(event::store_restored, {{"generation", generation}, {"former", former}, {"source", source}});
     }
+    const instant now = monotonicNow();
+    m_configurationWatch.onStoreRestored(generation, now);
+    m_endpointWatch.onStoreRestored(generation, now);
 }
 
 void daemon_core::onStoreReachability(bool isReachable)
--- a/packages/frontend/src/store-watch.cpp
+++ b/packages/frontend/src/store-watch.cpp
@@ -39,6 +39,8 @@
         return "start";
     case listing_reason::truncated:
         return "truncated";
+    case listing_reason::restored:
+        return "restored";
     case listing_reason::paused:
         break;
     }
@@ -98,6 +100,14 @@
     m_follower.restart(reason, now);
 }
 
+void store_watch::onStoreRestored(std::uint64_t generation, common::instant now)
+{
+    if (generation > m_follower.generation()) {
+        cancelOlderThan({}, now);
+        m_follower.onStoreRestored(generation, now);
+    }
+}
+
 void store_watch::send(const topic_call &call, common::instant now)
 {
     const protocol::store_call request = call.isListing ? m_protocol.listCall(m_topic, call.afterKey)
@@ -117,8 +127,11 @@
     }
     const int status = answer ? answer.value().head.status : 0;
     if (const auto generation = answer ? m_protocol.storeGeneration(answer.value().head) : std::nullopt) {
-        m_generation = *generation;
+        const bool isUsable = m_follower.acceptGeneration(*generation, now);
         m_handlers.onGeneration(*generation);
+        if (!isUsable) {
+            return;
+        }
     }
     topic_update update;
     bool isValid = false;
@@ -167,7 +180,7 @@
     logEvent(event::topic_listed,
              {{"topic", nameOf(m_topic)},
               {"reason", nameOf(update.reason)},
-              {"generation", m_generation},
+              {"generation", m_follower.generation()},
               {"keys", static_cast<std::uint64_t>(update.listedKeys.size())},
               {"end", update.position}});
 }
--- a/packages/frontend/src/store-watch.h
+++ b/packages/frontend/src/store-watch.h
@@ -39,6 +39,8 @@
     void setPolling(bool isPolling, common::instant now);
     /// Drops the connection and lists the topic again, for example after a pause of the process.
     void restart(listing_reason reason, common::instant now);
+    /// Another call has shown that the store was restored: cancels the call in flight and lists the topic again.
+    void onStoreRestored(std::uint64_t generation, common::instant now);
     const topic_follower &follower() const { return m_follower; }
 
 private:
@@ -53,7 +55,6 @@
     store_connection m_connection;
     topic_follower m_follower;
     event_handlers m_handlers;
-    std::uint64_t m_generation = 0; ///< of the store that sent the latest answer
     bool m_isCancelling = false;
 };
 
--- a/packages/frontend/src/topic-follower.cpp
+++ b/packages/frontend/src/topic-follower.cpp
@@ -20,6 +20,33 @@
     return topic_call{false, {}, m_from, wait, wait + m_options.timeout};
 }
 
+bool topic_follower::acceptGeneration(std::uint64_t generation, common::instant now)
+{
+    if (generation < m_generation) {
+        m_isInFlight = false;
+        m_dueAt = now + m_options.initialBackoff;
+        return false;
+    }
+    const std::uint64_t former = std::exchange(m_generation, generation);
+    if (former == 0 || former == generation) {
+        return true;
+    }
+    const bool isFirstPage = m_isListing && m_afterKey.empty();
+    restart(listing_reason::restored, now);
+    m_isInFlight = isFirstPage; // a first page begins the listing of the new generation
+    return isFirstPage;
+}
+
+void topic_follower::onStoreRestored(std::uint64_t generation, common::instant now)
+{
+    if (generation <= m_generation) {
+        return;
+    }
+    if (std::exchange(m_generation, generation) != 0) {
+        restart(listing_reason::restored, now);
+    }
+}
+
 void topic_follower::onAnswered(common::instant now)
 {
     m_isInFlight = false;
@@ -97,7 +124,9 @@
 
 void topic_follower::defer(common::instant until)
 {
-    if (m_hasListed && !m_isListing && !m_isExpedited) {
+    // A listing after a restore repeats what the other instance has read, unless it has begun.
+    const bool isListingNeeded = m_isListing && (m_reason != listing_reason::restored || m_listedEnd);
+    if (m_hasListed && !isListingNeeded && !m_isExpedited) {
         m_dueAt = std::max(m_dueAt, until);
         m_isDeferred = true;
     }
--- a/packages/frontend/test/topic-follower-test.cpp
+++ b/packages/frontend/test/topic-follower-test.cpp
@@ -230,3 +230,78 @@
         CHECK_FALSE(follower.next(start + 3900ms).has_value());
     }
 }
+
+TEST_CASE("A topic is listed again when the store was restored")
+{
+    topic_follower follower({});
+    REQUIRE(follower.next(start));
+    REQUIRE(follower.acceptGeneration(4, start));
+    follower.onListing({10, false, {record("a", 3)}}, start);
+    REQUIRE(follower.next(start + 1s));
+
+    SECTION("a read of the new generation is not used, whatever its offsets")
+    {
+        CHECK_FALSE(follower.acceptGeneration(5, start + 1s));
+        const auto call = follower.next(start + 1s);
+        REQUIRE(call);
+        CHECK(call->isListing);
+        REQUIRE(follower.acceptGeneration(5, start + 1s));
+        const auto update = follower.onListing({7, false, {record("a", 6)}}, start + 1s);
+        CHECK(update.reason == listing_reason::restored);
+        CHECK(follower.next(start + 2s)->from == 7);
+    }
+    SECTION("an answer of an earlier generation is not used")
+    {
+        CHECK_FALSE(follower.acceptGeneration(3, start + 1s));
+        CHECK(follower.next(start + 1100ms)->from == 10);
+    }
+    SECTION("another call has shown it")
+    {
+        follower.onCancelled(start + 1s);
+        follower.onStoreRestored(5, start + 1s);
+        CHECK(follower.next(start + 1s)->isListing);
+        CHECK_FALSE(follower.acceptGeneration(4, start + 1s));
+        CHECK(follower.next(start + 1100ms)->isListing);
+    }
+    SECTION("later, if another instance reads for this one")
+    {
+        CHECK_FALSE(follower.acceptGeneration(5, start + 1s));
+        follower.defer(start + 3s);
+        CHECK_FALSE(follower.next(start + 2900ms));
+        CHECK(follower.next(start + 3s)->isListing);
+    }
+}
+
+TEST_CASE("Pages of a listing from different generations of the store are not combined")
+{
+    topic_follower follower({});
+    REQUIRE(follower.next(start));
+    REQUIRE(follower.acceptGeneration(1, start));
+    follower.onListing({10, true, {record("a", 3)}}, start);
+    REQUIRE(follower.next(start)->afterKey == "a");
+
+    CHECK_FALSE(follower.acceptGeneration(2, start));
+    const auto first = follower.next(start);
+    REQUIRE(first);
+    CHECK(first->isListing);
+    CHECK(first->afterKey.empty());
+    REQUIRE(follower.acceptGeneration(2, start));
+    follower.onListing({5, true, {record("a", 3)}}, start);
+
+    SECTION("the second restore is shown by a first page")
+    {
+        follower.restart(listing_reason::truncated, start);
+        REQUIRE(follower.next(start)->afterKey.empty());
+        CHECK(follower.acceptGeneration(3, start));
+        CHECK(follower.onListing({4, false, {record("c", 1)}}, start).listedKeys == std::vector<std::string>{"c"});
+        CHECK(follower.next(start + 1s)->from == 4);
+    }
+    SECTION("the listing goes on within a generation")
+    {
+        REQUIRE(follower.next(start)->afterKey == "a");
+        REQUIRE(follower.acceptGeneration(2, start));
+        const auto update = follower.onListing({6, false, {record("b", 5)}}, start);
+        CHECK(update.listedKeys == std::vector<std::string>{"a", "b"});
+        CHECK(follower.next(start + 1s)->from == 5);
+    }
+}
