Endpoint directory: a restored store gets time to list endpoints again

Callers saw: refusals for a service whose endpoints had all registered after the copy was made, until each of them registered again. Cause: a listing was taken as the whole truth unless the instance itself had seen an outage of 2.5 s. A restore may take 0.2 s, and the copy lacks what registered since; subscribers removed it as the reader told them to. Change: a restore starts the same grace as an outage. Updates to subscribers carry the generation of the store, as bytes behind the message that earlier versions ignore; a subscriber learns of the restore with the update, and takes no removals and no freshness from one of an earlier generation. The reader sends none while it lists a topic.

--- a/packages/catalog/include/masticlever/catalog/endpoint-directory.h
+++ b/packages/catalog/include/masticlever/catalog/endpoint-directory.h
@@ -77,6 +77,8 @@
     void onPauseRequested(std::string_view id, common::instant until);
 
     void setStoreReachable(bool isReachable, common::instant now);
+    /// The store was restored from a copy: registrations that are missing from it are kept for the grace time.
+    void onStoreRestored(common::instant now) { m_storeRecoveredAt = now; }
     /// Removes expired entries whose grace time is over; called several times a second.
     std::vector<directory_change> advance(common::instant now);
 
@@ -98,7 +100,8 @@
     std::vector<endpoint_record> records() const;
     std::size_t size() const { return m_entries.size(); }
 
-    /// Whether registrations may be missing because of the store: it is unreachable, or was until a moment ago.
+    /// Whether registrations may be missing because of the store: it is unreachable, or was unreachable or restored a
+    /// moment ago.
     bool isStoreUnreliable(common::instant now) const;
 
 private:
@@ -129,7 +132,7 @@
     std::map<std::string, removed_entry, std::less<>> m_removed; ///< by id
     bool m_isStoreReachable = false;
     std::optional<common::instant> m_storeLostAt;
-    /// End of the last outage that was long enough for registrations to expire.
+    /// End of the last outage that was long enough for registrations to expire, or of the last restore.
     std::optional<common::instant> m_storeRecoveredAt;
 };
 
--- a/packages/frontend/include/masticlever/frontend/topic-follower.h
+++ b/packages/frontend/include/masticlever/frontend/topic-follower.h
@@ -101,6 +101,8 @@
 
     bool isReachable() const { return m_isReachable; }
     bool hasListed() const { return m_hasListed; }
+    /// Whether the topic has to be listed before it can be read.
+    bool isListing() const { return m_isListing; }
 
 private:
     void onAnswered(common::instant now);
--- a/packages/frontend/src/daemon-core-updates.cpp
+++ b/packages/frontend/src/daemon-core-updates.cpp
@@ -126,15 +126,18 @@
     applyChanges(m_registrations.onRead(update, now));
     // Subscribers read neither topic while they receive updates, so both must be recent here.
     const auto confirmed = m_registrations.confirmedRecords();
-    if (confirmed && m_configurationWatch.follower().wasAnsweredWithin(maximumConfigurationAge, now)) {
-        m_feed.onRead(*confirmed, {version(), m_configurationText});
+    const topic_follower &configurations = m_configurationWatch.follower();
+    const bool isListing = m_endpointWatch.follower().isListing() || configurations.isListing();
+    if (confirmed && !isListing && configurations.wasAnsweredWithin(maximumConfigurationAge, now)) {
+        m_feed.onRead(*confirmed, m_storeGeneration, {version(), m_configurationText});
     }
 }
 
 void daemon_core::onDirectoryUpdate(const stages::directory_message &update)
 {
     const instant now = monotonicNow();
-    applyChanges(m_registrations.onReaderUpdate(update, now));
+    onStoreGeneration(update.storeGeneration, "reader");
+    applyChanges(m_registrations.onReaderUpdate(update, m_storeGeneration, now));
     if (!update.configuration.empty()) {
         applyConfiguration(decompressConfiguration(update.configuration), "reader");
     }
@@ -266,11 +269,13 @@
     if (generation <= m_storeGeneration) {
         return;
     }
+    const instant now = monotonicNow();
     const std::uint64_t former = std::exchange(m_storeGeneration, generation);
     if (former != 0) {
         logEvent(event::store_restored, {{"generation", generation}, {"former", former}, {"source", source}});
+        m_registrations.onStoreRestored(now);
+        m_feed.onStoreRestored(generation, now);
     }
-    const instant now = monotonicNow();
     m_configurationWatch.onStoreRestored(generation, now);
     m_endpointWatch.onStoreRestored(generation, now);
 }
--- a/packages/frontend/src/directory-feed.cpp
+++ b/packages/frontend/src/directory-feed.cpp
@@ -72,8 +72,12 @@
     handlers.onMessage = [this](home_link &, stages::home_message message) {
         if (auto *update = std::get_if<stages::directory_message>(&message)) {
             m_lastMessageAt = monotonicNow();
-            m_freshUntil = update->hasRegistrations ? m_lastMessageAt + m_options.freshFor : m_freshUntil;
+            const std::uint64_t generation = update->storeGeneration;
+            const bool hasRegistrations = update->hasRegistrations;
             m_handlers.onUpdate(std::move(*update));
+            if (hasRegistrations && (generation == 0 || generation >= m_storeGeneration)) {
+                m_freshUntil = m_lastMessageAt + m_options.freshFor;
+            }
         }
     };
     handlers.onClosed = [this](home_link &) {
@@ -98,7 +102,13 @@
     unfollow();
 }
 
-void directory_feed::onRead(const std::vector<catalog::endpoint_record> &records,
+void directory_feed::onStoreRestored(std::uint64_t generation, instant now)
+{
+    m_storeGeneration = generation;
+    m_freshUntil = std::min(m_freshUntil, now);
+}
+
+void directory_feed::onRead(const std::vector<catalog::endpoint_record> &records, std::uint64_t storeGeneration,
                             const configuration_update &configuration)
 {
     if (m_subscribers.empty()) {
@@ -107,6 +117,7 @@
     }
     stages::directory_message update;
     update.configurationVersion = configuration.version;
+    update.storeGeneration = storeGeneration;
     std::map<std::string, catalog::endpoint_record> present;
     for (const catalog::endpoint_record &record : records) {
         const auto known = m_sentRecords.find(record.id);
@@ -135,7 +146,8 @@
         m_handlers.send(current, update);
     }
     const auto snapshotWith = [&](std::string text) {
-        return stages::directory_message{configuration.version, std::move(text), true, true, records, {}};
+        return stages::directory_message{configuration.version, std::move(text), true, true, records, {},
+                                         storeGeneration};
     };
     if (!withoutRecords.empty()) {
         m_handlers.send(withoutRecords, snapshotWith({}));
--- a/packages/frontend/src/directory-feed.h
+++ b/packages/frontend/src/directory-feed.h
@@ -68,7 +68,10 @@
     }
     void onSubscriberGone(std::uint64_t subscriber) { m_subscribers.erase(subscriber); }
     /// This instance has read the registrations: sends the changes, or a snapshot, to each subscriber.
-    void onRead(const std::vector<catalog::endpoint_record> &records, const configuration_update &configuration);
+    void onRead(const std::vector<catalog::endpoint_record> &records, std::uint64_t storeGeneration,
+                const configuration_update &configuration);
+    /// The store was restored: updates of earlier generations no longer replace a read of the store.
+    void onStoreRestored(std::uint64_t generation, common::instant now);
     /// A configuration came into force here: sends it to the subscribers that already have a snapshot.
     void onConfiguration(const configuration_update &configuration);
     void onTick(common::instant now);
@@ -98,6 +101,7 @@
     std::string m_reader; ///< address; empty: this instance reads
     common::instant m_lastMessageAt; ///< last message from the reader, or the time at which it was followed
     common::instant m_freshUntil;
+    std::uint64_t m_storeGeneration = 0; ///< the newest that is known
     stages::unavailable_homes m_avoided;
     std::map<std::uint64_t, subscriber_entry> m_subscribers;
     std::string m_compressed; ///< the compressed text of m_compressedVersion
--- a/packages/frontend/test/directory-feed-test.cpp
+++ b/packages/frontend/test/directory-feed-test.cpp
@@ -38,14 +38,14 @@
                          },
                          [](const stages::directory_message &) {}, [] {}});
     feed.setMembers({{"self", "127.0.0.1:1", common::stableHash("self"), 0, 0, false}}, "self", 7, start);
-    feed.onRead({record("a")}, {7, "seven"});
+    feed.onRead({record("a")}, 1, {7, "seven"});
     CHECK(sent.empty());
 
     SECTION("a new subscriber gets a snapshot after the next read and nothing before")
     {
         feed.onSubscriber(3, 7);
         CHECK(sent.empty()); // remembered records may be outdated while the store is unreachable
-        feed.onRead({record("a"), record("b")}, {7, "seven"});
+        feed.onRead({record("a"), record("b")}, 1, {7, "seven"});
         REQUIRE(sent.size() == 1);
         CHECK(sent[0].first == 3);
         CHECK(sent[0].second.isWhole);
@@ -53,7 +53,7 @@
 
         SECTION("then changes only, without heartbeats")
         {
-            feed.onRead({record("b", 2), record("c")}, {8, "eight"});
+            feed.onRead({record("b", 2), record("c")}, 1, {8, "eight"});
             REQUIRE(sent.size() == 2);
             CHECK_FALSE(sent[1].second.isWhole);
             REQUIRE(sent[1].second.changed.size() == 1);
@@ -69,7 +69,7 @@
             CHECK(decompressConfiguration(sent[1].second.configuration) == "eight");
             CHECK(sent[1].second.configurationVersion == 8);
             CHECK_FALSE(sent[1].second.hasRegistrations); // the registrations were not read
-            feed.onRead({record("a"), record("b")}, {8, "eight"});
+            feed.onRead({record("a"), record("b")}, 1, {8, "eight"});
             REQUIRE(sent.size() == 3);
             CHECK(sent[2].second.configuration.empty());
         }
@@ -93,7 +93,7 @@
             for (std::uint64_t subscriber = 10; subscriber < 350; ++subscriber) {
                 feed.onSubscriber(subscriber, 7);
             }
-            feed.onRead({record("a"), record("b")}, {7, "seven"});
+            feed.onRead({record("a"), record("b")}, 1, {7, "seven"});
             sent.clear();
             feed.onConfiguration({8, routes});
             REQUIRE(sent.size() == 341);
@@ -102,7 +102,7 @@
         SECTION("and nothing after it has disconnected")
         {
             feed.onSubscriberGone(3);
-            feed.onRead({record("a")}, {8, "eight"});
+            feed.onRead({record("a")}, 1, {8, "eight"});
             CHECK(sent.size() == 1);
         }
     }
@@ -111,7 +111,7 @@
         feed.onSubscriber(4, 6);
         feed.onConfiguration({8, "eight"}); // it has no snapshot yet
         CHECK(sent.empty());
-        feed.onRead({record("a")}, {8, "eight"});
+        feed.onRead({record("a")}, 1, {8, "eight"});
         REQUIRE(sent.size() == 1);
         CHECK(decompressConfiguration(sent[0].second.configuration) == "eight");
     }
--- a/packages/frontend/test/registration-tracker-test.cpp
+++ b/packages/frontend/test/registration-tracker-test.cpp
@@ -104,7 +104,7 @@
         {
             // The long poll for the configuration was reset; its next answer may take 8 s.
             tracker.onStoreReachability(false, start + 1s);
-            tracker.onReaderUpdate({1, {}, true, false, {}, {"b"}}, start + 1100ms);
+            tracker.onReaderUpdate({1, {}, true, false, {}, {"b"}}, 0, start + 1100ms);
             CHECK(directory.findUsable("b") != nullptr);
             CHECK_FALSE(tracker.mayDeferRead(freshUntil, start + 1100ms));
             // An immediate read shows that the store is reachable.
@@ -114,4 +114,32 @@
             CHECK(tracker.mayDeferRead(freshUntil, start + 1200ms));
         }
     }
+    SECTION("a listing of a restored store")
+    {
+        tracker.onStoreRestored(start + 1s);
+        topic_update listing = written({"a"});
+        listing.isCompleteListing = true;
+        listing.listedKeys = {"a"};
+        tracker.onRead(listing, start + 1s);
+
+        SECTION("removes endpoints only when they had time to register again")
+        {
+            CHECK(directory.findUsable("b") != nullptr);
+            tracker.advance(start + 2900ms);
+            CHECK(directory.findUsable("b") != nullptr);
+            tracker.advance(start + 3100ms);
+            CHECK(directory.findUsable("b") == nullptr);
+        }
+        SECTION("is not undone by removals of an earlier generation")
+        {
+            stages::directory_message update;
+            update.storeGeneration = 1;
+            update.removed = {"a"};
+            tracker.onReaderUpdate(update, 2, start + 4s);
+            CHECK(directory.findUsable("a") != nullptr);
+            update.storeGeneration = 2;
+            tracker.onReaderUpdate(update, 2, start + 4s);
+            CHECK(directory.findUsable("a") == nullptr);
+        }
+    }
 }
--- a/packages/stages/include/masticlever/stages/home-messages.h
+++ b/packages/stages/include/masticlever/stages/home-messages.h
@@ -73,6 +73,8 @@
     bool isWhole = false; ///< full listing: endpoints missing from \c changed are removed
     std::vector<catalog::endpoint_record> changed;
     std::vector<std::string> removed; ///< ids
+    /// Of the store from which the registrations were read; 0: unknown, as from senders of earlier versions.
+    std::uint64_t storeGeneration = 0;
 };
 
 using home_message = std::variant<piece_request_message, cancel_message, release_message, results_message,
--- a/packages/stages/src/home-messages.cpp
+++ b/packages/stages/src/home-messages.cpp
@@ -109,6 +109,10 @@
     {
         cereal::PortableBinaryOutputArchive archive(stream);
         archive(message);
+        // Follows the message, so that receivers of earlier versions ignore it.
+        if (const auto *update = std::get_if<directory_message>(&message)) {
+            archive(update->storeGeneration);
+        }
     }
     const std::string body = std::move(stream).str();
     std::string frame;
@@ -140,6 +144,10 @@
     try {
         cereal::PortableBinaryInputArchive archive(stream);
         archive(message.emplace());
+        auto *update = std::get_if<directory_message>(&*message);
+        if (update != nullptr && stream.peek() != std::istringstream::traits_type::eof()) {
+            archive(update->storeGeneration);
+        }
     } catch (const std::exception &) {
         return make_error_code(common::error::malformed); // cereal reports invalid input only by exceptions
     }
--- a/packages/stages/test/home-messages-test.cpp
+++ b/packages/stages/test/home-messages-test.cpp
@@ -94,3 +94,29 @@
         CHECK(takeHomeMessage(bytes).error() == common::error::malformed);
     }
 }
+
+TEST_CASE("The generation of the store is exchanged with instances of earlier versions")
+{
+    directory_message sent;
+    sent.removed = {"i-2"};
+    sent.storeGeneration = 3;
+    std::string bytes = encodeHomeMessage(sent);
+
+    SECTION("it is decoded")
+    {
+        const auto taken = takeHomeMessage(bytes);
+        REQUIRE(taken);
+        CHECK(std::get<directory_message>(*taken.value()).storeGeneration == 3);
+    }
+    SECTION("it is unknown if the sender does not send it")
+    {
+        constexpr std::size_t generationBytes = 8;
+        bytes.resize(bytes.size() - generationBytes);
+        bytes[3] = static_cast<char>(bytes[3] - static_cast<char>(generationBytes)); // the length of the body
+        const auto taken = takeHomeMessage(bytes);
+        REQUIRE(taken);
+        REQUIRE(taken.value());
+        CHECK(std::get<directory_message>(*taken.value()).removed == std::vector<std::string>{"i-2"});
+        CHECK(std::get<directory_message>(*taken.value()).storeGeneration == 0);
+    }
+}
