Endpoint directory: the record of a copy does not bring back an endpoint that left

Callers saw: failed attempts at an endpoint that is gone or whose address belongs to another service by now; a leaving endpoint got new work (DRAIN). Cause: after a removal an equal record counts as written again, which is right within a generation of the store; a copy holds exactly that record. Change: for endpoints removed before a restore only a newer record counts. One that is alive writes it at its next heartbeat.

--- a/packages/catalog/include/masticlever/catalog/endpoint-directory.h
+++ b/packages/catalog/include/masticlever/catalog/endpoint-directory.h
@@ -77,8 +77,9 @@
     void onPauseRequested(std::string_view id, common::instant until);
 
     void setStoreReachable(bool isReachable, common::instant now);
-    /// The store was restored from a copy: registrations that are missing from it are kept for the grace time.
-    void onStoreRestored(common::instant now) { m_storeRecoveredAt = now; }
+    /// The store was restored from a copy: registrations that are missing from it are kept for the grace time, and those
+    /// of endpoints that were removed before count only if they are newer.
+    void onStoreRestored(common::instant now);
     /// Removes expired entries whose grace time is over; called several times a second.
     std::vector<directory_change> advance(common::instant now);
 
@@ -118,6 +119,7 @@
         common::instant removedAt;
         bool wasLeaving = false;
         common::instant pausedUntil;
+        bool isBeforeRestore = false; ///< the same record may be read again from the copy
     };
 
     bool isOutdated(const endpoint_record &record) const;
--- a/packages/catalog/src/endpoint-directory.cpp
+++ b/packages/catalog/src/endpoint-directory.cpp
@@ -35,14 +35,17 @@
     }
 }
 
-/// Whether the record is older than the removed one. An equal record is accepted: it may be written again after it
-/// expired.
+/// Whether the record is older than the removed one. An equal record is accepted, as it may be written again after it
+/// expired, unless it may be the one of a copy from which the store was restored.
 bool endpoint_directory::isOutdated(const endpoint_record &record) const
 {
     const auto removed = m_removed.find(record.id);
-    return removed != m_removed.end()
-        && std::tuple(record.startedAtMs, record.sequence)
-        < std::tuple(removed->second.startedAtMs, removed->second.sequence);
+    if (removed == m_removed.end()) {
+        return false;
+    }
+    const std::tuple read(record.startedAtMs, record.sequence);
+    const std::tuple known(removed->second.startedAtMs, removed->second.sequence);
+    return removed->second.isBeforeRestore ? read <= known : read < known;
 }
 
 bool endpoint_directory::isStoreUnreliable(common::instant now) const
@@ -102,7 +105,7 @@
     std::vector<directory_change> changes{change(directory_change::what::removed, found->second.record)};
     const endpoint_record &record = found->second.record;
     m_removed[record.id]
-        = {record.startedAtMs, record.sequence, now, found->second.isLeaving, found->second.pausedUntil};
+        = {record.startedAtMs, record.sequence, now, found->second.isLeaving, found->second.pausedUntil, false};
     unindex(record);
     m_entries.erase(found);
     return changes;
@@ -201,6 +204,14 @@
     m_isStoreReachable = isReachable;
 }
 
+void endpoint_directory::onStoreRestored(common::instant now)
+{
+    m_storeRecoveredAt = now;
+    for (auto &[id, removed] : m_removed) {
+        removed.isBeforeRestore = true;
+    }
+}
+
 std::vector<directory_change> endpoint_directory::advance(common::instant now)
 {
     std::erase_if(m_removed,
--- a/packages/catalog/test/endpoint-directory-test.cpp
+++ b/packages/catalog/test/endpoint-directory-test.cpp
@@ -239,3 +239,42 @@
     directory.onRemoved("b", start);
     CHECK(directory.idsAt("10.0.0.1:80").empty());
 }
+
+TEST_CASE("A restored store lists endpoints as they were when its copy was made")
+{
+    endpoint_directory directory({});
+    directory.setStoreReachable(true, start - 10s);
+    directory.onRecord(record("a", 1, 5), start);
+    directory.onRecord(record("b", 1, 5), start);
+
+    SECTION("an endpoint that was removed before is not added again by the record of the copy")
+    {
+        directory.onRemoved("a", start);
+        directory.onStoreRestored(start + 1s);
+        CHECK(directory.onRecord(record("a", 1, 5), start + 1s).empty());
+        CHECK(directory.findUsable("a") == nullptr);
+
+        SECTION("but by a newer one")
+        {
+            directory.onRecord(record("a", 1, 6), start + 2s);
+            CHECK(directory.findUsable("a") != nullptr);
+        }
+    }
+    SECTION("an endpoint that drained stays so")
+    {
+        directory.onRecord(draining(record("a", 1, 6)), start);
+        directory.onStoreRestored(start + 1s);
+        directory.onRecord(record("a", 1, 5), start + 1s);
+        CHECK(directory.findUsable("a") == nullptr);
+    }
+    SECTION("one that is missing is kept for a while and may register again with the same record")
+    {
+        directory.onStoreRestored(start + 1s);
+        const std::vector<std::string> listed{"b"};
+        directory.onListing(listed, start + 1s);
+        CHECK(directory.findUsable("a") != nullptr);
+        directory.onRecord(record("a", 1, 5), start + 2s);
+        directory.advance(start + 4s);
+        CHECK(directory.findUsable("a") != nullptr);
+    }
+}
