Instance finder: publish the address again after the store was restored

Callers saw: nothing yet; an instance that starts after a restore would not find those whose addresses were lost, in the worst case none, and would learn of crashes, limits and versions from nobody. Cause: an acknowledged write was taken as there for good. Change: each instance publishes again, spread over two seconds; an answer of an earlier generation does not count. It lists again only if it is alone.

--- a/packages/frontend/src/daemon-core-updates.cpp
+++ b/packages/frontend/src/daemon-core-updates.cpp
@@ -275,6 +275,7 @@
         logEvent(event::store_restored, {{"generation", generation}, {"former", former}, {"source", source}});
         m_registrations.onStoreRestored(now);
         m_feed.onStoreRestored(generation, now);
+        m_finder.onStoreRestored(generation, now);
     }
     m_configurationWatch.onStoreRestored(generation, now);
     m_endpointWatch.onStoreRestored(generation, now);
--- a/packages/frontend/src/instance-finder.cpp
+++ b/packages/frontend/src/instance-finder.cpp
@@ -2,6 +2,7 @@
 
 #include "frontend-context.h"
 
+#include <masticlever/common/digest.h>
 #include <masticlever/net/stream-socket.h>
 #include <masticlever/telemetry/events.h>
 
@@ -17,6 +18,7 @@
 {
 
 constexpr common::duration listingInterval = std::chrono::seconds(2); ///< interval while no other instance is known
+constexpr common::duration republishPeriod = std::chrono::seconds(2); ///< spreads the calls of a large fleet
 constexpr common::duration callTimeout = std::chrono::seconds(2);
 constexpr int success = 200;
 
@@ -35,27 +37,38 @@
         return;
     }
     if (!m_hasPublished) {
-        publish(now);
+        publish(liveInstances, now);
     } else if (liveInstances <= 1 || !m_hasListed) {
         list(m_settings.contacts, {}, now);
     }
 }
 
-void instance_finder::publish(common::instant now)
+void instance_finder::onStoreRestored(std::uint64_t generation, common::instant now)
+{
+    m_storeGeneration = generation;
+    m_hasPublished = false;
+    const std::uint64_t key = common::stableHash(m_settings.name);
+    m_dueAt = now + common::duration(key % static_cast<std::uint64_t>(republishPeriod.count()));
+}
+
+void instance_finder::publish(std::size_t liveInstances, common::instant now)
 {
     const auto call
         = m_protocol.publishCall(protocol::store_topic::instances, m_settings.name, m_settings.gossipAddress);
     m_connection.call(
         call, callTimeout,
-        [this](const common::result<store_connection::store_answer> &answer) {
+        [this, liveInstances](const common::result<store_connection::store_answer> &answer) {
             const common::instant answeredAt = monotonicNow();
-            m_hasPublished = answer && answer.value().head.status == success;
+            const std::uint64_t generation
+                = answer ? m_protocol.storeGeneration(answer.value().head).value_or(m_storeGeneration) : 0;
+            m_hasPublished = answer && answer.value().head.status == success && generation >= m_storeGeneration;
             m_dueAt = answeredAt + listingInterval;
             if (m_hasPublished) {
                 logEvent(event::instance_published,
-                         {{"generation", m_protocol.storeGeneration(answer.value().head).value_or(0)},
-                          {"address", std::string_view(m_settings.gossipAddress)}});
-                list(m_settings.contacts, {}, answeredAt);
+                         {{"generation", generation}, {"address", std::string_view(m_settings.gossipAddress)}});
+                if (liveInstances <= 1 || !m_hasListed) {
+                    list(m_settings.contacts, {}, answeredAt);
+                }
             }
         },
         now);
--- a/packages/frontend/src/instance-finder.h
+++ b/packages/frontend/src/instance-finder.h
@@ -6,12 +6,13 @@
 #include <masticlever/protocol/wire-protocol.h>
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <string>
 #include <vector>
 
 /// \file
-/// Publishes the address of this instance in the store once, and lists the addresses of the others: after the own
+/// Publishes the address of this instance in the store, again whenever the store was restored, and lists the addresses of the others: after the own
 /// publication, and repeatedly while no other instance is known.
 
 namespace masticlever::frontend
@@ -27,9 +28,11 @@
                     net::receive_budget &budget, contacts_handler onContacts);
 
     void onTick(std::size_t liveInstances, common::instant now);
+    /// The record of this instance may be missing from the copy; it is published again within \c republishPeriod.
+    void onStoreRestored(std::uint64_t generation, common::instant now);
 
 private:
-    void publish(common::instant now);
+    void publish(std::size_t liveInstances, common::instant now);
     /// Collects the published addresses page by page; \p contacts holds those collected so far.
     void list(std::vector<std::string> contacts, const std::string &afterKey, common::instant now);
     void onListing(std::vector<std::string> contacts, common::result<store_connection::store_answer> answer);
@@ -40,6 +43,7 @@
     store_connection m_connection;
     bool m_hasPublished = false;
     bool m_hasListed = false;
+    std::uint64_t m_storeGeneration = 0; ///< the newest that is known
     common::instant m_dueAt;
 };
 
