A new instance is not ready before it has the version of its peers

Callers saw: 404 for a route of the configuration in force, or an answer by an older one, from an instance that started between the restore of the store and the operator's second writing. Cause: the first listing was taken as the newest configuration. Change: until an instance has heard from a peer, or from none for 600 ms, and has the newest version that a live peer names, it is not ready and answers 503 instead of 404 and 401, which callers do not repeat. After 5 s it goes on with what it has. If all instances start in the gap, the copy is all there is; the operator's second writing is followed as any newer version.

--- a/packages/frontend/src/daemon-core.cpp
+++ b/packages/frontend/src/daemon-core.cpp
@@ -28,6 +28,8 @@
 constexpr duration pauseThreshold = std::chrono::milliseconds(700); ///< a longer gap between ticks counts as a pause
 constexpr double configurationSendSeconds = 0.6; ///< link time for sending one configuration to all subscribers
 constexpr duration badRequestInterval = std::chrono::seconds(1); ///< minimum time between log lines
+constexpr duration firstPeerTimeout = std::chrono::milliseconds(600); ///< three rounds of gossip
+constexpr duration catchUpTimeout = std::chrono::seconds(5); ///< for a version that no live instance hands over
 constexpr duration startRetryAfter = std::chrono::milliseconds(500); ///< for callers while there is no configuration
 /// Time after SIGTERM in which requests are still accepted. The load balancer needs two failed checks, one second each,
 /// and connections that were opened meanwhile must be served.
@@ -176,6 +178,7 @@
 std::string daemon_core::start()
 {
     m_now = monotonicNow();
+    m_startedAt = m_now;
     m_bootTime = bootMicroseconds();
     const auto front = net::parseAddress(m_settings.frontAddress);
     const auto homes = net::parseAddress(m_settings.homeAddress);
@@ -233,7 +236,17 @@
 
 bool daemon_core::isReady() const
 {
-    return m_configuration && !m_stoppingSince && m_endpointWatch.follower().hasListed();
+    return m_hasCaughtUp && !m_stoppingSince && m_endpointWatch.follower().hasListed();
+}
+
+/// A new instance may have read an older configuration than its peers have, if the store was restored from a copy. It
+/// waits until it has heard from them and has their version.
+void daemon_core::updateCatchUp(instant now)
+{
+    const duration sinceStart = now - m_startedAt;
+    const bool hasHeard = m_fleet.liveCount() > 1 || sinceStart >= firstPeerTimeout;
+    const bool isCurrent = version() >= m_seenVersion || sinceStart >= catchUpTimeout;
+    m_hasCaughtUp = m_hasCaughtUp || (m_configuration && hasHeard && isCurrent);
 }
 
 void daemon_core::onCaller(int descriptor)
@@ -264,14 +277,14 @@
     request.route = host == nullptr ? nullptr : m_configuration->findRoute(*host, pathOf(head.target));
     if (request.route == nullptr) {
         reason = "no_route";
-        return notFound;
+        return m_hasCaughtUp ? notFound : unavailable; // a newer configuration may have the route
     }
     request.priority = request.route->priority;
     if (m_configuration->needsKeys() && !request.route->isPublic) {
         const catalog::team *team = m_configuration->findTeam(request.attributes.apiKey);
         if (team == nullptr) {
             reason = "unknown_key";
-            return unauthorized;
+            return m_hasCaughtUp ? unauthorized : unavailable;
         }
         request.team = team->name;
         request.priority = team->priority.value_or(request.priority);
@@ -433,6 +446,7 @@
     m_crashes.onTick(now);
     m_pieces.onTick(now);
     m_status.onTick(now);
+    updateCatchUp(now);
     sweep(now);
     if (m_stoppingSince) {
         advanceStop(now);
--- a/packages/frontend/src/daemon-core.h
+++ b/packages/frontend/src/daemon-core.h
@@ -78,6 +78,7 @@
     void updateFleet(common::instant now);
     void limitStoreProbes(common::instant now);
     void onVersionSeen(std::uint64_t version);
+    void updateCatchUp(common::instant now);
     void detectPause(common::instant now);
     void sweep(common::instant now);
     void advanceStop(common::instant now);
@@ -118,6 +119,8 @@
     std::map<std::uint64_t, std::unique_ptr<request_session>> m_sessions;
     std::uint64_t m_lastSession = 0;
     common::instant m_now;
+    common::instant m_startedAt;
+    bool m_hasCaughtUp = false; ///< has a configuration as new as that of its peers; once set, it stays
     common::instant m_fleetDueAt;
     std::optional<common::instant> m_stoppingSince;
     bool m_hasHandedBack = false;
--- a/packages/frontend/src/instance-finder.h
+++ b/packages/frontend/src/instance-finder.h
@@ -12,8 +12,8 @@
 #include <vector>
 
 /// \file
-/// Publishes the address of this instance in the store, again whenever the store was restored, and lists the addresses of the others: after the own
-/// publication, and repeatedly while no other instance is known.
+/// Publishes the address of this instance in the store, again whenever the store was restored, and lists the addresses
+/// of the others: after the own publication, and repeatedly while no other instance is known.
 
 namespace masticlever::frontend
 {
