A read that was postponed for an outage is made when the store is reachable again

Cause: while the store is away the instances share one rate of probes, so with 114 of them a retry is postponed by up to 9.1 s. On the reader the read of the configuration succeeded first, at 19.78 s, as its subscribers had just left. Ruled out: offsets; the read of 26.9 s found the drain and the removal. Change: the first answer of either topic brings the other read forward. Evidence: topic-follower-test has the decision.

--- a/packages/frontend/include/masticlever/frontend/topic-follower.h
+++ b/packages/frontend/include/masticlever/frontend/topic-follower.h
@@ -95,6 +95,9 @@
     void scheduleAt(common::instant at);
     /// After a failure, postpones the retry to \p until, also if it was expedited before.
     void delayRetry(common::instant until);
+    /// Another call has shown that the store is reachable: a retry that was delayed is due at once, unless another
+    /// instance reads for this one.
+    void onStoreReachable(common::instant now);
     common::instant calledAt() const { return m_calledAt; }
     /// Discards the read position and lists the topic again, because the state that was read may be outdated.
     void restart(listing_reason reason, common::instant now);
--- a/packages/frontend/src/daemon-core-updates.cpp
+++ b/packages/frontend/src/daemon-core-updates.cpp
@@ -285,6 +285,7 @@
 {
     const instant now = monotonicNow();
     if (m_registrations.onStoreReachability(isReachable, now)) {
+        m_endpointWatch.onStoreReachable(now);
         // A call that the store accepted before the outage will not be answered.
         m_configurationWatch.reissue(m_configuration && m_feed.isFollowing() ? readerUpdateTimeout : duration{}, now);
     }
--- a/packages/frontend/src/store-watch.h
+++ b/packages/frontend/src/store-watch.h
@@ -36,6 +36,7 @@
     /// unless it is deferred because another instance has read the topic by then.
     void reissue(common::duration pause, common::instant now);
     void delayRetry(common::instant until) { m_follower.delayRetry(until); }
+    void onStoreReachable(common::instant now) { m_follower.onStoreReachable(now); }
     void setPolling(bool isPolling, common::instant now);
     /// Drops the connection and lists the topic again, for example after a pause of the process.
     void restart(listing_reason reason, common::instant now);
--- a/packages/frontend/src/topic-follower.cpp
+++ b/packages/frontend/src/topic-follower.cpp
@@ -144,6 +144,13 @@
     }
 }
 
+void topic_follower::onStoreReachable(common::instant now)
+{
+    if (!m_isReachable && !m_isInFlight) {
+        m_dueAt = std::min(m_dueAt, now);
+    }
+}
+
 void topic_follower::restart(listing_reason reason, common::instant now)
 {
     m_reason = reason;
--- a/packages/frontend/test/topic-follower-test.cpp
+++ b/packages/frontend/test/topic-follower-test.cpp
@@ -201,9 +201,18 @@
         follower.expedite(start + 3s);
         CHECK(follower.next(start + 3s).has_value());
     }
+    SECTION("until another call has shown that the store is reachable")
+    {
+        follower.onFailure(start + 1s);
+        follower.delayRetry(start + 10s);
+        follower.onStoreReachable(start + 3s);
+        CHECK(follower.next(start + 3s).has_value());
+    }
     SECTION("without effect on a store that answers")
     {
         follower.onRecords({11, {}}, start + 1s);
+        follower.onStoreReachable(start + 1s);
+        CHECK_FALSE(follower.next(start + 1900ms).has_value());
         follower.delayRetry(start + 6s);
         CHECK(follower.next(start + 2s).has_value());
     }
