Forwarding: a rejection without an id proves nothing on a connection in use

Cause: a rejection was taken as proof if it did not name another request. One that names none may be an earlier one that a faulty endpoint wrote again. Ruled out: with the id the copy was always skipped, whole or in two parts; a request is never sent to the same endpoint twice, so its own id cannot return. Change: without an id it counts only on the first exchange of a connection; otherwise the call is broken, which is answered 502 and retried only for requests that may run again. Evidence: repeated-rejection-test: three of three orders were answered 503 while the endpoint ran them; now 200 or 502, each run once.

--- a/packages/frontend/src/request-session-answer.cpp
+++ b/packages/frontend/src/request-session-answer.cpp
@@ -147,7 +147,9 @@
     m_answer = head;
     m_answerAttributes = attributes;
     const bool isAuthentic = attributes.requestId.has_value() && (attributes.hasSignature || !isSuccess(head.status));
-    if (attributes.isNotExecuted) {
+    // On a connection in use, a rejection without an id may repeat the one of an earlier request.
+    const bool isOwn = attributes.requestId.has_value() || m_connection->isFirstExchange();
+    if (attributes.isNotExecuted && isOwn) {
         m_answerMode = answer_mode::discard;
         m_endIfDiscarded = head.status == statusMisdirected ? call_end::misdirected
             : head.status == statusConflict                 ? call_end::input_gone
--- a/packages/http1/include/masticlever/http1/client-connection.h
+++ b/packages/http1/include/masticlever/http1/client-connection.h
@@ -52,6 +52,8 @@
     /// Returns whether no exchange is in flight and the connection can be used for another one.
     bool isReusable() const;
     bool isOpen() const { return m_isOpen; }
+    /// Whether the current exchange is the first one, so that a response cannot belong to an earlier request.
+    bool isFirstExchange() const { return m_exchanges == 1; }
     void setReading(bool isReading) { m_socket->setReading(isReading); }
 
 private:
@@ -68,6 +70,7 @@
     net::stream_socket::pointer m_socket;
     message_reader m_reader;
     exchange_handler *m_handler = nullptr;
+    std::size_t m_exchanges = 0; ///< started on this connection
     bool m_isConnected = false;
     bool m_isOpen = true;
     bool m_isSkipping = false; ///< the current response belongs to another request
--- a/packages/http1/src/client-connection.cpp
+++ b/packages/http1/src/client-connection.cpp
@@ -22,6 +22,7 @@
 void client_connection::start(std::string_view request, bool isHead, exchange_handler &handler)
 {
     m_handler = &handler;
+    ++m_exchanges;
     m_isSkipping = false;
     if (m_hasReadResponse) {
         m_hasReadResponse = false;
--- /dev/null
+++ b/tests/site/repeated-rejection-test.cpp
@@ -0,0 +1,82 @@
+#include "site-fixture.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <memory>
+#include <string>
+#include <vector>
+
+using namespace masticlever::site;
+using fault = endpoint_behaviour::fault;
+using kind = site_endpoint::kind;
+
+TEST_CASE("A rejection that an endpoint repeats does not end the next request", "[site]")
+{
+    site_fixture site(1);
+    site.addEndpoint("d1", kind::plain, "desk");
+    REQUIRE(site.waitReady(0));
+    REQUIRE(waitFor([&] { return site.sendRequest(0, site.request("GET", "/safe/", "probe")).status == 200; }));
+    site_endpoint &endpoint = site.endpoint(0);
+    endpoint.behaviour.kind = fault::repeated_rejection;
+    endpoint.behaviour.isRejectionSplit = GENERATE(false, true);
+    endpoint.behaviour.serviceTime = std::chrono::milliseconds(20);
+
+    SECTION("if it names its request")
+    {
+        REQUIRE(site.sendRequest(0, site.request("POST", "/order/", "r0")).status == 503);
+        for (const std::string id : {"r1", "r2", "r3"}) {
+            CHECK(site.sendRequest(0, site.request("POST", "/order/", id)).status == 200);
+            CHECK(endpoint.runs[id] == 1);
+        }
+    }
+    SECTION("nor is it taken as a proof if it names none")
+    {
+        endpoint.behaviour.hasRejectionId = false;
+        site.sendRequest(0, site.request("POST", "/order/", "r0"));
+        for (const std::string id : {"r1", "r2", "r3"}) {
+            const int status = site.sendRequest(0, site.request("POST", "/order/", id)).status;
+            CHECK((status == 200 || status == 502));
+            CHECK(endpoint.runs[id] == 1);
+        }
+    }
+    SECTION("nor leads to a second run at another endpoint")
+    {
+        endpoint.behaviour.hasRejectionId = false;
+        site.addEndpoint("d2", kind::plain, "desk");
+        REQUIRE(waitFor([&] {
+            site.sendRequest(0, site.request("POST", "/order/", "probe"));
+            return !site.endpoint(1).runs.empty();
+        }));
+        for (int i = 0; i < 20; ++i) {
+            const std::string id = "r" + std::to_string(i);
+            const int status = site.sendRequest(0, site.request("POST", "/order/", id)).status;
+            CHECK((status == 200 || status == 502));
+            CHECK(endpoint.runs[id] + site.endpoint(1).runs[id] == 1);
+        }
+    }
+}
+
+TEST_CASE("A rejection that a stage endpoint repeats does not mix the results of requests", "[site]")
+{
+    site_fixture site(1);
+    site.addPipeline();
+    site_endpoint &encoder = site.endpoint(1);
+    encoder.behaviour.kind = fault::repeated_rejection;
+    encoder.behaviour.remainingFaults = 2; // one rejection, repeated once
+    encoder.behaviour.isRejectionSplit = GENERATE(false, true);
+    encoder.behaviour.serviceTime = GENERATE(std::chrono::milliseconds(20), std::chrono::milliseconds(120));
+    std::vector<std::unique_ptr<site_caller>> callers;
+    for (int i = 0; i < 12; ++i) {
+        callers.push_back(std::make_unique<site_caller>(site.frontAddressOf(0)));
+        callers.back()->send(
+            site.request("POST", "/chat/", "r" + std::to_string(i), "prompt", "Pieces: 2,3\r\nPiece-Key: abc\r\n"));
+    }
+    CHECK(waitFor(
+        [&] { return std::ranges::all_of(callers, [](const auto &caller) { return caller->completeAnswers == 1; }); }));
+    for (const auto &caller : callers) {
+        CHECK(caller->heads.front().status == 200);
+    }
+    CHECK(site.endpoint(0).foreignInputs + site.endpoint(2).foreignInputs == 0);
+}
--- a/tests/site/site-endpoint.cpp
+++ b/tests/site/site-endpoint.cpp
@@ -196,7 +196,7 @@
 {
     arrivals.push_back(std::chrono::steady_clock::now());
     if (exchange->field("Expect-Instance") != m_id && exchange->path() != "/masticlever/stage-free") {
-        exchange->answer(421, "", {{"Instance-Id", m_id}});
+        exchange->answer(421, "", {{"Instance-Id", m_id}, {"Request-Id", exchange->field("Request-Id")}});
         return;
     }
     if (exchange->path() == "/masticlever/stage-run") {
@@ -212,6 +212,9 @@
 {
     const std::string requestId = exchange->field("Request-Id");
     const fault injected = takeFault();
+    if (injected == fault::repeated_rejection && repeatRejection(exchange)) {
+        return;
+    }
     if (injected == fault::reject || injected == fault::lost_inputs) {
         auto fields = rejectionFields();
         fields.push_back({"Request-Id", requestId});
@@ -222,6 +225,10 @@
     if (m_kind == kind::model && exchange->head().find("Inputs") == nullptr) {
         ++protocolViolations;
     }
+    const std::string inputs = exchange->field("Inputs");
+    for (std::size_t at = inputs.find('/'); at != std::string::npos; at = inputs.find('/', at + 1)) {
+        foreignInputs += inputs.compare(at + 1, requestId.size() + 1, requestId + ".") == 0 ? 0 : 1;
+    }
     if (exchange->head().find("Authorization") != nullptr || exchange->head().find("Deadline-Ms") == nullptr) {
         ++protocolViolations;
     }
@@ -250,6 +257,37 @@
     });
 }
 
+bool site_endpoint::repeatRejection(const exchange_pointer &exchange)
+{
+    if (m_rejection.empty()) {
+        http1::message_head head;
+        head.status = 503;
+        head.fields = rejectionFields();
+        const std::string requestId = exchange->field("Request-Id");
+        if (behaviour.hasRejectionId && !requestId.empty()) {
+            head.fields.push_back({"Request-Id", requestId});
+        }
+        head.fields.push_back({"Content-Length", "4"});
+        m_rejection = http1::answerText(head) + "full";
+        m_rejectedConnection = exchange->connectionNumber();
+        ++rejections;
+        exchange->write(m_rejection);
+        return true;
+    }
+    if (exchange->connectionNumber() != m_rejectedConnection) {
+        return false;
+    }
+    if (!behaviour.isRejectionSplit) {
+        exchange->write(m_rejection);
+        return false;
+    }
+    const std::size_t half = m_rejection.size() / 2;
+    exchange->write(m_rejection.substr(0, half));
+    QTimer::singleShot(behaviour.serviceTime / 2, &m_timers,
+                       [exchange, rest = m_rejection.substr(half)] { exchange->write(rest); });
+    return false;
+}
+
 void site_endpoint::answerPlain(const exchange_pointer &exchange, fault injected)
 {
     const std::string requestId = exchange->field("Request-Id");
@@ -303,6 +341,12 @@
 
 void site_endpoint::stream(const exchange_pointer &exchange, fault injected)
 {
+    if (injected == fault::error || injected == fault::not_found || injected == fault::plain_answer) {
+        --inFlight;
+        const int status = injected == fault::error ? 500 : injected == fault::not_found ? 404 : 200;
+        exchange->answer(status, "no stream", answerFields(exchange->field("Request-Id")));
+        return;
+    }
     http1::message_head head;
     head.status = 200;
     head.fields = answerFields(exchange->field("Request-Id"));
@@ -357,6 +401,9 @@
     if (injected == fault::silent || beginEndless(exchange, injected)) {
         return;
     }
+    if (injected == fault::repeated_rejection && repeatRejection(exchange)) {
+        return;
+    }
     const QJsonArray items = object(exchange->body()).value(QStringLiteral("items")).toArray();
     calls.push_back(static_cast<std::size_t>(items.size()));
     QJsonArray answered;
@@ -369,7 +416,11 @@
             answered.append(QJsonObject{{QStringLiteral("reason"), QStringLiteral("gone")}});
             continue;
         }
-        const std::string handle = publicAddress() + "/" + std::to_string(++m_lastResult);
+        const std::string requestId = item.value(QStringLiteral("id")).toString().toStdString();
+        for (const auto &input : item.value(QStringLiteral("inputs")).toArray()) {
+            foreignInputs += input.toString().toStdString().find("/" + requestId + ".") == std::string::npos ? 1 : 0;
+        }
+        const std::string handle = publicAddress() + "/" + requestId + "." + std::to_string(++m_lastResult);
         results.insert(handle);
         answered.append(QJsonObject{{QStringLiteral("handle"), QString::fromStdString(handle)}});
     }
--- a/tests/site/site-endpoint.h
+++ b/tests/site/site-endpoint.h
@@ -30,6 +30,7 @@
         unframed, ///< answers without a length
         unframed_reset, ///< answers without a length and resets before the end
         extra_answer, ///< sends an answer for another request after the right one
+        repeated_rejection, ///< rejects one request, then sends that rejection again before answers on its connection
         stale_answer, ///< sends an answer for another request before the right one
         unsigned_answer, ///< answers 200 without a digest
         garbage, ///< sends bytes that do not parse as HTTP
@@ -37,6 +38,8 @@
         unframed_stream, ///< streams without chunks and closes in order at the end
         unframed_event, ///< streams without chunks and closes in order in the middle of an event
         unframed_empty, ///< begins a stream without chunks and closes in order before its first event
+        not_found, ///< answers a stream request with 404, a digest and a body
+        plain_answer, ///< answers a stream request with 200 and a body that is no stream
         lost_inputs, ///< reports a lost input and marks the request as not executed
         endless_head, ///< sends header fields without end
         endless_interim, ///< sends interim answers without end
@@ -58,6 +61,8 @@
     bool isLeaving = false; ///< sends Server-Leaving with every answer
     std::string limit; ///< Server-Limit of every answer; empty: no such field
     std::string retryAfter; ///< Retry-After of rejections; empty: no such field
+    bool hasRejectionId = true; ///< whether rejections echo the id of their request
+    bool isRejectionSplit = false; ///< whether repeated rejections arrive in two parts
     std::set<std::string> crashingParts; ///< prompt parts on which the endpoint crashes when it begins an answer
 };
 
@@ -92,6 +97,7 @@
     std::vector<std::size_t> calls; ///< number of pieces in each stage call
     std::set<std::string> results; ///< handles of stored stage results
     std::size_t protocolViolations = 0; ///< requests that break the platform's protocol
+    std::size_t foreignInputs = 0; ///< inputs that were computed for another request
     std::size_t rejections = 0;
     std::size_t endlessBytes = 0; ///< bytes sent by the endless faults
     std::size_t inFlight = 0; ///< requests in flight
@@ -116,6 +122,9 @@
     std::vector<http1::header_field> rejectionFields() const;
     void addStateFields(std::vector<http1::header_field> &fields) const;
     endpoint_behaviour::fault takeFault();
+    /// Rejects the first request and repeats the rejection for later ones on its connection. Returns whether the
+    /// request was rejected.
+    bool repeatRejection(const exchange_pointer &exchange);
     std::vector<http1::header_field> answerFields(const std::string &requestId) const;
 
     std::string m_id;
@@ -127,6 +136,8 @@
     site_server m_server;
     QObject m_timers; ///< context object of the timers; cancels them on destruction
     std::uint64_t m_lastResult = 0;
+    std::string m_rejection; ///< the one that is repeated; empty: none yet
+    std::size_t m_rejectedConnection = 0; ///< the connection on which it was sent
 };
 
 } // namespace masticlever::site
--- a/tests/site/site-server.cpp
+++ b/tests/site/site-server.cpp
@@ -56,7 +56,7 @@
 {
 public:
     connection(site_server &server, int descriptor)
-        : m_server(server), m_socket(net::stream_socket::adopt(descriptor, {}, *this)),
+        : m_server(server), m_number(server.accepted()), m_socket(net::stream_socket::adopt(descriptor, {}, *this)),
           m_reader(http1::message_kind::request, limits, *this)
     { }
 
@@ -75,8 +75,8 @@
     class exchange final : public site_exchange
     {
     public:
-        exchange(std::weak_ptr<connection> owner, http1::message_head head, std::string body)
-            : m_owner(std::move(owner)), m_head(std::move(head)), m_body(std::move(body))
+        exchange(std::weak_ptr<connection> owner, std::size_t number, http1::message_head head, std::string body)
+            : m_owner(std::move(owner)), m_number(number), m_head(std::move(head)), m_body(std::move(body))
         { }
 
         const http1::message_head &head() const override { return m_head; }
@@ -104,6 +104,7 @@
             const auto owner = m_owner.lock();
             return owner && owner->isOpen();
         }
+        std::size_t connectionNumber() const override { return m_number; }
         std::size_t unsentBytes() const override
         {
             const auto owner = m_owner.lock();
@@ -112,6 +113,7 @@
 
     private:
         std::weak_ptr<connection> m_owner;
+        std::size_t m_number;
         http1::message_head m_head;
         std::string m_body;
     };
@@ -131,7 +133,8 @@
 
     void onEnd() override
     {
-        auto request = std::make_shared<exchange>(weak_from_this(), std::move(m_head), std::exchange(m_body, {}));
+        auto request
+            = std::make_shared<exchange>(weak_from_this(), m_number, std::move(m_head), std::exchange(m_body, {}));
         m_head = {};
         m_server.m_handler(std::move(request));
         abortOnError(m_reader.next());
@@ -145,6 +148,7 @@
     }
 
     site_server &m_server;
+    std::size_t m_number;
     net::stream_socket::pointer m_socket;
     http1::message_reader m_reader;
     http1::message_head m_head;
--- a/tests/site/site-server.h
+++ b/tests/site/site-server.h
@@ -27,6 +27,7 @@
     virtual void reset() = 0; ///< aborts the connection
     virtual void closeWhenSent() = 0;
     virtual bool isOpen() const = 0;
+    virtual std::size_t connectionNumber() const = 0; ///< number of its connection at the server
     virtual std::size_t unsentBytes() const = 0; ///< written but not yet read by the daemon
 
     void answer(int status, std::string_view body, const std::vector<http1::header_field> &fields = {});
