Stage calls: a rejected call's connection is not used again

Callers saw: answers computed from the results of other requests (MIXED). Cause: stage calls and their answers bear no id. A faulty endpoint that wrote an earlier rejection again ended the call in flight; the right answer then arrived for the next call on that connection, 60 ms later. Change: after a rejection the connection is closed, so that nothing that follows it can be read.

--- a/packages/frontend/src/piece-call.cpp
+++ b/packages/frontend/src/piece-call.cpp
@@ -84,6 +84,11 @@
 
 void piece_call::onEnd()
 {
+    if (m_status != statusOk) {
+        // Answers name no call. If this one repeats an earlier rejection, the right one would be read for the next
+        // call.
+        m_connection->abandon();
+    }
     finish(m_status == statusOk ? outcome::answered : outcomeFromHead());
 }
 
