Streams: one that was interrupted is not continued with an answer that is no stream

Cause: after a resumable stream broke off, an answer of the next endpoint below 500, or a success that is no event stream, was passed on like a first answer. Ruled out: errors of 500 and more, rejections, garbage and empty unframed streams already ended the caller's stream cut off. Change: once the head of a stream was sent, any other answer is discarded and counts as a failure of the call; the stream is resumed elsewhere or cut off.

--- a/packages/frontend/src/request-session-answer.cpp
+++ b/packages/frontend/src/request-session-answer.cpp
@@ -161,6 +161,10 @@
         const std::string *type = head.find("Content-Type");
         m_isEventStream = isSuccess(head.status) && type != nullptr && type->starts_with("text/event-stream");
         m_answerMode = m_isEventStream ? answer_mode::stream : answer_mode::buffer;
+        if (m_isHeadSent && !m_isEventStream) {
+            m_answerMode = answer_mode::discard; // the caller has a part of a stream, which this does not continue
+            m_endIfDiscarded = call_end::failure_answer;
+        }
     }
     return true;
 }
--- a/tests/site/site-caller.cpp
+++ b/tests/site/site-caller.cpp
@@ -12,6 +12,7 @@
 
 void site_caller::onBytes(std::string_view bytes)
 {
+    received += bytes;
     std::error_code failure = m_reader.feed(bytes);
     while (!failure && m_reader.isEnded()) {
         failure = m_reader.next();
--- a/tests/site/site-caller.h
+++ b/tests/site/site-caller.h
@@ -31,6 +31,7 @@
     std::size_t completeAnswers = 0; ///< number of complete answers
     bool isClosed = false;
     bool isTruncated = false; ///< closed before an answer was complete
+    std::string received; ///< all bytes as they arrived
 
 private:
     void onBytes(std::string_view bytes) override;
--- a/tests/site/site-endpoint.cpp
+++ b/tests/site/site-endpoint.cpp
@@ -341,6 +341,11 @@
 
 void site_endpoint::stream(const exchange_pointer &exchange, fault injected)
 {
+    if (injected == fault::garbage) {
+        --inFlight;
+        exchange->write("\x01\x02\x03 this is no answer\r\n\r\n");
+        return;
+    }
     if (injected == fault::error || injected == fault::not_found || injected == fault::plain_answer) {
         --inFlight;
         const int status = injected == fault::error ? 500 : injected == fault::not_found ? 404 : 200;
--- a/tests/site/site-fixture.cpp
+++ b/tests/site/site-fixture.cpp
@@ -194,7 +194,8 @@
     waitFor([&] { return caller.completeAnswers > 0 || caller.isClosed; });
     site_answer answer;
     if (!caller.heads.empty()) {
-        answer = {caller.heads.front().status, caller.bodies.front(), caller.completeAnswers > 0, caller.heads.front()};
+        answer = {caller.heads.front().status, caller.bodies.front(), caller.completeAnswers > 0, caller.heads.front(),
+                  caller.received};
     }
     return answer;
 }
--- a/tests/site/site-fixture.h
+++ b/tests/site/site-fixture.h
@@ -38,6 +38,7 @@
     std::string body;
     bool isComplete = false;
     http1::message_head head;
+    std::string received; ///< all bytes as they arrived
 };
 
 class site_fixture
--- a/tests/site/streams-test.cpp
+++ b/tests/site/streams-test.cpp
@@ -154,3 +154,29 @@
     const auto answer = site.sendRequest(0, site.request("POST", "/chat/", "r1", "prompt", "Last-Event-Id: 2\r\n"));
     CHECK(answer.body == model_site::events(3, 4));
 }
+
+TEST_CASE("A stream that was interrupted is not continued with an answer that is no stream", "[site]")
+{
+    model_site site;
+    const fault next = GENERATE(fault::error, fault::not_found, fault::plain_answer, fault::garbage, fault::reject,
+                                fault::unframed_empty);
+    const std::string path = GENERATE("/chat/", "/note/");
+    site.endpoint(1).behaviour.kind = next;
+    site.injectFault(fault::truncated_event, 1000);
+    int cutOff = 0;
+    for (int i = 0; i < 12; ++i) {
+        const std::string id = "r" + std::to_string(i);
+        const auto answer = site.sendRequest(0, site.request("POST", path, id, "prompt", "Prompt-Prefix: a:1,b:2\r\n"));
+        const bool isStream
+            = answer.head.find("Content-Type") != nullptr && *answer.head.find("Content-Type") == "text/event-stream";
+        if (!isStream) {
+            continue; // the request began at the second endpoint
+        }
+        ++cutOff;
+        CHECK_FALSE(answer.isComplete);
+        CHECK(answer.body == model_site::events(1, 2));
+        CHECK(answer.received.find("HTTP/1.1", 1) == std::string::npos);
+        CHECK(answer.received.find("no stream") == std::string::npos);
+    }
+    CHECK(cutOff > 0);
+}
