--- a/tests/site/repeated-rejection-test.cpp
+++ b/tests/site/repeated-rejection-test.cpp
@@ -12,7 +12,7 @@
 using fault = endpoint_behaviour::fault;
 using kind = site_endpoint::kind;
 
-TEST_CASE("A rejection that an endpoint repeats does not end the next request", "[site]")
+TEST_CASE("A rejection that an endpoint repeats does not end the next request", "[site][odd-input]")
 {
     site_fixture site(1);
     site.addEndpoint("d1", kind::plain, "desk");
@@ -58,7 +58,7 @@
     }
 }
 
-TEST_CASE("A rejection that a stage endpoint repeats does not mix the results of requests", "[site]")
+TEST_CASE("A rejection that a stage endpoint repeats does not mix the results of requests", "[site][odd-input]")
 {
     site_fixture site(1);
     site.addPipeline();
