--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -68,6 +68,7 @@
             addEndpoint("e" + std::to_string(i), kind::stage, "encode");
             addEndpoint("r" + std::to_string(i), kind::stage, "rank");
         }
+        m_store.saveCopy();
     }
 
     /// Returns the number of violated guarantees.
@@ -192,7 +193,7 @@
             scheduleAction(randomInt(500, 4000), [&endpoint] { endpoint.behaviour.limit.clear(); });
             return;
         }
-        endpoint.behaviour.kind = static_cast<endpoint_behaviour::fault>(randomInt(1, 15));
+        endpoint.behaviour.kind = static_cast<endpoint_behaviour::fault>(randomInt(1, 17));
         endpoint.behaviour.remainingFaults = static_cast<std::size_t>(randomInt(1, 8));
         scheduleAction(randomInt(200, 1500),
                        [&endpoint] { endpoint.behaviour.kind = endpoint_behaviour::fault::none; });
@@ -226,13 +227,34 @@
             return;
         }
         m_store.setState(static_cast<site_store::state>(randomInt(1, 6)));
-        scheduleAction(randomInt(300, 2500), [this] { m_store.setState(site_store::state::up); });
+        if (randomInt(0, 1) == 0) {
+            m_store.saveCopy();
+        }
+        const bool isRestored = randomInt(0, 2) == 0;
+        scheduleAction(randomInt(300, 2500), [this, isRestored] {
+            m_store.setState(site_store::state::up);
+            if (isRestored) {
+                restoreStore();
+            }
+        });
         if (randomInt(0, 3) == 0) {
             m_store.compact("keyed.servers");
             m_store.compact("keyed.op");
         }
     }
 
+    /// The operator and the endpoints that are alive write again what they wrote.
+    void restoreStore()
+    {
+        m_store.restore();
+        m_store.put("keyed.op", "config", site::demoConfiguration());
+        for (const auto &endpoint : m_endpoints) {
+            if (!endpoint->isCrashed) {
+                m_store.put("keyed.servers", endpoint->id(), endpoint->registration());
+            }
+        }
+    }
+
     void injectDaemonFault(std::size_t index)
     {
         switch (randomInt(0, 3)) {
