Reader updates: removals of an earlier generation are applied

Found by reading: a subscriber that knew of a restore before its reader passed over the reader's removals, which the reader does not repeat. If updates of the new generation came in time, the subscriber did not list the topic itself and kept the endpoint for good. In the grace after a restore nothing is removed at once, and what the reader finds again in the new generation follows as a change. Evidence: registration-tracker-test; its removal in the earlier generation was skipped before.

--- a/packages/frontend/src/daemon-core-updates.cpp
+++ b/packages/frontend/src/daemon-core-updates.cpp
@@ -137,7 +137,7 @@
 {
     const instant now = monotonicNow();
     onStoreGeneration(update.storeGeneration, "reader");
-    applyChanges(m_registrations.onReaderUpdate(update, m_storeGeneration, now));
+    applyChanges(m_registrations.onReaderUpdate(update, now));
     if (!update.configuration.empty()) {
         applyConfiguration(decompressConfiguration(update.configuration), "reader");
     }
--- a/packages/frontend/src/registration-tracker.cpp
+++ b/packages/frontend/src/registration-tracker.cpp
@@ -52,8 +52,7 @@
     return changes;
 }
 
-directory_changes registration_tracker::onReaderUpdate(const stages::directory_message &update,
-                                                       std::uint64_t generation, instant now)
+directory_changes registration_tracker::onReaderUpdate(const stages::directory_message &update, instant now)
 {
     directory_changes changes;
     std::vector<std::string> ids;
@@ -61,9 +60,6 @@
         append(changes, m_directory.onRecord(record, now));
         ids.push_back(record.id);
     }
-    if (update.storeGeneration != 0 && update.storeGeneration < generation) {
-        return changes;
-    }
     for (const std::string &id : update.removed) {
         append(changes, m_directory.onRemoved(id, now));
     }
--- a/packages/frontend/src/registration-tracker.h
+++ b/packages/frontend/src/registration-tracker.h
@@ -32,10 +32,8 @@
 
     /// This instance has read records from the store. Malformed records are logged and skipped.
     directory_changes onRead(const topic_update &update, common::instant now);
-    /// Another instance has just read records from the store. Only registrations are taken from an update of a
-    /// generation of the store earlier than \p generation, as it does not show what was removed since.
-    directory_changes onReaderUpdate(const stages::directory_message &update, std::uint64_t generation,
-                                     common::instant now);
+    /// Another instance has just read records from the store.
+    directory_changes onReaderUpdate(const stages::directory_message &update, common::instant now);
     /// A call to the store succeeded or failed. \returns whether the store has recovered after a failure.
     bool onStoreReachability(bool isReachable, common::instant now);
     void onStoreRestored(common::instant now) { m_directory.onStoreRestored(now); }
