--- a/packages/catalog/include/masticlever/catalog/endpoint-directory.h
+++ b/packages/catalog/include/masticlever/catalog/endpoint-directory.h
@@ -77,8 +77,8 @@
     void onPauseRequested(std::string_view id, common::instant until);
 
     void setStoreReachable(bool isReachable, common::instant now);
-    /// The store was restored from a copy: registrations that are missing from it are kept for the grace time, and those
-    /// of endpoints that were removed before count only if they are newer.
+    /// The store was restored from a copy: registrations that are missing from it are kept for the grace time, and
+    /// those of endpoints that were removed before count only if they are newer.
     void onStoreRestored(common::instant now);
     /// Removes expired entries whose grace time is over; called several times a second.
     std::vector<directory_change> advance(common::instant now);
