--- a/review/stand/engines.cpp
+++ b/review/stand/engines.cpp
@@ -45,16 +45,23 @@
 
 engine::engine(deployment &site, std::string id, std::string service)
     : m_site(site), m_id(std::move(id)), m_service(std::move(service)),
-      m_server([this](const exchange_pointer &exchange) {
-          const std::string expected = exchange->field("Expect-Instance");
-          if (!expected.empty() && expected != m_id) {
-              exchange->answer(421, "", {{"Instance-Id", m_id}, {"Request-Id", exchange->field("Request-Id")}});
-              return;
-          }
-          onRequest(exchange);
-      })
+      m_server([this](const exchange_pointer &exchange) { dispatch(exchange); })
 { }
 
+void engine::dispatch(const exchange_pointer &exchange)
+{
+    const std::string expected = exchange->field("Expect-Instance");
+    if (!expected.empty() && expected != m_id) {
+        exchange->answer(421, "", {{"Instance-Id", m_id}, {"Request-Id", exchange->field("Request-Id")}});
+    } else if (exchange->path() == "/healthz") {
+        exchange->answer(200, "", {{"Instance-Id", m_id}});
+    } else if (exchange->path() == "/masticlever/report" && !report().empty()) {
+        exchange->answer(200, report(), {{"Content-Type", "application/json"}});
+    } else {
+        onRequest(exchange);
+    }
+}
+
 void engine::start()
 {
     m_address = m_server.listen();
@@ -120,6 +127,12 @@
     });
 }
 
+std::string model_engine::report() const
+{
+    return R"({"stage":"both","models":[{"name":"m","version":1,"adapters":[]}],"busy":false,"seq":1,"queued":0,)"
+           R"("running":0,"kv_used":0,"kv_total":232000,"handles":0,"state":"ready","runs":[]})";
+}
+
 void model_engine::onRequest(const exchange_pointer &exchange)
 {
     const std::string requestId = exchange->field("Request-Id");
@@ -186,6 +199,20 @@
                        [this, exchange, number, lastBeforeBreak] { sendEvent(exchange, number + 1, lastBeforeBreak); });
 }
 
+std::string stage_engine::report() const
+{
+    const std::size_t queued = m_calls.empty() ? 0 : m_calls.size() - 1;
+    return R"({"queued":)" + std::to_string(queued) + R"(,"busy":)" + (m_calls.empty() ? "false" : "true")
+        + R"(,"free_mb":18})";
+}
+
+/// Calls in progress, calls that wait, and slots.
+std::string stage_engine::load() const
+{
+    const std::size_t queued = m_calls.empty() ? 0 : m_calls.size() - 1;
+    return std::to_string(m_calls.empty() ? 0 : 1) + "," + std::to_string(queued) + ",1";
+}
+
 void stage_engine::onRequest(const exchange_pointer &exchange)
 {
     if (exchange->path() == "/masticlever/stage-free") {
@@ -266,12 +293,18 @@
     const exchange_pointer exchange = m_calls.front();
     m_calls.pop_front();
     const std::string body = makeResults(exchange);
+    const auto answer = [&](const std::string &requestId, const std::string &text) {
+        auto fields = answerFields(requestId, false);
+        fields.push_back({"Server-Load", load()});
+        fields.push_back({"Content-Type", "application/json"});
+        exchange->answer(200, text, fields);
+    };
     if (auto late = m_lateAnswers.extract(exchange->connectionNumber())) {
         m_site.record.add("engine " + m_id + " sends an earlier answer once more: " + late.mapped().second);
         ++repeatedAnswers;
-        exchange->answer(200, late.mapped().second, answerFields(late.mapped().first, false));
+        answer(late.mapped().first, late.mapped().second);
     }
-    exchange->answer(200, body, answerFields(exchange->field("Request-Id"), false));
+    answer(exchange->field("Request-Id"), body);
     if (repeatsAnswer()) {
         m_lateAnswers[exchange->connectionNumber()] = {exchange->field("Request-Id"), body};
     }
--- a/review/stand/engines.h
+++ b/review/stand/engines.h
@@ -39,8 +39,10 @@
     std::map<std::string, int> runs; ///< by request id
 
 protected:
-    /// Handles a request that is meant for this engine.
+    /// Handles a request that is meant for this engine and is neither a health probe nor a question for its report.
     virtual void onRequest(const exchange_pointer &exchange) = 0;
+    /// Body of the answer to GET /masticlever/report; empty if the engine has none.
+    virtual std::string report() const { return {}; }
 
     /// Fields of an answer to \p requestId; with a digest if \p isSigned.
     std::vector<masticlever::http1::header_field> answerFields(const std::string &requestId, bool isSigned) const;
@@ -53,6 +55,7 @@
 
 private:
     void checkIn();
+    void dispatch(const exchange_pointer &exchange);
 
     masticlever::site::site_server m_server;
     std::uint64_t m_sequence = 0;
@@ -91,6 +94,7 @@
 
 private:
     void onRequest(const exchange_pointer &exchange) override;
+    std::string report() const override;
     void sendEvent(const exchange_pointer &exchange, std::size_t number, std::size_t lastBeforeBreak);
 
     result_table &m_results;
@@ -122,6 +126,8 @@
 
 private:
     void onRequest(const exchange_pointer &exchange) override;
+    std::string report() const override;
+    std::string load() const;
     void startCall();
     void endCall();
     std::string makeResults(const exchange_pointer &exchange);
