Log what was known of a run when a request ended

request_ended and request_answered name the run state and whether the caller already had a part of an answer. Without this, a refusal of an open stream or of a request that has run looks like any other refusal.

--- a/packages/forwarding/include/masticlever/forwarding/request-flow.h
+++ b/packages/forwarding/include/masticlever/forwarding/request-flow.h
@@ -38,6 +38,8 @@
     has_run, ///< answered in full
 };
 
+std::string_view nameOf(run_state state);
+
 /// An answer that is generated here instead of by an endpoint.
 struct local_answer {
     int status = 0;
@@ -102,6 +104,7 @@
     common::instant deadline() const { return m_deadline; }
     common::instant objective() const { return m_receivedAt + m_route.latencyObjective; }
     run_state state() const { return m_state; }
+    bool hasAnswerBegun() const { return m_hasAnswerBegun; }
     std::size_t attempts() const { return m_attempts; }
     /// Endpoints that must not be called again.
     const std::vector<std::string> &excluded() const { return m_excluded; }
--- a/packages/forwarding/src/request-flow.cpp
+++ b/packages/forwarding/src/request-flow.cpp
@@ -19,6 +19,21 @@
 
 } // namespace
 
+std::string_view nameOf(run_state state)
+{
+    switch (state) {
+    case run_state::not_run:
+        return "not_run";
+    case run_state::may_have_run:
+        return "may_have_run";
+    case run_state::running:
+        return "running";
+    case run_state::has_run:
+        break;
+    }
+    return "has_run";
+}
+
 request_flow::request_flow(const catalog::route &route, protocol::request_attributes attributes, instant receivedAt,
                            instant deadline, flow_options options)
     : m_route(route), m_attributes(std::move(attributes)), m_receivedAt(receivedAt), m_deadline(deadline),
--- a/packages/frontend/src/request-session.cpp
+++ b/packages/frontend/src/request-session.cpp
@@ -338,6 +338,8 @@
               {"outcome", outcome},
               {"status", std::int64_t{status}},
               {"reason", reason},
+              {"run", forwarding::nameOf(m_flow.state())},
+              {"begun", m_flow.hasAnswerBegun() ? "yes" : "no"},
               {"endpoint", std::string_view(m_endpointId)},
               {"attempts", static_cast<std::uint64_t>(m_flow.attempts())},
               {"pieces_left", static_cast<std::uint64_t>(m_flow.graph().missingPieces())},
