An open stream whose pieces fail is broken off instead of being answered again

Cause: request_flow::proceed() refused a request whose pieces failed too often without asking whether its answer had begun or whether it might have run; request_flow::end() asks both. Nothing below kept a second head out of a body.

Evidence: request_ended reason=pieces_failed status=503 run=may_have_run begun=yes first_ms=2, after call_failed end=broken; no other reason ends an open stream with a status (first hypothesis). The ids and attempts rule out pipelining and bytes of the endpoint.

Change: proceed() ends such a request through end(). The limit on piece orders counts per attempt, since a resumed stream needs its inputs again and attempts are limited by the route; as one number for the whole request it broke off streams that could go on. caller_connection knows what a caller has of an answer, and aborts the connection instead of writing a second head, whoever asks: local answers, refusals before admission, rejected bytes. Why this works: a body without its last chunk and a reset cannot be taken for the end of an answer.

Before: site test 'A stream that cannot be resumed because its stage results cannot be made again' 2 of 11 assertions failed; received has a second HTTP/1.1. After: passes, with tests of the flow and of the connection.

--- a/packages/forwarding/include/masticlever/forwarding/request-flow.h
+++ b/packages/forwarding/include/masticlever/forwarding/request-flow.h
@@ -62,7 +62,7 @@
 
 struct flow_options {
     std::size_t maxConnectRetries = 3; ///< retries after failed connections, per request
-    std::size_t maxPieceAttempts = 4; ///< mean orders per piece, including those to replace lost inputs
+    std::size_t maxPieceAttempts = 4; ///< mean orders per piece and attempt, including those to replace lost inputs
     common::duration minCallTime = std::chrono::milliseconds(5); ///< no call is sent with less time left
     common::duration retryAfter = std::chrono::milliseconds(400); ///< if no better estimate is known
 };
@@ -130,7 +130,7 @@
     std::vector<std::string> m_excluded;
     std::size_t m_attempts = 0; ///< number of endpoints that the request was sent to
     std::size_t m_failedConnects = 0;
-    std::size_t m_pieceOrders = 0;
+    std::size_t m_pieceOrders = 0; ///< since the attempt began
     std::size_t m_initialPieces = 0;
     bool m_hasBody = false;
     bool m_hasAnswerBegun = false;
--- a/packages/forwarding/src/request-flow.cpp
+++ b/packages/forwarding/src/request-flow.cpp
@@ -85,7 +85,7 @@
     step.order = m_graph.takeReady();
     m_pieceOrders += step.order.size();
     if (m_pieceOrders > m_initialPieces * m_options.maxPieceAttempts) {
-        return refuse("pieces_failed");
+        return end(badGateway, "pieces_failed");
     }
     if (m_hasBody && !m_isCallInFlight && m_graph.isComplete()) {
         if (m_deadline - now < m_options.minCallTime) {
@@ -184,6 +184,7 @@
         m_state = ended == call_end::failure_answer ? run_state::has_run : run_state::may_have_run;
     }
     if (canRetry(ended, now, takeRetry)) {
+        m_pieceOrders = 0; // the inputs are made again for the next attempt
         std::vector<std::string> dropped;
         if (ended == call_end::input_gone) {
             dropped = m_graph.onFinalInputGone(m_isProducerGone);
--- a/packages/forwarding/test/request-flow-test.cpp
+++ b/packages/forwarding/test/request-flow-test.cpp
@@ -4,6 +4,7 @@
 
 using namespace masticlever;
 using namespace masticlever::forwarding;
+using protocol::piece_failure;
 using namespace std::chrono_literals;
 
 namespace
@@ -280,3 +281,55 @@
     REQUIRE(step.answer);
     CHECK(step.answer->status == 503);
 }
+
+// Guards against a refusal after the answer has begun, or of a request that may have run.
+TEST_CASE("A request whose pieces keep failing")
+{
+    catalog::route route = routeWithoutStages(catalog::request_kind::stream);
+    route.isResumable = true;
+    route.stages = {{"encode", {}, 100}};
+    request_flow flow = makeFlow(route, {1});
+    const auto failPieces = [&](flow_step step) {
+        std::size_t orders = 0;
+        while (!step.order.empty()) {
+            ++orders;
+            step = flow.onPieceFailed({0, 0}, piece_failure::failed, start);
+        }
+        return std::pair(orders, step);
+    };
+    flow_step step = flow.onBody(start);
+    REQUIRE(step.order.size() == 1);
+    constexpr std::size_t limit = 4;
+
+    SECTION("is refused as not run if it was never sent")
+    {
+        const auto [orders, last] = failPieces(std::move(step));
+        CHECK(orders == limit);
+        REQUIRE(last.answer);
+        CHECK(last.answer->status == 503);
+    }
+    SECTION("has the same number of orders after an interrupted attempt as before it")
+    {
+        flow.onPieceFailed({0, 0}, piece_failure::failed, start);
+        flow.onPieceFailed({0, 0}, piece_failure::failed, start);
+        REQUIRE(flow.onPieceCompleted({0, 0}, "h", start).call);
+        flow.onCallBegins("e1");
+        flow.onProgress();
+
+        SECTION("and is broken off if its answer has begun")
+        {
+            flow.onAnswerBegins();
+            const auto [orders, last] = failPieces(flow.onCallEnds(call_end::broken, start, always));
+            CHECK(orders == limit);
+            CHECK_FALSE(last.answer);
+            CHECK(last.abortAnswer);
+        }
+        SECTION("and fails without a promise if it may have run")
+        {
+            const auto [orders, last] = failPieces(flow.onCallEnds(call_end::broken, start, always));
+            CHECK(orders == limit);
+            REQUIRE(last.answer);
+            CHECK(last.answer->status == 502);
+        }
+    }
+}
--- a/packages/frontend/src/caller-connection.cpp
+++ b/packages/frontend/src/caller-connection.cpp
@@ -1,12 +1,16 @@
 #include "caller-connection.h"
 
 #include <masticlever/common/errors.h>
+#include <masticlever/telemetry/events.h>
 
 #include <utility>
 
 namespace masticlever::frontend
 {
 
+using telemetry::event;
+using telemetry::logEvent;
+
 namespace
 {
 
@@ -63,7 +67,11 @@
 {
     m_handler.onBadRequest(status);
     m_isFinished = true;
-    if (m_hasAnswered || m_isGone) {
+    if (m_progress == answer_progress::begun) {
+        dropRequest();
+        return;
+    }
+    if (m_progress == answer_progress::ended || m_isGone) {
         m_socket->closeWhenSent();
         return;
     }
@@ -81,7 +89,7 @@
 void caller_connection::onHead(http1::message_head head)
 {
     m_isBusy = true;
-    m_hasAnswered = false;
+    m_progress = answer_progress::none;
     m_keepsAlive = head.keepAlive;
     m_isVersion11 = head.isVersion11;
     m_isHead = head.method == "HEAD";
@@ -103,8 +111,14 @@
     finishExchange();
 }
 
-void caller_connection::beginAnswer(http1::message_head head, std::optional<std::uint64_t> length)
+bool caller_connection::beginAnswer(http1::message_head head, std::optional<std::uint64_t> length)
 {
+    if (m_progress != answer_progress::none) {
+        logEvent(event::second_answer_prevented, {{"status", std::int64_t{head.status}}});
+        dropRequest();
+        return false;
+    }
+    m_progress = answer_progress::begun;
     m_isChunked = !length && m_isVersion11;
     if (!m_reader.isEnded() || m_isClosing || (!length && !m_isVersion11)) {
         m_keepsAlive = false; // the unread rest of a body would be parsed as the next request
@@ -118,11 +132,12 @@
         head.fields.push_back({"Connection", "close"});
     }
     m_socket->write(http1::answerText(head));
+    return true;
 }
 
 void caller_connection::sendBody(std::string_view bytes)
 {
-    if (m_isHead) {
+    if (m_isHead || m_progress != answer_progress::begun) {
         return;
     }
     if (m_isChunked) {
@@ -134,17 +149,20 @@
 
 void caller_connection::endAnswer()
 {
+    if (m_progress != answer_progress::begun) {
+        return;
+    }
     if (m_isChunked && !m_isHead) {
         m_socket->write(http1::lastChunk);
     }
-    m_hasAnswered = true;
+    m_progress = answer_progress::ended;
     session = 0;
     finishExchange();
 }
 
 void caller_connection::finishExchange()
 {
-    if (!m_hasAnswered || m_isGone) {
+    if (m_progress != answer_progress::ended || m_isGone) {
         return;
     }
     if (!m_keepsAlive || m_isClosing) {
@@ -157,15 +175,25 @@
         return;
     }
     m_isBusy = false;
-    m_hasAnswered = false;
+    m_progress = answer_progress::none;
     m_lastProgressAt = m_now;
     m_socket->setReading(true);
     handleReadResult(m_reader.next());
 }
 
+/// Aborts the connection and tells the request in flight.
+void caller_connection::dropRequest()
+{
+    if (session != 0) {
+        m_handler.onCallerGone(*this);
+    }
+    abortAnswer();
+}
+
 void caller_connection::abortAnswer()
 {
     session = 0;
+    m_progress = answer_progress::ended;
     m_isFinished = true;
     m_isGone = true;
     m_socket->abort();
@@ -192,7 +220,7 @@
         return;
     }
     const bool isReadingHead = !m_reader.hasHead();
-    const bool isReadingBody = m_reader.hasHead() && !m_reader.isEnded() && !m_hasAnswered;
+    const bool isReadingBody = m_reader.hasHead() && !m_reader.isEnded() && m_progress != answer_progress::ended;
     const common::duration limit = isReadingHead ? m_limits.headTimeout : m_limits.idleTimeout;
     if ((isReadingHead || isReadingBody) && now - m_lastProgressAt > limit) {
         reject(requestTimeout);
--- a/packages/frontend/src/caller-connection.h
+++ b/packages/frontend/src/caller-connection.h
@@ -42,8 +42,10 @@
     caller_connection(const caller_connection &) = delete;
     caller_connection &operator=(const caller_connection &) = delete;
 
-    /// Without \p length the body is sent chunked, or until the connection is closed for an HTTP/1.0 caller.
-    void beginAnswer(http1::message_head head, std::optional<std::uint64_t> length);
+    /// Begins the answer to the request in flight. Without \p length the body is sent chunked, or until the connection
+    /// is closed for an HTTP/1.0 caller. If that request already has an answer, nothing is written, the connection is
+    /// aborted and false is returned.
+    bool beginAnswer(http1::message_head head, std::optional<std::uint64_t> length);
     void sendBody(std::string_view bytes);
     void endAnswer();
     /// Aborts the connection in the middle of the answer, so that it cannot be taken for a complete one.
@@ -64,6 +66,9 @@
     std::uint64_t session = 0; ///< number of the request in flight; 0: none
 
 private:
+    /// What the caller has of the answer to the request in flight.
+    enum class answer_progress { none, begun, ended };
+
     void onBytes(std::string_view bytes) override;
     void onClosed(net::close_reason reason) override;
     void onDrained() override { m_handler.onCallerDrained(*this); }
@@ -73,6 +78,7 @@
 
     void handleReadResult(std::error_code failure);
     void reject(int status);
+    void dropRequest();
     void finishExchange();
 
     net::stream_socket::pointer m_socket;
@@ -82,7 +88,7 @@
     common::instant m_now; ///< time of the last tick
     common::instant m_lastProgressAt;
     bool m_isBusy = false; ///< a request is being read or answered
-    bool m_hasAnswered = false;
+    answer_progress m_progress = answer_progress::none;
     bool m_isChunked = false;
     bool m_isClosing = false;
     bool m_isFinished = false; ///< no more requests are read
--- /dev/null
+++ b/packages/frontend/test/caller-connection-test.cpp
@@ -0,0 +1,128 @@
+#include "caller-connection.h"
+#include "event-loop.h"
+
+#include <catch2/catch.hpp>
+
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <functional>
+#include <string>
+#include <utility>
+
+using namespace masticlever;
+using namespace masticlever::frontend;
+
+namespace
+{
+
+/// Runs \p onRequest for each request that has been read whole.
+class answering_handler final : public request_handler
+{
+public:
+    explicit answering_handler(std::function<void(caller_connection &caller)> onRequest)
+        : m_onRequest(std::move(onRequest))
+    { }
+
+    void onRequestHead(caller_connection & /*caller*/, http1::message_head /*head*/) override { }
+    void onRequestBody(caller_connection & /*caller*/, std::string_view /*bytes*/) override { }
+    void onRequestEnd(caller_connection &caller) override { m_onRequest(caller); }
+    void onCallerGone(caller_connection & /*caller*/) override { ++callersGone; }
+    void onCallerDrained(caller_connection & /*caller*/) override { }
+    void onBadRequest(int /*status*/) override { }
+
+    int callersGone = 0;
+
+private:
+    std::function<void(caller_connection &caller)> m_onRequest;
+};
+
+http1::message_head answerHead(int status)
+{
+    http1::message_head head;
+    head.status = status;
+    return head;
+}
+
+/// Bytes that a caller gets after \p requests requests on one connection, and whether the connection is closed then.
+std::pair<std::string, bool> receive(answering_handler &handler, int requests)
+{
+    std::array<int, 2> sockets{};
+    REQUIRE(::socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, sockets.data()) == 0);
+    std::string text;
+    for (int i = 0; i < requests; ++i) {
+        text += "GET / HTTP/1.1\r\nHost: site.example\r\n\r\n";
+    }
+    REQUIRE(::write(sockets[1], text.data(), text.size()) == static_cast<ssize_t>(text.size()));
+    std::string received;
+    bool isClosed = false;
+    runUntil([] { return true; }); // creates the application before the first socket
+    caller_connection caller(sockets[0], {}, handler, {});
+    REQUIRE(runUntil([&] {
+        std::array<char, 4096> buffer{};
+        const ssize_t size = ::read(sockets[1], buffer.data(), buffer.size());
+        received.append(buffer.data(), size > 0 ? static_cast<std::size_t>(size) : 0);
+        isClosed = size == 0;
+        return isClosed || received.ends_with("end");
+    }));
+    ::close(sockets[1]);
+    return {received, isClosed};
+}
+
+std::size_t headsIn(const std::string &received)
+{
+    std::size_t heads = 0;
+    for (std::size_t at = received.find("HTTP/1.1 "); at != std::string::npos;
+         at = received.find("HTTP/1.1 ", at + 1)) {
+        ++heads;
+    }
+    return heads;
+}
+
+} // namespace
+
+// Guards against bytes of a second answer in the body of the first, whoever writes them.
+TEST_CASE("A connection writes one answer to a request")
+{
+    SECTION("and is aborted instead of writing a second head into an open body")
+    {
+        answering_handler handler([](caller_connection &caller) {
+            caller.session = 1;
+            CHECK(caller.beginAnswer(answerHead(200), std::nullopt));
+            caller.sendBody("first");
+            CHECK_FALSE(caller.beginAnswer(answerHead(503), 0));
+            caller.sendBody("second");
+            caller.endAnswer();
+        });
+        const auto [received, isClosed] = receive(handler, 2);
+        CHECK(isClosed);
+        CHECK(headsIn(received) == 1);
+        CHECK(received.ends_with("5\r\nfirst\r\n")); // no last chunk
+        CHECK(handler.callersGone == 1);
+    }
+    SECTION("and none after the end of the first")
+    {
+        answering_handler handler([](caller_connection &caller) {
+            CHECK(caller.beginAnswer(answerHead(200), 3));
+            caller.sendBody("end");
+            caller.endAnswer();
+            caller.sendBody("more");
+        });
+        const auto [received, isClosed] = receive(handler, 1);
+        CHECK_FALSE(isClosed);
+        CHECK(headsIn(received) == 1);
+    }
+    SECTION("and one to each of several requests that were sent ahead")
+    {
+        int answered = 0;
+        answering_handler handler([&answered](caller_connection &caller) {
+            CHECK(caller.beginAnswer(answerHead(200), 3));
+            caller.sendBody(++answered == 3 ? "end" : "one");
+            caller.endAnswer();
+        });
+        const auto [received, isClosed] = receive(handler, 3);
+        CHECK_FALSE(isClosed);
+        CHECK(headsIn(received) == 3);
+    }
+}
--- a/packages/frontend/test/crash-monitor-test.cpp
+++ b/packages/frontend/test/crash-monitor-test.cpp
@@ -1,16 +1,12 @@
 #include "crash-monitor.h"
+#include "event-loop.h"
 
 #include <masticlever/net/stream-socket.h>
 
-#include <QCoreApplication>
-#include <QElapsedTimer>
-#include <QEventLoop>
-
 #include <catch2/catch.hpp>
 
 #include <unistd.h>
 
-#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -29,20 +25,6 @@
     return std::chrono::time_point_cast<common::duration>(std::chrono::steady_clock::now());
 }
 
-bool runUntil(const std::function<bool()> &condition)
-{
-    static int count = 1;
-    static char name[] = "test";
-    static char *arguments[] = {name, nullptr};
-    static const QCoreApplication application(count, arguments);
-    QElapsedTimer timer;
-    timer.start();
-    while (!condition() && timer.elapsed() < 5000) {
-        QCoreApplication::processEvents(QEventLoop::AllEvents, 10);
-    }
-    return condition();
-}
-
 } // namespace
 
 TEST_CASE("An endpoint that cut a call off")
--- a/packages/telemetry/include/masticlever/telemetry/events.h
+++ b/packages/telemetry/include/masticlever/telemetry/events.h
@@ -93,6 +93,7 @@
     topic_listed = 826,
     store_call_failed = 827,
     instance_published = 828,
+    second_answer_prevented = 829,
 
     stop_began = 830,
     stopped = 831,
--- a/packages/telemetry/src/event-catalogue.cpp
+++ b/packages/telemetry/src/event-catalogue.cpp
@@ -79,6 +79,7 @@
     {topic_listed, "topic_listed", info},
     {store_call_failed, "store_call_failed", info},
     {instance_published, "instance_published", info},
+    {second_answer_prevented, "second_answer_prevented", error},
     {stop_began, "stop_began", info},
     {stopped, "stopped", info},
     {settings_reloaded, "settings_reloaded", info},
--- a/tests/site/site-endpoint.cpp
+++ b/tests/site/site-endpoint.cpp
@@ -300,6 +300,9 @@
     case fault::error:
         exchange->answer(500, "failed", fields);
         return;
+    case fault::unproven_refusal:
+        exchange->answer(behaviour.refusalStatus, "failed", fields);
+        return;
     case fault::reset_after_reading:
         exchange->reset();
         return;
@@ -421,6 +424,10 @@
             answered.append(QJsonObject{{QStringLiteral("reason"), QStringLiteral("gone")}});
             continue;
         }
+        if (injected == fault::failed_pieces) {
+            answered.append(QJsonObject{{QStringLiteral("reason"), QStringLiteral("error")}});
+            continue;
+        }
         const std::string requestId = item.value(QStringLiteral("id")).toString().toStdString();
         for (const auto &input : item.value(QStringLiteral("inputs")).toArray()) {
             foreignInputs += input.toString().toStdString().find("/" + requestId + ".") == std::string::npos ? 1 : 0;
--- a/tests/site/site-endpoint.h
+++ b/tests/site/site-endpoint.h
@@ -40,6 +40,8 @@
         unframed_empty, ///< begins a stream without chunks and closes in order before its first event
         not_found, ///< answers a stream request with 404, a digest and a body
         plain_answer, ///< answers a stream request with 200 and a body that is no stream
+        failed_pieces, ///< answers each piece of a call with an error
+        unproven_refusal, ///< runs the request, then answers with the status set and without Not-Executed
         lost_inputs, ///< reports a lost input and marks the request as not executed
         endless_head, ///< sends header fields without end
         endless_interim, ///< sends interim answers without end
@@ -55,6 +57,7 @@
     fault kind = fault::none;
     std::size_t remainingFaults = 1000000; ///< number of requests that the fault still applies to
     std::chrono::milliseconds serviceTime{1};
+    int refusalStatus = 503; ///< of an unproven refusal
     std::size_t events = 4; ///< per stream
     std::chrono::milliseconds eventInterval{1}; ///< time between events
     std::string keepAlive = "timeout=5";
--- a/tests/site/streams-test.cpp
+++ b/tests/site/streams-test.cpp
@@ -180,3 +180,42 @@
     }
     CHECK(cutOff > 0);
 }
+
+// Guards against a second answer inside the body of an open stream.
+TEST_CASE("A stream that cannot be resumed because its stage results cannot be made again is broken off", "[site]")
+{
+    site_fixture site(1);
+    site.addPipeline();
+    site.configure(
+        2,
+        R"(,{"name":"solo","host":"site.example","path_prefix":"/solo/","kind":"streaming","service":"model",)"
+        R"("timeout_ms":4000,"target_latency_ms":1000,"priority":1,"max_attempts":3,"resumable":true,)"
+        R"("sticky":true,"stages":[{"service":"encode","bytes":100}]})");
+    const std::string fields = "Pieces: 1\r\nPiece-Key: abc\r\n";
+    REQUIRE(waitFor(
+        [&] { return site.sendRequest(0, site.request("POST", "/solo/", "probe", "prompt", fields)).status == 200; }));
+    constexpr std::size_t model = 0;
+    constexpr std::size_t encoder = 1;
+    site.endpoint(model).behaviour.kind = fault::truncated_event;
+    site.endpoint(model).behaviour.events = 8;
+    site.endpoint(model).behaviour.eventInterval = std::chrono::milliseconds(50);
+    site_caller caller(site.frontAddressOf(0));
+    caller.send(site.request("POST", "/solo/", "r1", "prompt", fields));
+    REQUIRE(waitFor([&] { return !caller.bodies.empty() && !caller.bodies[0].empty(); }));
+    site.endpoint(encoder).behaviour.kind = fault::failed_pieces;
+
+    SECTION("without a second head")
+    {
+        REQUIRE(waitFor([&] { return caller.isClosed || caller.received.find("HTTP/1.1", 1) != std::string::npos; }));
+        CHECK(caller.received.find("HTTP/1.1", 1) == std::string::npos);
+        CHECK(caller.isTruncated);
+        CHECK(caller.bodies[0] == model_site::events(1, 4));
+    }
+    SECTION("and a request that was sent ahead on its connection is not answered")
+    {
+        caller.send(site.request("GET", "/open/", "r2"));
+        REQUIRE(waitFor([&] { return caller.isClosed || caller.heads.size() > 1; }));
+        CHECK(caller.heads.size() == 1);
+        CHECK(caller.isTruncated);
+    }
+}
