An endpoint's refusal that proves nothing is answered with 502

Callers saw: a 503 with the endpoint's signature for an order that the endpoint had run.

Cause: the status of an answer with Request-Id and without Not-Executed was passed on whatever callers take it for. The run state was right and guarded local answers only.

Evidence: call_failed end=failure_answer status=503, then request_ended status=503 run=has_run; for 408 and 429 request_answered status=429 without a failed call, so there were two ways out. One attempt each and no foreign_answer, which rules out the second endpoint and the earlier exchange.

Change: 408, 421, 429 and 503 without Not-Executed end the call as unproven_refusal, on both ways and whatever arrives of the body. The request may have run: it is sent to another endpoint only if it may be repeated, and ends as 502 without the endpoint's signature. This holds for every kind of request, as callers read the status alone; 421 counts as proof, as before. Why this works: a status that is a promise now comes from request_flow alone, from state not_run.

Looked for elsewhere: calls for stage results take only Not-Executed and 421 as a rejection; the product's own interface takes a refusal only with Masticlever-Run: no; the store is only read. No other path passes a status on.

--- a/packages/forwarding/include/masticlever/forwarding/request-flow.h
+++ b/packages/forwarding/include/masticlever/forwarding/request-flow.h
@@ -27,6 +27,7 @@
     misdirected, ///< the address belongs to another endpoint now; not run
     input_gone, ///< a stage result is lost; not run
     failure_answer, ///< a complete answer with a server error; has run
+    unproven_refusal, ///< an answer whose status denies a run, without a proof of it; may have run
     broken, ///< no complete answer; may have run
 };
 
@@ -40,6 +41,11 @@
 
 std::string_view nameOf(run_state state);
 
+/// Whether callers take \p status as the promise that a request has not run and never will.
+bool promisesNotRun(int status);
+/// Whether \p end proves that the endpoint did not run the request.
+bool isProvenNotRun(call_end end);
+
 /// An answer that is generated here instead of by an endpoint.
 struct local_answer {
     int status = 0;
--- a/packages/forwarding/src/request-flow.cpp
+++ b/packages/forwarding/src/request-flow.cpp
@@ -13,10 +13,22 @@
 namespace
 {
 
+constexpr int requestTimeout = 408;
+constexpr int misdirectedRequest = 421;
+constexpr int tooManyRequests = 429;
 constexpr int badGateway = 502;
 constexpr int unavailable = 503;
 constexpr int gatewayTimeout = 504;
 
+/// Why a request ends after a call that ended without an answer for its caller, for logs.
+std::string_view reasonOf(call_end ended)
+{
+    if (ended == call_end::broken) {
+        return "answer_broken";
+    }
+    return ended == call_end::unproven_refusal ? "unproven_refusal" : "rejected";
+}
+
 } // namespace
 
 std::string_view nameOf(run_state state)
@@ -34,6 +46,17 @@
     return "has_run";
 }
 
+bool promisesNotRun(int status)
+{
+    return status == requestTimeout || status == misdirectedRequest || status == tooManyRequests
+        || status == unavailable;
+}
+
+bool isProvenNotRun(call_end end)
+{
+    return end != call_end::failure_answer && end != call_end::unproven_refusal && end != call_end::broken;
+}
+
 request_flow::request_flow(const catalog::route &route, protocol::request_attributes attributes, instant receivedAt,
                            instant deadline, flow_options options)
     : m_route(route), m_attributes(std::move(attributes)), m_receivedAt(receivedAt), m_deadline(deadline),
@@ -158,8 +181,8 @@
 
 bool request_flow::canRetry(call_end ended, instant now, const std::function<bool()> &takeRetry)
 {
-    const bool isProvenNotRun = ended != call_end::failure_answer && ended != call_end::broken;
-    const bool isAllowed = (isProvenNotRun || m_route.allowsRetry()) && (!m_hasAnswerBegun || m_route.isResumable);
+    const bool isAllowed
+        = (isProvenNotRun(ended) || m_route.allowsRetry()) && (!m_hasAnswerBegun || m_route.isResumable);
     if (!isAllowed || m_attempts >= m_route.maximumAttempts || m_deadline - now < m_options.minCallTime) {
         return false;
     }
@@ -175,12 +198,11 @@
     if (m_isEnded) {
         return {};
     }
-    const bool isProvenNotRun = ended != call_end::failure_answer && ended != call_end::broken;
     if (ended == call_end::not_sent) {
         --m_attempts;
         ++m_failedConnects;
     }
-    if (!isProvenNotRun) {
+    if (!isProvenNotRun(ended)) {
         m_state = ended == call_end::failure_answer ? run_state::has_run : run_state::may_have_run;
     }
     if (canRetry(ended, now, takeRetry)) {
@@ -200,7 +222,7 @@
         step.reason = "endpoint_failure";
         return finish(std::move(step));
     }
-    return end(badGateway, ended == call_end::broken ? "answer_broken" : "rejected");
+    return end(badGateway, reasonOf(ended));
 }
 
 flow_step request_flow::onProgress()
--- a/packages/forwarding/test/request-flow-test.cpp
+++ b/packages/forwarding/test/request-flow-test.cpp
@@ -99,6 +99,15 @@
         REQUIRE(step.answer);
         CHECK(step.answer->status == 502);
     }
+    SECTION("is neither retried nor refused after a refusal that proves nothing")
+    {
+        const flow_step step = flow.onCallEnds(call_end::unproven_refusal, start, always);
+        CHECK_FALSE(step.call);
+        CHECK_FALSE(step.forwardFailure);
+        REQUIRE(step.answer);
+        CHECK(step.answer->status == 502);
+        CHECK_FALSE(step.answer->retryAfter.has_value());
+    }
     SECTION("forwards the endpoint's failure answer")
     {
         CHECK(flow.onCallEnds(call_end::failure_answer, start, always).forwardFailure);
--- a/packages/frontend/src/request-session-answer.cpp
+++ b/packages/frontend/src/request-session-answer.cpp
@@ -49,6 +49,8 @@
         return "input_gone";
     case call_end::failure_answer:
         return "failure_answer";
+    case call_end::unproven_refusal:
+        return "unproven_refusal";
     case call_end::broken:
         break;
     }
@@ -157,6 +159,9 @@
     } else if (!isAuthentic) {
         m_answerMode = answer_mode::discard;
         m_endIfDiscarded = call_end::broken;
+    } else if (forwarding::promisesNotRun(head.status)) {
+        m_answerMode = answer_mode::discard;
+        m_endIfDiscarded = call_end::unproven_refusal;
     } else {
         const std::string *type = head.find("Content-Type");
         m_isEventStream = isSuccess(head.status) && type != nullptr && type->starts_with("text/event-stream");
@@ -211,15 +216,18 @@
           static_cast<std::uint64_t>(m_bufferedAnswer.size() + m_eventSplitter.pendingBytes() + m_discardedBytes)}});
     m_connection->abandon();
     if (m_answerMode == answer_mode::discard && m_endIfDiscarded != call_end::broken) {
-        endCall(m_endIfDiscarded, rejectionOutcome());
+        endCall(m_endIfDiscarded, discardOutcome());
     } else {
         endCall(call_end::broken, call_outcome::failed);
     }
 }
 
 /// A rejection by an endpoint that was full and named a time to retry does not count against its health.
-call_outcome request_session::rejectionOutcome() const
+call_outcome request_session::discardOutcome() const
 {
+    if (m_endIfDiscarded == call_end::broken || m_endIfDiscarded == call_end::unproven_refusal) {
+        return call_outcome::failed;
+    }
     return m_answerAttributes.pauseFor ? call_outcome::rejected_with_delay : call_outcome::rejected;
 }
 
@@ -268,7 +276,7 @@
 void request_session::onEnd()
 {
     if (m_answerMode == answer_mode::discard) {
-        endCall(m_endIfDiscarded, m_endIfDiscarded == call_end::broken ? call_outcome::failed : rejectionOutcome());
+        endCall(m_endIfDiscarded, discardOutcome());
         return;
     }
     if (isStreamCutOff()) {
@@ -305,7 +313,7 @@
 {
     m_answer.status = failure == http1::exchange_failure::garbled ? -1 : 0;
     if (m_answerMode == answer_mode::discard && m_endIfDiscarded != call_end::broken) {
-        endCall(m_endIfDiscarded, rejectionOutcome()); // the head alone proves the outcome
+        endCall(m_endIfDiscarded, discardOutcome()); // the head alone proves the outcome
     } else if (failure == http1::exchange_failure::not_connected) {
         endCall(call_end::not_sent, call_outcome::unreachable);
     } else {
--- a/packages/frontend/src/request-session.h
+++ b/packages/frontend/src/request-session.h
@@ -70,7 +70,7 @@
     bool isStreamCutOff() const;
     bool exceedsLimit(std::string_view bytes);
     void abortOversizedAnswer();
-    forwarding::call_outcome rejectionOutcome() const;
+    forwarding::call_outcome discardOutcome() const;
     void onProgress(common::instant now);
     void reportInterruption(common::instant now);
     common::duration timeUntilOpen(const catalog::endpoint_record &endpoint, common::instant now) const;
--- a/tests/site/forwarding-test.cpp
+++ b/tests/site/forwarding-test.cpp
@@ -5,6 +5,7 @@
 using namespace masticlever::site;
 using fault = endpoint_behaviour::fault;
 using kind = site_endpoint::kind;
+using refusal_form = endpoint_behaviour::refusal_form;
 
 namespace
 {
@@ -260,3 +261,51 @@
         CHECK(site.sendRequest(0, site.request("GET", "/safe/", "last")).status == 200);
     }
 }
+
+// Guards against a refusal, which callers take as a proof, of a request that has run.
+TEST_CASE("An endpoint's refusal of a request that it does not prove not to have run is not passed on", "[site]")
+{
+    site_fixture site(1);
+    site.addEndpoint("d1", kind::plain, "desk");
+    REQUIRE(site.waitReady(0));
+    REQUIRE(waitFor([&] { return site.sendRequest(0, site.request("GET", "/safe/", "probe")).status == 200; }));
+    site_endpoint &desk = site.endpoint(0);
+    desk.behaviour.refusalStatus = GENERATE(408, 429, 503);
+    const std::string path = GENERATE("/order/", "/safe/");
+
+    SECTION("with a whole body, a cut one or no id")
+    {
+        desk.behaviour.kind = fault::unproven_refusal;
+        desk.behaviour.refusal = GENERATE(refusal_form::whole, refusal_form::cut, refusal_form::without_id);
+        const auto answer = site.sendRequest(0, site.request("POST", path, "r1"));
+        CHECK(desk.runs["r1"] == 1);
+        CHECK(answer.status == 502);
+        CHECK(answer.isComplete);
+        CHECK(answer.head.find("Server-Signature") == nullptr);
+        CHECK(answer.head.find("Retry-After") == nullptr);
+        CHECK(answer.body.empty());
+    }
+    SECTION("and only a request that may be repeated is sent to another endpoint")
+    {
+        site.addEndpoint("d2", kind::plain, "desk");
+        REQUIRE(waitFor([&] {
+            site.sendRequest(0, site.request("GET", "/safe/", "probe"));
+            return !site.endpoint(1).runs.empty();
+        }));
+        desk.behaviour.kind = fault::unproven_refusal;
+        int refused = 0;
+        for (int i = 0; i < 12; ++i) {
+            const std::string id = "r" + std::to_string(i);
+            const auto answer = site.sendRequest(0, site.request("POST", path, id));
+            const int runs = desk.runs[id] + site.endpoint(1).runs[id];
+            refused += desk.runs[id];
+            if (path == "/order/") {
+                CHECK(runs == 1);
+                CHECK(answer.status == (desk.runs[id] == 1 ? 502 : 200));
+            } else {
+                CHECK((answer.status == 200 || answer.status == 502));
+            }
+        }
+        CHECK(refused > 0);
+    }
+}
--- a/tests/site/site-endpoint.cpp
+++ b/tests/site/site-endpoint.cpp
@@ -301,7 +301,7 @@
         exchange->answer(500, "failed", fields);
         return;
     case fault::unproven_refusal:
-        exchange->answer(behaviour.refusalStatus, "failed", fields);
+        answerUnproven(exchange, fields);
         return;
     case fault::reset_after_reading:
         exchange->reset();
@@ -342,6 +342,24 @@
     }
 }
 
+void site_endpoint::answerUnproven(const exchange_pointer &exchange, std::vector<http1::header_field> fields) const
+{
+    using refusal_form = endpoint_behaviour::refusal_form;
+    if (behaviour.refusal == refusal_form::cut) {
+        http1::message_head head;
+        head.status = behaviour.refusalStatus;
+        head.fields = std::move(fields);
+        head.fields.push_back({"Content-Length", "6"});
+        exchange->write(http1::answerText(head) + "fai");
+        exchange->closeWhenSent();
+        return;
+    }
+    if (behaviour.refusal == refusal_form::without_id) {
+        std::erase_if(fields, [](const auto &field) { return field.name == "Request-Id"; });
+    }
+    exchange->answer(behaviour.refusalStatus, "failed", fields);
+}
+
 void site_endpoint::stream(const exchange_pointer &exchange, fault injected)
 {
     if (injected == fault::garbage) {
--- a/tests/site/site-endpoint.h
+++ b/tests/site/site-endpoint.h
@@ -54,7 +54,11 @@
         endless_tail, ///< sends endless bytes after a complete answer
     };
 
+    /// How much of an unproven refusal arrives.
+    enum class refusal_form { whole, cut, without_id };
+
     fault kind = fault::none;
+    refusal_form refusal = refusal_form::whole;
     std::size_t remainingFaults = 1000000; ///< number of requests that the fault still applies to
     std::chrono::milliseconds serviceTime{1};
     int refusalStatus = 503; ///< of an unproven refusal
@@ -118,6 +122,7 @@
     void run(const exchange_pointer &exchange);
     bool hasCrashingPart(const exchange_pointer &exchange) const;
     void answerPlain(const exchange_pointer &exchange, endpoint_behaviour::fault fault);
+    void answerUnproven(const exchange_pointer &exchange, std::vector<http1::header_field> fields) const;
     void stream(const exchange_pointer &exchange, endpoint_behaviour::fault fault);
     void sendEvent(const exchange_pointer &exchange, std::size_t number, endpoint_behaviour::fault fault);
     bool beginEndless(const exchange_pointer &exchange, endpoint_behaviour::fault fault);
