Results of pieces that were ordered again one by one are no longer dropped

Cause: each piece that fails is ordered again by itself, so one stage of a request can be in several entries of piece_service. processResults() took the first entry of the job and the stage; a result of a piece in another entry was released as unused, and its request waited for it until the deadline. One failed piece is harmless, two of one call are not: a home that does not know the service yet, or hands back what waits, fails all pieces of a request at once.

Change: each result is looked up by its piece. Why this works: a piece is in one entry at a time.

Before: site test 'A request gets on after several pieces of a stage failed in one call' 8 of 36 assertions failed. After: passes.

--- a/packages/frontend/src/piece-service.cpp
+++ b/packages/frontend/src/piece-service.cpp
@@ -236,31 +236,37 @@
     m_server.onRelease(handlesIn(message)); // the owner has disconnected
 }
 
+/// Each piece that failed was submitted again by itself, so the pieces of one stage may be in several entries.
+piece_service::pending_map::iterator piece_service::findPending(std::uint64_t job, std::size_t stage, std::size_t piece)
+{
+    const auto [begin, end] = m_pending.equal_range(job);
+    const auto found = std::find_if(begin, end, [&](const auto &item) {
+        const stages::piece_request &request = item.second.request;
+        return request.stage == stage && std::ranges::find(request.pieces, piece) != request.pieces.end();
+    });
+    return found == end ? m_pending.end() : found;
+}
+
 void piece_service::processResults(const stages::results_message &message)
 {
-    const auto [begin, end] = m_pending.equal_range(message.job);
-    const auto found
-        = std::find_if(begin, end, [&](const auto &item) { return item.second.request.stage == message.stage; });
-    if (found == end) {
-        release(handlesIn(message));
-        return;
-    }
-    const std::string service = found->second.service;
     std::vector<stages::result_entry> accepted;
     std::vector<std::string> unused;
     for (const stages::result_entry &entry : message.results) {
-        const bool isPending = std::erase(found->second.request.pieces, entry.piece) > 0;
+        const auto found = findPending(message.job, message.stage, entry.piece);
+        if (found == m_pending.end()) {
+            if (!entry.handle.empty()) {
+                unused.push_back(entry.handle);
+            }
+            continue;
+        }
         if (!entry.handle.empty()) {
-            m_serviceByHandle[entry.handle] = service;
+            m_serviceByHandle[entry.handle] = found->second.service;
         }
-        if (isPending) {
-            accepted.push_back(entry);
-        } else if (!entry.handle.empty()) {
-            unused.push_back(entry.handle);
+        std::erase(found->second.request.pieces, entry.piece);
+        if (found->second.request.pieces.empty()) {
+            m_pending.erase(found);
         }
-    }
-    if (found->second.request.pieces.empty()) {
-        m_pending.erase(found);
+        accepted.push_back(entry);
     }
     release(unused);
     for (const stages::result_entry &entry : accepted) {
--- a/packages/frontend/src/piece-service.h
+++ b/packages/frontend/src/piece-service.h
@@ -83,6 +83,9 @@
         common::instant pendingSince; ///< time of the first request sent while no piece was pending
     };
 
+    using pending_map = std::multimap<std::uint64_t, pending_pieces>;
+
+    pending_map::iterator findPending(std::uint64_t job, std::size_t stage, std::size_t piece);
     void dispatch(pending_pieces &pending, common::instant now);
     home_link *linkTo(const std::string &address, common::instant now);
     void onHomeMessage(const std::string &address, stages::home_message message);
@@ -111,7 +114,7 @@
     std::vector<stages::home_candidate> m_members;
     std::string m_self;
     stages::unavailable_homes m_avoided;
-    std::multimap<std::uint64_t, pending_pieces> m_pending; ///< by job
+    pending_map m_pending; ///< by job
     std::map<std::string, link_entry, std::less<>> m_links; ///< to homes, by address
     std::map<std::uint64_t, std::unique_ptr<home_link>> m_owners; ///< connected instances that use this one as a home
     std::vector<std::unique_ptr<home_link>> m_ended; ///< destroyed at the next tick, not inside their own callbacks
--- a/tests/site/stages-test.cpp
+++ b/tests/site/stages-test.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <chrono>
 
 using namespace masticlever::site;
 using fault = endpoint_behaviour::fault;
@@ -138,3 +139,28 @@
         }
     }
 }
+
+// Guards against a request that waits until its deadline because results of pieces that were ordered again are dropped.
+TEST_CASE("A request gets on after several pieces of a stage failed in one call", "[site]")
+{
+    const std::size_t daemons = GENERATE(1, 2); // the home is the same instance, or may be another one
+    staged_site site(daemons);
+    const std::size_t failing = GENERATE(encoder, ranker);
+    site.endpoint(failing).behaviour.kind = fault::failed_pieces;
+    site.endpoint(failing).behaviour.remainingFaults = 1;
+    const auto startedAt = std::chrono::steady_clock::now();
+    const auto answer = site.sendRequest(0, site.chat("r1"));
+    CHECK(answer.status == 200);
+    CHECK(std::chrono::steady_clock::now() - startedAt < std::chrono::seconds(2));
+    CHECK(site.areResultsFreed());
+
+    SECTION("and is refused at once if they keep failing")
+    {
+        site.endpoint(failing).behaviour.remainingFaults = 1000000;
+        const auto again = std::chrono::steady_clock::now();
+        const auto refusal = site.sendRequest(0, site.chat("r2"));
+        CHECK(refusal.status == 503);
+        CHECK(std::chrono::steady_clock::now() - again < std::chrono::seconds(2));
+        CHECK(site.areResultsFreed());
+    }
+}
