A stopping instance answers what it cannot finish, and passes nothing on that it cannot answer

Cause: daemon_core::advanceStop() exited at its limit with sessions open. No request knew of the stop: pieces were ordered and calls were sent with the caller's deadline, however little time the process had left. A limit shorter than the drain period was not looked at before the end of that period.

Change: each request gets the time by which it must be answered, 600 ms before the kill. It is ended as soon as the expected call, with the stage that is missing, does not fit before that: 503 if it has not run, 502 if it may have run; an open stream is reset. Calls are sent, and pieces ordered, only within that time. The rest is ended at that time, which leaves 200 ms to flush answers before the exit. For resumable streams only the first answer has to fit, since callers go on elsewhere. The limit is looked at in every tick. Why this works: no session outlives the time, and a session that ends answers through request_flow::end().

Left: requests that wait in an overloaded queue since before the stop get their 503 when the shortest possible way does not fit any more, not when the queue makes it unlikely.

--- a/packages/forwarding/include/masticlever/forwarding/request-flow.h
+++ b/packages/forwarding/include/masticlever/forwarding/request-flow.h
@@ -101,6 +101,8 @@
     flow_step onCallerGone();
     /// The deadline has passed.
     flow_step onDeadline();
+    /// The process is stopping and cannot wait for an answer any longer.
+    flow_step onStop();
 
     /// Sets the check whether the producer of a result is known to be gone. Call once.
     void setProducerCheck(std::function<bool(std::string_view handle)> check) { m_isProducerGone = std::move(check); }
@@ -115,6 +117,8 @@
     /// Endpoints that must not be called again.
     const std::vector<std::string> &excluded() const { return m_excluded; }
     bool isEnded() const { return m_isEnded; }
+    bool isCallInFlight() const { return m_isCallInFlight; }
+    bool isResumable() const { return m_route.isResumable; }
     /// Id of the event to resume a stream after: the last one forwarded, else the one that the caller named.
     std::optional<std::uint64_t> resumeAfter() const { return m_lastEvent ? m_lastEvent : m_attributes.resumeAfter; }
 
@@ -123,6 +127,7 @@
     flow_step refuse(std::string_view reason, std::optional<common::duration> availableIn = std::nullopt);
     flow_step end(int status, std::string_view reason, std::optional<common::duration> availableIn = std::nullopt);
     flow_step finish(flow_step step);
+    flow_step endNow(int status, std::string_view reason);
     bool canRetry(call_end ended, common::instant now, const std::function<bool()> &takeRetry);
 
     const catalog::route &m_route;
--- a/packages/forwarding/src/request-flow.cpp
+++ b/packages/forwarding/src/request-flow.cpp
@@ -248,12 +248,23 @@
 }
 
 flow_step request_flow::onDeadline()
+{
+    return endNow(gatewayTimeout, "deadline");
+}
+
+flow_step request_flow::onStop()
+{
+    return endNow(badGateway, "stopping");
+}
+
+/// Ends the request without waiting for the call in flight.
+flow_step request_flow::endNow(int status, std::string_view reason)
 {
     const bool wasCallInFlight = m_isCallInFlight;
     if (wasCallInFlight && m_state == run_state::not_run) {
         m_state = run_state::may_have_run;
     }
-    flow_step step = end(gatewayTimeout, "deadline");
+    flow_step step = end(status, reason);
     step.abortCall = wasCallInFlight;
     return step;
 }
--- a/packages/forwarding/test/request-flow-test.cpp
+++ b/packages/forwarding/test/request-flow-test.cpp
@@ -117,6 +117,13 @@
     {
         CHECK_FALSE(flow.onCallerGone().abortCall);
     }
+    SECTION("is not refused at the end of a stop while a call is in flight")
+    {
+        const flow_step step = flow.onStop();
+        REQUIRE(step.answer);
+        CHECK(step.answer->status == 502);
+        CHECK(step.abortCall);
+    }
     SECTION("is not refused at its deadline while a call is in flight")
     {
         const flow_step step = flow.onDeadline();
@@ -132,7 +139,8 @@
     request_flow flow = makeFlow(route);
     flow.onBegin(start);
     flow.onBody(start);
-    const flow_step step = GENERATE(true, false) ? flow.onNoEndpoint() : flow.onDeadline();
+    const int end = GENERATE(0, 1, 2);
+    const flow_step step = end == 0 ? flow.onNoEndpoint() : end == 1 ? flow.onDeadline() : flow.onStop();
     REQUIRE(step.answer);
     CHECK(step.answer->status == 503);
     CHECK(step.answer->retryAfter.has_value());
--- a/packages/frontend/src/daemon-core.cpp
+++ b/packages/frontend/src/daemon-core.cpp
@@ -35,6 +35,8 @@
 /// and connections that were opened meanwhile must be served.
 constexpr duration drainPeriod = std::chrono::milliseconds(2600);
 constexpr duration leavingPropagation = std::chrono::milliseconds(300); ///< one and a half rounds of gossip
+/// Time left for flushing the last answers and the exit before the process is killed.
+constexpr duration answerMargin = std::chrono::milliseconds(600);
 constexpr duration stopMargin = std::chrono::milliseconds(400); ///< time left for the exit before the process is killed
 constexpr double bodyMemoryShare = 0.35; ///< of the memory limit, for bodies of requests and answers
 constexpr double answerMemoryShare = 0.15; ///< for data received from endpoints, the store and other instances
@@ -214,6 +216,10 @@
         return;
     }
     m_stoppingSince = monotonicNow();
+    m_answerBy = *m_stoppingSince + std::max<duration>(m_settings.stopLimit - answerMargin, duration{});
+    for (const auto &[number, session] : m_sessions) {
+        session->onStopBegins(m_answerBy);
+    }
     for (const auto &[raw, caller] : m_callers) {
         raw->closeAfterAnswer();
     }
@@ -289,7 +295,8 @@
         request.team = team->name;
         request.priority = team->priority.value_or(request.priority);
     }
-    if (m_stoppingSince && monotonicNow() - *m_stoppingSince > drainPeriod) {
+    const instant now = monotonicNow();
+    if (m_stoppingSince && (now - *m_stoppingSince > drainPeriod || now >= m_answerBy)) {
         reason = "stopping";
         return unavailable;
     }
@@ -346,6 +353,9 @@
     auto session = std::make_unique<request_session>(m_context, number, caller, std::move(request), monotonicNow());
     request_session *raw = session.get();
     m_sessions.emplace(number, std::move(session));
+    if (m_stoppingSince) {
+        raw->onStopBegins(m_answerBy);
+    }
     raw->begin();
 }
 
@@ -472,13 +482,18 @@
     if (stopping >= leavingPropagation && !std::exchange(m_hasHandedBack, true)) {
         m_pieces.failWaitingPieces();
     }
-    if (stopping < drainPeriod) {
+    const bool isPastLimit = stopping >= m_settings.stopLimit - stopMargin;
+    if (now >= m_answerBy) {
+        for (const auto &[number, session] : m_sessions) {
+            session->onStopEnds();
+        }
+    }
+    if (stopping < drainPeriod && !isPastLimit) {
         return;
     }
     for (const auto &[raw, caller] : m_callers) {
         raw->closeIfIdle();
     }
-    const bool isPastLimit = stopping >= m_settings.stopLimit - stopMargin;
     if ((m_sessions.empty() && m_callers.empty()) || isPastLimit) {
         logEvent(event::stopped, {{"requests", static_cast<std::uint64_t>(m_sessions.size())}});
         m_timer.stop();
--- a/packages/frontend/src/daemon-core.h
+++ b/packages/frontend/src/daemon-core.h
@@ -123,6 +123,7 @@
     bool m_hasCaughtUp = false; ///< has a configuration as new as that of its peers; once set, it stays
     common::instant m_fleetDueAt;
     std::optional<common::instant> m_stoppingSince;
+    common::instant m_answerBy; ///< while stopping: when the requests that are still open are ended
     bool m_hasHandedBack = false;
     bool m_isStoreReachedByOthers = false;
     std::uint64_t m_storeGeneration = 0; ///< the newest generation of the store that is known; 0: none
--- a/packages/frontend/src/latency-estimator.cpp
+++ b/packages/frontend/src/latency-estimator.cpp
@@ -5,18 +5,38 @@
 namespace masticlever::frontend
 {
 
-void latency_estimator::onFirstAnswer(std::string_view route, common::duration time)
+void latency_estimator::updateAverage(average_map &averages, std::string_view route, common::duration time) const
 {
-    const auto [found, isFirst] = m_firstAnswers.try_emplace(std::string(route), time);
+    const auto [found, isFirst] = averages.try_emplace(std::string(route), time);
     if (!isFirst) {
         found->second += common::scaled(time - found->second, m_options.learningRate);
     }
 }
 
+common::duration latency_estimator::averageOf(const average_map &averages, std::string_view route) const
+{
+    const auto found = averages.find(route);
+    return found == averages.end() ? m_options.initialEstimate : found->second;
+}
+
+void latency_estimator::onFirstAnswer(std::string_view route, common::duration time)
+{
+    updateAverage(m_firstAnswers, route, time);
+}
+
 common::duration latency_estimator::expectedFirstAnswer(std::string_view route) const
 {
-    const auto found = m_firstAnswers.find(route);
-    return found == m_firstAnswers.end() ? m_options.initialEstimate : found->second;
+    return averageOf(m_firstAnswers, route);
+}
+
+void latency_estimator::onAnswered(std::string_view route, common::duration time)
+{
+    updateAverage(m_answers, route, time);
+}
+
+common::duration latency_estimator::expectedAnswer(std::string_view route) const
+{
+    return averageOf(m_answers, route);
 }
 
 common::duration latency_estimator::remainingAfterStage(const catalog::route &route, std::size_t index,
--- a/packages/frontend/src/latency-estimator.h
+++ b/packages/frontend/src/latency-estimator.h
@@ -34,6 +34,11 @@
     /// Moving average of these times.
     common::duration expectedFirstAnswer(std::string_view route) const;
 
+    /// Records the time from sending a request of the route to the end of its answer.
+    void onAnswered(std::string_view route, common::duration time);
+    /// Moving average of these times.
+    common::duration expectedAnswer(std::string_view route) const;
+
     using delay_function = std::function<common::duration(const std::string &service)>;
 
     /// Expected time from the end of stage \p index to the first answer. \p delayOf returns the current time to make a
@@ -52,7 +57,13 @@
     using stage_key = std::pair<std::string, std::size_t>;
 
     latency_estimator_options m_options;
-    std::map<std::string, common::duration, std::less<>> m_firstAnswers;
+    using average_map = std::map<std::string, common::duration, std::less<>>; ///< by route
+
+    void updateAverage(average_map &averages, std::string_view route, common::duration time) const;
+    common::duration averageOf(const average_map &averages, std::string_view route) const;
+
+    average_map m_firstAnswers;
+    average_map m_answers;
     std::map<stage_key, double> m_corrections;
 };
 
--- a/packages/frontend/src/request-session-answer.cpp
+++ b/packages/frontend/src/request-session-answer.cpp
@@ -294,6 +294,7 @@
     }
     m_context.pool.release(std::exchange(m_connection, nullptr), m_answerAttributes.idleLimit, now);
     m_context.choice.onCallEnds(m_endpointId, call_outcome::answered, now);
+    m_context.latencyEstimator.onAnswered(m_request.route->name, now - m_sentAt);
     m_context.metrics.counterOf(callsFamily, {{"outcome", "answered"}}).add();
     if (m_isEventStream) {
         beginStream();
--- a/packages/frontend/src/request-session.cpp
+++ b/packages/frontend/src/request-session.cpp
@@ -148,9 +148,49 @@
             return;
         }
         apply(m_flow.onDeadline());
+        return;
+    }
+    if (!m_isEnded && !m_flow.isEnded() && !m_flow.isCallInFlight()) {
+        endIfTooLate(now);
     }
 }
 
+void request_session::onStopEnds()
+{
+    if (!m_isEnded && !m_flow.isEnded()) {
+        apply(m_flow.onStop());
+    }
+}
+
+/// Whether the request can still be answered before the process ends. Without a stop this is always so. The end of a
+/// resumable stream need not be waited for, as its caller can go on elsewhere.
+bool request_session::canAnswerInTime(instant now) const
+{
+    if (!m_answerBy) {
+        return true;
+    }
+    const std::string &route = m_request.route->name;
+    duration needed = m_flow.isResumable() ? m_context.latencyEstimator.expectedFirstAnswer(route)
+                                           : m_context.latencyEstimator.expectedAnswer(route);
+    for (std::size_t stage = 0; stage < m_request.route->stages.size(); ++stage) {
+        if (m_flow.graph().missingPieces(stage) > 0) {
+            needed += typicalCallTime(*m_request.configuration, m_request.route->stages[stage].service);
+            break; // a lower bound: later stages may run at the same time
+        }
+    }
+    return now + needed < *m_answerBy;
+}
+
+/// Ends a request that cannot be answered before the process ends. Returns false if it can be.
+bool request_session::endIfTooLate(instant now)
+{
+    if (canAnswerInTime(now)) {
+        return false;
+    }
+    apply(m_flow.onStop());
+    return true;
+}
+
 void request_session::apply(flow_step step)
 {
     m_context.pieces.release(step.release);
@@ -214,7 +254,7 @@
         pieceRequest.downstreamTime = common::scaled(
             m_stageTimings[stage].expected, m_context.latencyEstimator.correctionFactor(m_request.route->name, stage));
         pieceRequest.objective = m_flow.objective();
-        pieceRequest.deadline = m_flow.deadline();
+        pieceRequest.deadline = std::min(m_flow.deadline(), m_answerBy.value_or(m_flow.deadline()));
         m_context.pieces.submit(spec.service, std::move(pieceRequest), now);
     }
 }
@@ -239,7 +279,7 @@
 void request_session::callEndpoint()
 {
     const instant now = monotonicNow();
-    if (endIfWithheld(now)) {
+    if (endIfWithheld(now) || endIfTooLate(now)) {
         return;
     }
     const catalog::endpoint_record *endpoint = m_context.directory.findUsable(chooseEndpoint(now));
--- a/packages/frontend/src/request-session.h
+++ b/packages/frontend/src/request-session.h
@@ -43,6 +43,10 @@
     void onCallerGone();
     void onCallerDrained();
     void onTick(common::instant now);
+    /// The process is stopping: the request must have its answer by \p answerBy.
+    void onStopBegins(common::instant answerBy) { m_answerBy = answerBy; }
+    /// Ends the request with what is known of it, because the process ends.
+    void onStopEnds();
 
     bool isEnded() const { return m_isEnded; }
     std::size_t bodyBytes() const { return m_body.size() + m_bufferedAnswer.size(); }
@@ -90,6 +94,8 @@
     result_locator locator() const;
     common::duration delayOf(const std::string &service) const;
     common::duration timeToDrain() const;
+    bool canAnswerInTime(common::instant now) const;
+    bool endIfTooLate(common::instant now);
 
     frontend_context &m_context;
     std::uint64_t m_number;
@@ -98,6 +104,7 @@
     forwarding::request_flow m_flow;
     std::string m_body;
     bool m_isEnded = false;
+    std::optional<common::instant> m_answerBy; ///< when the process stops answering; nothing unless it is stopping
 
     // The call in flight.
     endpoint_pool::connection *m_connection = nullptr;
--- a/packages/frontend/test/latency-estimator-test.cpp
+++ b/packages/frontend/test/latency-estimator-test.cpp
@@ -20,6 +20,14 @@
     CHECK(estimator.remainingAfterStage(route, 1, delayOf) == 100ms);
     CHECK(estimator.remainingAfterStage(route, 0, delayOf) == 350ms);
 
+    SECTION("apart from the time to the end of the answer")
+    {
+        estimator.onAnswered("chat", 900ms);
+        CHECK(estimator.expectedAnswer("chat") == 900ms);
+        CHECK(estimator.expectedFirstAnswer("chat") == 100ms);
+        estimator.onAnswered("chat", 1900ms);
+        CHECK(estimator.expectedAnswer("chat") == 1000ms);
+    }
     SECTION("no correction while most requests stay within the estimate")
     {
         CHECK(estimator.correctionFactor("chat", 0) == 1.0);
--- a/tests/site/site-fixture.cpp
+++ b/tests/site/site-fixture.cpp
@@ -138,6 +138,7 @@
     settings.storeAddress = m_storeAddress;
     settings.memoryBytes = memoryBytes;
     settings.cores = cores;
+    settings.stopLimit = stopLimit;
     if (index > 0) {
         settings.contacts.push_back(m_frontAddresses.front().substr(0, m_frontAddresses.front().find(':')) + ":"
                                     + std::to_string(basePort + 3));
--- a/tests/site/site-fixture.h
+++ b/tests/site/site-fixture.h
@@ -9,6 +9,7 @@
 #include <masticlever/net/stream-socket.h>
 #include <platform/platform-protocol.h>
 
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -66,6 +67,8 @@
     std::size_t memoryBytes = 0;
     /// Processor cores in the settings of daemons started later; 0: not set.
     double cores = 0;
+    /// Time from the stop to the kill in the settings of daemons started later.
+    std::chrono::milliseconds stopLimit{8000};
     frontend::frontend_daemon &daemon(std::size_t index) { return *m_daemons[index]; }
     const std::string &frontAddressOf(std::size_t index) const { return m_frontAddresses[index]; }
     int readyStatusOf(std::size_t index);
