An answer with the results of an earlier call is not used

Cause: calls for stage results carry no id, so piece_call takes the next 200 on its connection as its answer. An answer that the endpoint sends twice is read for the next call, and every answer of the connection is one call behind from then on. batch_queue::onAnswer() gave handles out by position and did not notice that they had been given out before.

A handle can belong to one piece only, and costs nothing to check.

Change: an answer is the call's own if it has one result for each piece and no handle that its endpoint, since its start, has named before (the newest 2,048). Any other is not used, the endpoint's idle connections are closed, and the pieces are ordered again. The same connections are closed after an answer without any handle, since a repeat of it could not be told. Why this works: a repeat has a handle of its original or none, and in both cases nothing more is read from its connection.

Left: an answer with handles that were never named before, or in another order, cannot be told apart.

Before: site test 'Results that a stage endpoint sends again are not taken for those of the next call' 4 of 30 assertions failed. After: passes.

--- a/packages/frontend/src/endpoint-pool.h
+++ b/packages/frontend/src/endpoint-pool.h
@@ -10,6 +10,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 /// \file
@@ -44,6 +45,8 @@
     void sweep(common::instant now);
     /// Closes all idle connections.
     void closeIdle();
+    /// Closes those to one endpoint. May be called from a connection's handler.
+    void closeIdleTo(std::string_view endpointId);
 
 private:
     struct entry {
--- a/packages/frontend/src/home-server.cpp
+++ b/packages/frontend/src/home-server.cpp
@@ -232,7 +232,18 @@
     m_ended.push_back(std::move(ended.call));
     if (outcome == piece_call::outcome::answered) {
         const auto results = m_access.protocol.readPieceAnswer(body);
-        if (results) {
+        const bool isOwn = results && target.queue.isAnswerTo(call, results.value());
+        const bool namesResult = results
+            && std::ranges::any_of(results.value(), [](const auto &result) { return !result.handle.empty(); });
+        if (!isOwn || !namesResult) {
+            // Answers name no call. Only a handle can show that one belongs to an earlier call, so after an answer that
+            // does, or that has none, the next one on this connection might too.
+            m_access.pool.closeIdleTo(endpointId);
+        }
+        if (results && !isOwn) {
+            logEvent(event::foreign_answer, {{"request", ""}, {"endpoint", std::string_view(endpointId)}});
+        }
+        if (isOwn) {
             logEvent(event::piece_call_answered,
                      {{"service", std::string_view(service)},
                       {"endpoint", std::string_view(endpointId)},
--- a/packages/stages/include/masticlever/stages/batch-queue.h
+++ b/packages/stages/include/masticlever/stages/batch-queue.h
@@ -14,6 +14,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <unordered_set>
 #include <utility>
 #include <vector>
 
@@ -111,6 +112,9 @@
 
     /// Forms the calls that can be sent now.
     std::vector<batch_call> takeCalls(common::instant now);
+    /// Whether \p results can be the answer to the call: one for each piece, and no handle that the endpoint has named
+    /// before. An answer that an endpoint repeats names those of an earlier call.
+    bool isAnswerTo(std::uint64_t call, std::span<const protocol::piece_result> results) const;
     /// A call was answered; \p results are in the order of its pieces.
     std::vector<finished_piece> onAnswer(std::uint64_t call, std::span<const protocol::piece_result> results,
                                          common::instant now);
@@ -145,9 +149,13 @@
         common::instant nextCallAt; ///< by the rate limit
         bool isListed = true;
         std::map<std::string, held_result, std::less<>> heldResults; ///< by handle
+        std::deque<std::uint64_t> namedHandles; ///< hashes of the newest handles, oldest first
+        std::unordered_set<std::uint64_t> namedHandleSet; ///< the same, for look-ups
         double reserved = 0; ///< bytes for results of calls in flight
     };
 
+    static void rememberHandle(endpoint_entry &endpoint, std::string_view handle);
+
     struct request_entry {
         piece_request request;
         bool missesObjective = false; ///< if it starts after the requests ahead of it
--- a/packages/stages/src/batch-queue.cpp
+++ b/packages/stages/src/batch-queue.cpp
@@ -1,3 +1,4 @@
+#include <masticlever/common/digest.h>
 #include <masticlever/stages/batch-queue.h>
 
 #include <algorithm>
@@ -25,6 +26,8 @@
         endpoint_entry &endpoint = m_endpoints[record->id];
         if (endpoint.record.startedAtMs != record->startedAtMs) {
             endpoint.heldResults.clear();
+            endpoint.namedHandles.clear();
+            endpoint.namedHandleSet.clear();
             endpoint.slowness = 1;
         }
         endpoint.record = *record;
@@ -322,6 +325,38 @@
     }
 }
 
+void batch_queue::rememberHandle(endpoint_entry &endpoint, std::string_view handle)
+{
+    constexpr std::size_t maximumHandles = 2048; // per endpoint; an answer is repeated within few calls
+    const std::uint64_t hash = common::stableHash(handle);
+    if (!endpoint.namedHandleSet.insert(hash).second) {
+        return;
+    }
+    endpoint.namedHandles.push_back(hash);
+    if (endpoint.namedHandles.size() > maximumHandles) {
+        endpoint.namedHandleSet.erase(endpoint.namedHandles.front());
+        endpoint.namedHandles.pop_front();
+    }
+}
+
+bool batch_queue::isAnswerTo(std::uint64_t call, std::span<const protocol::piece_result> results) const
+{
+    const auto found = m_calls.find(call);
+    if (found == m_calls.end() || results.size() != found->second.pieces.size()) {
+        return false;
+    }
+    const auto endpoint = m_endpoints.find(found->second.endpointId);
+    std::unordered_set<std::uint64_t> named;
+    return std::ranges::all_of(results, [&](const protocol::piece_result &result) {
+        if (result.handle.empty()) {
+            return true;
+        }
+        const std::uint64_t hash = common::stableHash(result.handle);
+        return named.insert(hash).second
+            && (endpoint == m_endpoints.end() || !endpoint->second.namedHandleSet.contains(hash));
+    });
+}
+
 std::vector<finished_piece> batch_queue::onAnswer(std::uint64_t call, std::span<const protocol::piece_result> results,
                                                   instant now)
 {
@@ -342,6 +377,7 @@
         const protocol::piece_result result = i < results.size() ? results[i] : protocol::piece_result{};
         if (endpoint != m_endpoints.end() && !result.handle.empty()) {
             const double bytes = request == m_requests.end() ? 0 : request->second.request.resultBytes;
+            rememberHandle(endpoint->second, result.handle);
             endpoint->second.heldResults[result.handle] = {bytes, now + m_limits.resultLifetime};
         }
         const bool mustRequeue = result.handle.empty() && result.failure == protocol::piece_failure::capacity_exhausted;
--- a/packages/stages/test/batch-queue-test.cpp
+++ b/packages/stages/test/batch-queue-test.cpp
@@ -132,6 +132,23 @@
         queue.onOwnerGone(9);
         CHECK(queue.waitingPieces() == 0);
     }
+    SECTION("an answer is that of the call only if it has a result for each piece and new handles")
+    {
+        auto results = successfulResults(calls[0]);
+        CHECK(queue.isAnswerTo(calls[0].number, results));
+        CHECK_FALSE(queue.isAnswerTo(calls[0].number + 1, results));
+        results.pop_back();
+        CHECK_FALSE(queue.isAnswerTo(calls[0].number, results));
+        results.push_back(results.front());
+        CHECK_FALSE(queue.isAnswerTo(calls[0].number, results));
+
+        const auto answer = successfulResults(calls[0]);
+        queue.onAnswer(calls[0].number, answer, start + 240ms);
+        const auto next = queue.takeCalls(start + 240ms);
+        REQUIRE(next.size() == 1);
+        CHECK_FALSE(queue.isAnswerTo(next[0].number, {answer.begin(), next[0].orders.size()}));
+        CHECK(queue.isAnswerTo(next[0].number, successfulResults(next[0])));
+    }
     SECTION("an answer to a call that has ended is ignored")
     {
         queue.onLost(calls[0].number, start);
--- a/tests/site/repeated-rejection-test.cpp
+++ b/tests/site/repeated-rejection-test.cpp
@@ -80,3 +80,31 @@
     }
     CHECK(site.endpoint(0).foreignInputs + site.endpoint(2).foreignInputs == 0);
 }
+
+// Guards against results of one request as the inputs of another.
+TEST_CASE("Results that a stage endpoint sends again are not taken for those of the next call", "[site][odd-input]")
+{
+    site_fixture site(1);
+    site.addPipeline();
+    site_endpoint &encoder = site.endpoint(1);
+    encoder.behaviour.kind = fault::repeated_results;
+    encoder.behaviour.serviceTime = GENERATE(std::chrono::milliseconds(1), std::chrono::milliseconds(60));
+    for (int i = 0; i < 8; ++i) {
+        encoder.behaviour.remainingFaults = i % 2 == 1 ? 1 : 0;
+        CHECK(site.chat(0, "r" + std::to_string(i)).status == 200);
+    }
+    CHECK(site.endpoint(0).foreignInputs + site.endpoint(2).foreignInputs == 0);
+
+    SECTION("also if all pieces of the answer that is sent again had failed")
+    {
+        encoder.behaviour.kind = fault::failed_pieces;
+        encoder.behaviour.remainingFaults = 1;
+        CHECK(site.chat(0, "f0").status == 200);
+        encoder.behaviour.kind = fault::repeated_results;
+        encoder.behaviour.remainingFaults = 2;
+        for (int i = 1; i < 5; ++i) {
+            CHECK(site.chat(0, "f" + std::to_string(i)).status == 200);
+        }
+        CHECK(site.endpoint(0).foreignInputs + site.endpoint(2).foreignInputs == 0);
+    }
+}
--- a/tests/site/site-endpoint.cpp
+++ b/tests/site/site-endpoint.cpp
@@ -457,6 +457,11 @@
     const std::string body = compact({{QStringLiteral("items"), answered}});
     std::vector<http1::header_field> fields{{"Server-Load", "0,0,1"}, {"Keep-Alive", "timeout=5"}};
     addStateFields(fields);
+    const auto previous = m_lastResults.find(exchange->connectionNumber());
+    if (injected == fault::repeated_results && previous != m_lastResults.end()) {
+        exchange->answer(200, previous->second, fields);
+    }
+    m_lastResults[exchange->connectionNumber()] = body;
     QTimer::singleShot(behaviour.serviceTime, &m_timers,
                        [exchange, body, fields] { exchange->answer(200, body, fields); });
 }
--- a/tests/site/site-endpoint.h
+++ b/tests/site/site-endpoint.h
@@ -40,6 +40,7 @@
         unframed_empty, ///< begins a stream without chunks and closes in order before its first event
         not_found, ///< answers a stream request with 404, a digest and a body
         plain_answer, ///< answers a stream request with 200 and a body that is no stream
+        repeated_results, ///< sends an answer to a call for results again before the next one on its connection
         failed_pieces, ///< answers each piece of a call with an error
         unproven_refusal, ///< runs the request, then answers with the status set and without Not-Executed
         lost_inputs, ///< reports a lost input and marks the request as not executed
@@ -144,6 +145,7 @@
     site_server m_server;
     QObject m_timers; ///< context object of the timers; cancels them on destruction
     std::uint64_t m_lastResult = 0;
+    std::map<std::size_t, std::string> m_lastResults; ///< the last answer with results, by connection
     std::string m_rejection; ///< the one that is repeated; empty: none yet
     std::size_t m_rejectedConnection = 0; ///< the connection on which it was sent
 };
