--- a/packages/calls/test/http-call-client-test.cpp
+++ b/packages/calls/test/http-call-client-test.cpp
@@ -1,8 +1,7 @@
 #include <masticlever/calls/http-call-client.h>
 
-#include <QCoreApplication>
-#include <QElapsedTimer>
-#include <QEventLoop>
+#include <event-loop.h>
+
 #include <QTcpServer>
 #include <QTcpSocket>
 
@@ -12,7 +11,6 @@
 
 #include <algorithm>
 #include <fstream>
-#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -20,26 +18,13 @@
 
 using namespace masticlever;
 using namespace masticlever::calls;
+using test::runUntil;
 
 namespace
 {
 
 constexpr std::size_t megabyte = std::size_t{1} << 20;
 
-bool runUntil(const std::function<bool()> &condition, int timeoutMs = 5000)
-{
-    static int count = 1;
-    static char name[] = "test";
-    static char *arguments[] = {name, nullptr};
-    static const QCoreApplication application(count, arguments);
-    QElapsedTimer timer;
-    timer.start();
-    while (!condition() && timer.elapsed() < timeoutMs) {
-        QCoreApplication::processEvents(QEventLoop::AllEvents, 10);
-    }
-    return condition();
-}
-
 std::size_t residentBytes()
 {
     std::ifstream file("/proc/self/statm");
@@ -64,7 +49,7 @@
 class raw_endpoint
 {
 public:
-    raw_endpoint(std::string begin, std::string repeated)
+    raw_endpoint(const std::string &begin, const std::string &repeated)
     {
         runUntil([] { return true; });
         QObject::connect(&m_server, &QTcpServer::newConnection, &m_server, [this, begin, repeated] {
--- a/packages/frontend/test/caller-connection-test.cpp
+++ b/packages/frontend/test/caller-connection-test.cpp
@@ -1,5 +1,6 @@
 #include "caller-connection.h"
-#include "event-loop.h"
+
+#include <event-loop.h>
 
 #include <catch2/catch.hpp>
 
@@ -13,6 +14,7 @@
 
 using namespace masticlever;
 using namespace masticlever::frontend;
+using test::runUntil;
 
 namespace
 {
--- a/packages/frontend/test/crash-monitor-test.cpp
+++ b/packages/frontend/test/crash-monitor-test.cpp
@@ -1,8 +1,9 @@
 #include "crash-monitor.h"
-#include "event-loop.h"
 
 #include <masticlever/net/stream-socket.h>
 
+#include <event-loop.h>
+
 #include <catch2/catch.hpp>
 
 #include <unistd.h>
@@ -13,6 +14,7 @@
 
 using namespace masticlever;
 using namespace masticlever::frontend;
+using test::runUntil;
 using namespace std::chrono_literals;
 
 namespace
--- a/packages/http1/test/client-connection-test.cpp
+++ b/packages/http1/test/client-connection-test.cpp
@@ -1,21 +1,19 @@
 #include <masticlever/http1/client-connection.h>
 #include <masticlever/net/stream-socket.h>
 
-#include <QCoreApplication>
-#include <QElapsedTimer>
-#include <QEventLoop>
+#include <event-loop.h>
 
 #include <catch2/catch.hpp>
 
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include <functional>
 #include <memory>
 #include <string>
 
 using namespace masticlever;
 using namespace masticlever::http1;
+using test::runUntil;
 
 namespace
 {
@@ -23,21 +21,6 @@
 constexpr std::uint32_t loopback = 0x7f000001;
 const std::string request = "GET / HTTP/1.1\r\nHost: site.example\r\n\r\n";
 
-bool runUntil(const std::function<bool()> &condition)
-{
-    constexpr int timeoutMs = 5000;
-    static int count = 1;
-    static char name[] = "test";
-    static char *arguments[] = {name, nullptr};
-    static const QCoreApplication application(count, arguments);
-    QElapsedTimer timer;
-    timer.start();
-    while (!condition() && timer.elapsed() < timeoutMs) {
-        QCoreApplication::processEvents(QEventLoop::AllEvents, 10);
-    }
-    return condition();
-}
-
 /// Accepts one connection and writes to it with blocking calls.
 class raw_server
 {
--- a/packages/frontend/test/event-loop.h
+++ b/tests/support/event-loop.h
@@ -9,7 +9,7 @@
 /// \file
 /// Event loop for tests of objects that use sockets or timers.
 
-namespace masticlever::frontend
+namespace masticlever::test
 {
 
 /// Runs the event loop until \p condition holds; returns false after five seconds.
@@ -28,4 +28,4 @@
     return condition();
 }
 
-} // namespace masticlever::frontend
+} // namespace masticlever::test
