--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -377,8 +377,8 @@
             report("unasked",
                    std::to_string(violatingCalls) + " calls that no caller asked for or without their inputs");
         }
-        if (m_fleet.crashes() > 0) {
-            report("crash", std::to_string(m_fleet.crashes()) + " processes ended by themselves");
+        for (const std::string &crash : m_fleet.crashes()) {
+            report("crash", crash);
         }
     }
 
--- a/tests/soak/soak-fleet.cpp
+++ b/tests/soak/soak-fleet.cpp
@@ -62,11 +62,32 @@
     target.process->setStandardOutputFile(target.log, QIODevice::Append);
     target.process->setStandardErrorFile(target.log, QIODevice::Append);
     QObject::connect(target.process.get(), &QProcess::finished, target.process.get(),
-                     [this, index] { m_crashes += m_daemons[index].isTerminating ? 0 : 1; });
+                     [this, index](int code, QProcess::ExitStatus status) { onFinished(index, code, status); });
+    target.lastSignal = 0;
+    target.startedAt = std::chrono::steady_clock::now();
     target.process->start(m_program, {QStringLiteral("--frontend"), QStringLiteral("--config"), target.settings});
     target.process->waitForStarted();
 }
 
+void soak_fleet::onFinished(std::size_t index, int code, QProcess::ExitStatus status)
+{
+    const daemon &target = m_daemons[index];
+    if (target.isTerminating) {
+        return;
+    }
+    const auto ageOf = [](std::chrono::steady_clock::time_point time) {
+        const auto age = std::chrono::steady_clock::now() - time;
+        return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(age).count()) + " ms";
+    };
+    std::string text = "process " + std::to_string(index + 1) + " ended "
+        + (status == QProcess::CrashExit ? "by signal " : "with code ") + std::to_string(code) + ", "
+        + ageOf(target.startedAt) + " after its start";
+    if (target.lastSignal != 0) {
+        text += ", " + ageOf(target.signalledAt) + " after it was sent signal " + std::to_string(target.lastSignal);
+    }
+    m_crashes.push_back(std::move(text));
+}
+
 bool soak_fleet::isRunning(std::size_t index) const
 {
     const daemon &target = m_daemons[index];
@@ -81,6 +102,8 @@
     }
     target.isStopped = number == SIGSTOP || (target.isStopped && number != SIGCONT);
     target.isTerminating = target.isTerminating || number == SIGTERM || number == SIGKILL;
+    target.lastSignal = number;
+    target.signalledAt = std::chrono::steady_clock::now();
     ::kill(static_cast<pid_t>(target.process->processId()), number);
 }
 
--- a/tests/soak/soak-fleet.h
+++ b/tests/soak/soak-fleet.h
@@ -3,6 +3,7 @@
 #include <QProcess>
 #include <QTemporaryDir>
 
+#include <chrono>
 #include <cstddef>
 #include <memory>
 #include <string>
@@ -27,8 +28,8 @@
     bool isRunning(std::size_t index) const;
     /// Starts a daemon again if its process has ended.
     void restart(std::size_t index);
-    /// Number of processes that ended without a signal from the fleet.
-    std::size_t crashes() const { return m_crashes; }
+    /// Descriptions of the processes that ended although the fleet did not end them.
+    const std::vector<std::string> &crashes() const { return m_crashes; }
 
 private:
     struct daemon {
@@ -38,12 +39,17 @@
         std::unique_ptr<QProcess> process;
         bool isStopped = false;
         bool isTerminating = false; ///< SIGTERM or SIGKILL was sent
+        int lastSignal = 0; ///< since its start; 0: none
+        std::chrono::steady_clock::time_point startedAt;
+        std::chrono::steady_clock::time_point signalledAt; ///< time of the last signal
     };
 
+    void onFinished(std::size_t index, int code, QProcess::ExitStatus status);
+
     QString m_program;
     QTemporaryDir m_folder;
     std::vector<daemon> m_daemons;
-    std::size_t m_crashes = 0;
+    std::vector<std::string> m_crashes;
 };
 
 } // namespace masticlever::soak
