--- a/tests/site/forwarding-test.cpp
+++ b/tests/site/forwarding-test.cpp
@@ -270,20 +270,26 @@
     REQUIRE(site.waitReady(0));
     REQUIRE(waitFor([&] { return site.sendRequest(0, site.request("GET", "/safe/", "probe")).status == 200; }));
     site_endpoint &desk = site.endpoint(0);
-    desk.behaviour.refusalStatus = GENERATE(408, 429, 503);
     const std::string path = GENERATE("/order/", "/safe/");
 
     SECTION("with a whole body, a cut one or no id")
     {
         desk.behaviour.kind = fault::unproven_refusal;
-        desk.behaviour.refusal = GENERATE(refusal_form::whole, refusal_form::cut, refusal_form::without_id);
-        const auto answer = site.sendRequest(0, site.request("POST", path, "r1"));
-        CHECK(desk.runs["r1"] == 1);
-        CHECK(answer.status == 502);
-        CHECK(answer.isComplete);
-        CHECK(answer.head.find("Server-Signature") == nullptr);
-        CHECK(answer.head.find("Retry-After") == nullptr);
-        CHECK(answer.body.empty());
+        for (const int status : {408, 429, 503}) {
+            for (const refusal_form form : {refusal_form::whole, refusal_form::cut, refusal_form::without_id}) {
+                desk.behaviour.refusalStatus = status;
+                desk.behaviour.refusal = form;
+                const std::string id = "r" + std::to_string(status) + "-" + std::to_string(static_cast<int>(form));
+                INFO(id);
+                const auto answer = site.sendRequest(0, site.request("POST", path, id));
+                CHECK(desk.runs[id] == 1);
+                CHECK(answer.status == 502);
+                CHECK(answer.isComplete);
+                CHECK(answer.head.find("Server-Signature") == nullptr);
+                CHECK(answer.head.find("Retry-After") == nullptr);
+                CHECK(answer.body.empty());
+            }
+        }
     }
     SECTION("and only a request that may be repeated is sent to another endpoint")
     {
@@ -293,6 +299,7 @@
             return !site.endpoint(1).runs.empty();
         }));
         desk.behaviour.kind = fault::unproven_refusal;
+        desk.behaviour.refusalStatus = GENERATE(408, 429, 503);
         int refused = 0;
         for (int i = 0; i < 12; ++i) {
             const std::string id = "r" + std::to_string(i);
--- a/tests/site/stop-test.cpp
+++ b/tests/site/stop-test.cpp
@@ -9,7 +9,7 @@
 using fault = endpoint_behaviour::fault;
 using kind = site_endpoint::kind;
 
-TEST_CASE("A planned stop", "[site]")
+TEST_CASE("A planned stop", "[site][stop]")
 {
     site_fixture site(1);
     site.addEndpoint("d1", kind::plain, "desk");
@@ -52,7 +52,7 @@
 }
 
 // Guards against requests that have been read and end with a closed connection and no answer at a planned stop.
-TEST_CASE("A stop answers each request that it cannot finish, by what is known of it", "[site]")
+TEST_CASE("A stop answers each request that it cannot finish, by what is known of it", "[site][stop]")
 {
     site_fixture site(1);
     site.stopLimit = std::chrono::milliseconds(GENERATE(1500, 3500)); // shorter and longer than the drain period
@@ -133,7 +133,7 @@
 }
 
 // Guards against requests that are passed on so late that the process ends before their answer can come back.
-TEST_CASE("A stopping instance passes nothing on that it cannot answer any more", "[site]")
+TEST_CASE("A stopping instance passes nothing on that it cannot answer any more", "[site][stop]")
 {
     site_fixture site(1);
     site.stopLimit = std::chrono::milliseconds(1500);
