--- a/tests/soak/soak-fleet.cpp
+++ b/tests/soak/soak-fleet.cpp
@@ -19,7 +19,7 @@
 soak_fleet::soak_fleet(QString program, std::size_t count, const std::string &storeAddress)
     : m_program(std::move(program))
 {
-    const std::string network = "127." + std::to_string(1 + ::getpid() % 250) + ".200.";
+    const std::string network = reserveNetwork();
     const auto at = [&](std::size_t index, int offset) {
         return network + std::to_string(index + 1) + ":" + std::to_string(basePort + offset);
     };
@@ -41,6 +41,21 @@
     }
 }
 
+/// Returns the first three octets of a network that no other soak uses, and keeps it for the life of this one.
+std::string soak_fleet::reserveNetwork()
+{
+    constexpr int networks = 250;
+    for (int i = 0; i < networks; ++i) {
+        const std::string network = "127." + std::to_string(1 + (::getpid() + i) % networks) + ".200.";
+        auto reservation = std::make_unique<net::listener>([](int descriptor) { ::close(descriptor); });
+        if (reservation->listen(net::parseAddress(network + "250:" + std::to_string(basePort)).value(), 1)) {
+            m_reservation = std::move(reservation);
+            return network;
+        }
+    }
+    throw std::runtime_error("all networks are in use by other soaks");
+}
+
 soak_fleet::~soak_fleet()
 {
     for (daemon &target : m_daemons) {
--- a/tests/soak/soak-fleet.h
+++ b/tests/soak/soak-fleet.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <masticlever/net/stream-socket.h>
+
 #include <QProcess>
 #include <QTemporaryDir>
 
@@ -44,9 +46,11 @@
         std::chrono::steady_clock::time_point signalledAt; ///< time of the last signal
     };
 
+    std::string reserveNetwork();
     void onFinished(std::size_t index, int code, QProcess::ExitStatus status);
 
     QString m_program;
+    std::unique_ptr<net::listener> m_reservation;
     QTemporaryDir m_folder;
     std::vector<daemon> m_daemons;
     std::vector<std::string> m_crashes;
