Instances share the load of model endpoints through the reader

Cause: with 65 or 140 instances before 60 to 140 endpoints an instance's own requests at an endpoint are nearly always 0 or 1, so a choice by them is a choice without information.

Change: routing::endpoint_view_table counts own requests, tokens, outcomes and times to the first event and reports changes every 200 ms; routing::fleet_load_table sums them up at the reader and selects what differs most from what was sent, within 1.5 KB/s for each receiver; load_sharing binds both. Enabled for services of model endpoints with at most [placement] shared_load_max_slots slots (20).

Conclusion: load_sharing::view(id, now) gives the selection what it needs; it does not use it yet.

--- a/packages/frontend/include/masticlever/frontend/frontend-settings.h
+++ b/packages/frontend/include/masticlever/frontend/frontend-settings.h
@@ -33,6 +33,9 @@
     std::size_t memoryBytes = 0; ///< memory limit of the process; 0: none
     double cores = 0; ///< processor time that the process may use, in cores; 0: unknown
     double linkMbps = 0; ///< bandwidth of the machine's link in megabits per second; 0: unknown
+    /// Instances share the load of the model endpoints of services with at most this many slots per endpoint; 0: of
+    /// none. With more slots, the random variation of an endpoint's load is less than a fifth of them.
+    std::size_t sharedLoadMaximumSlots = 20;
     std::string logLevel = "info";
 
     bool operator==(const frontend_settings &) const = default;
--- a/packages/frontend/src/daemon-core-updates.cpp
+++ b/packages/frontend/src/daemon-core-updates.cpp
@@ -112,6 +112,7 @@
     m_configurationText = text;
     m_gate.setConfiguration(*m_configuration);
     m_pieces.setConfiguration(m_configuration);
+    m_load.setConfiguration(m_configuration);
     m_feed.onConfiguration({version(), m_configurationText});
     logEvent(event::configuration_followed,
              {{"version", m_configuration->version()},
--- a/packages/frontend/src/daemon-core.cpp
+++ b/packages/frontend/src/daemon-core.cpp
@@ -110,6 +110,13 @@
       m_reports(m_directory, m_fleet.rateLimits(),
                 [this](const directory_changes &changes) { onLeavingReported(changes); }),
       m_crashes({}, [this](const endpoint_crash &crash) { onEndpointCrash(crash); }), m_latencyEstimator({}),
+      m_load({.maximumSlots = m_settings.sharedLoadMaximumSlots}, m_directory, m_metrics,
+             {[this](std::string report) {
+                  m_feed.sendToReader(stages::status_message{{}, std::move(report)});
+              },
+              [this](std::string update) {
+                  m_pieces.sendToOwners(m_feed.subscribers(), stages::status_message{{}, std::move(update)});
+              }}),
       m_pieces({}, {m_pool, m_gate, protocol, m_reports, m_budget}, m_directory,
                [this](std::uint64_t job, stages::piece_ref piece, const protocol::piece_result &result) {
                    if (request_session *session = findSession(job)) {
@@ -130,6 +137,7 @@
                 m_budget,
                 m_pieces,
                 m_latencyEstimator,
+                m_load,
                 m_metrics,
                 m_configuration},
       m_configurationWatch(protocol, protocol::store_topic::configuration, m_settings.storeAddress, m_budget,
@@ -152,7 +160,9 @@
               [this] {
                   m_configurationWatch.expedite(monotonicNow());
                   m_endpointWatch.expedite(monotonicNow());
-              }}),
+              },
+              [this] { m_load.onReaderFollowed(); },
+              [this](std::string_view update) { m_load.onUpdate(update, monotonicNow()); }}),
       m_status([this](const http1::message_head &head) {
           if (m_protocol.isReadinessCheck(head)) {
               return status_answer{isReady() ? success : unavailable, "text/plain", {}};
@@ -169,9 +179,15 @@
         [this](std::uint64_t owner, const stages::home_message &message) {
             if (const auto *subscribed = std::get_if<stages::subscribe_message>(&message)) {
                 m_feed.onSubscriber(owner, subscribed->configurationVersion);
+            } else if (const auto *status = std::get_if<stages::status_message>(&message);
+                       status != nullptr && !status->endpointLoad.empty()) {
+                m_load.onReport(owner, status->endpointLoad, monotonicNow());
             }
         },
-        [this](std::uint64_t owner) { m_feed.onSubscriberGone(owner); });
+        [this](std::uint64_t owner) {
+            m_feed.onSubscriberGone(owner);
+            m_load.onReporterGone(owner);
+        });
     QObject::connect(&m_timer, &QTimer::timeout, &m_timer, [this] { onTick(); });
 }
 
@@ -444,6 +460,7 @@
     m_now = now;
     updateFleet(now);
     m_feed.onTick(now);
+    m_load.onTick(m_fleet.liveCount(), m_feed.isFollowing(), m_feed.hasSubscribers(), now);
     if (m_registrations.mayDeferRead(m_feed.freshUntil(), now)) {
         m_endpointWatch.defer(m_feed.freshUntil());
         m_configurationWatch.defer(m_feed.freshUntil());
--- a/packages/frontend/src/daemon-core.h
+++ b/packages/frontend/src/daemon-core.h
@@ -103,6 +103,7 @@
     endpoint_reports m_reports;
     crash_monitor m_crashes;
     latency_estimator m_latencyEstimator;
+    load_sharing m_load;
     piece_service m_pieces;
     frontend_context m_context;
     store_watch m_configurationWatch;
--- a/packages/frontend/src/directory-feed.cpp
+++ b/packages/frontend/src/directory-feed.cpp
@@ -78,6 +78,10 @@
             if (hasRegistrations && (generation == 0 || generation >= m_storeGeneration)) {
                 m_freshUntil = m_lastMessageAt + m_options.freshFor;
             }
+        } else if (const auto *status = std::get_if<stages::status_message>(&message)) {
+            if (!status->endpointLoad.empty() && m_handlers.onEndpointLoad) {
+                m_handlers.onEndpointLoad(status->endpointLoad);
+            }
         }
     };
     handlers.onClosed = [this](home_link &) {
@@ -88,6 +92,9 @@
     };
     m_link = std::make_unique<home_link>(target.value(), m_budget, std::move(handlers), now);
     m_link->send(stages::subscribe_message{configurationVersion});
+    if (m_handlers.onReaderFollowed) {
+        m_handlers.onReaderFollowed();
+    }
     logEvent(event::reader_followed, {{"reader", std::string_view(m_reader)}, {"configuration", configurationVersion}});
 }
 
@@ -212,6 +219,22 @@
     return qUncompress(bytes, static_cast<qsizetype>(compressed.size())).toStdString();
 }
 
+void directory_feed::sendToReader(const stages::home_message &message)
+{
+    if (m_link) {
+        m_link->send(message);
+    }
+}
+
+std::vector<std::uint64_t> directory_feed::subscribers() const
+{
+    std::vector<std::uint64_t> ids;
+    for (const auto &[subscriber, entry] : m_subscribers) {
+        ids.push_back(subscriber);
+    }
+    return ids;
+}
+
 void directory_feed::onTick(instant now)
 {
     m_ended.reset();
--- a/packages/frontend/src/directory-feed.h
+++ b/packages/frontend/src/directory-feed.h
@@ -54,6 +54,8 @@
         std::function<void(std::span<const std::uint64_t> subscribers, const stages::home_message &message)> send;
         std::function<void(stages::directory_message message)> onUpdate;
         std::function<void()> onReaderLost; ///< the reader closed the connection, so the store must be read here
+        std::function<void()> onReaderFollowed; ///< another reader, which knows nothing of this instance
+        std::function<void(std::string_view bytes)> onEndpointLoad; ///< an update of the load of endpoints
     };
 
     directory_feed(directory_feed_options options, net::receive_budget &budget, event_handlers handlers);
@@ -76,8 +78,12 @@
     void onConfiguration(const configuration_update &configuration);
     void onTick(common::instant now);
 
+    /// Sends a message to the reader, if this instance follows one.
+    void sendToReader(const stages::home_message &message);
+
     bool isFollowing() const { return m_link != nullptr; }
     bool hasSubscribers() const { return !m_subscribers.empty(); }
+    std::vector<std::uint64_t> subscribers() const;
     /// The time until which no read of the store is needed; in the past when this instance must read.
     common::instant freshUntil() const { return m_subscribers.empty() ? m_freshUntil : common::instant{}; }
 
--- a/packages/frontend/src/frontend-context.h
+++ b/packages/frontend/src/frontend-context.h
@@ -3,6 +3,7 @@
 #include "crash-monitor.h"
 #include "endpoint-access.h"
 #include "latency-estimator.h"
+#include "load-sharing.h"
 #include "piece-service.h"
 
 #include <masticlever/catalog/endpoint-directory.h>
@@ -39,6 +40,7 @@
     net::receive_budget &budget;
     piece_service &pieces;
     latency_estimator &latencyEstimator;
+    load_sharing &load;
     telemetry::metric_registry &metrics;
     std::shared_ptr<const catalog::service_configuration> &configuration; ///< null until one is in force
 };
--- a/packages/frontend/src/request-session-answer.cpp
+++ b/packages/frontend/src/request-session-answer.cpp
@@ -57,6 +57,21 @@
     return "broken";
 }
 
+routing::own_outcome loadOutcome(call_outcome outcome)
+{
+    switch (outcome) {
+    case call_outcome::answered:
+        return routing::own_outcome::answered;
+    case call_outcome::failed:
+    case call_outcome::unreachable:
+        return routing::own_outcome::failed;
+    case call_outcome::rejected:
+    case call_outcome::rejected_with_delay:
+        break;
+    }
+    return routing::own_outcome::neither;
+}
+
 } // namespace
 
 void request_session::abandonCall(call_outcome outcome)
@@ -69,6 +84,7 @@
     const instant now = monotonicNow();
     m_context.pool.release(used, std::nullopt, now);
     m_context.choice.onCallEnds(m_endpointId, outcome, now);
+    m_context.load.onCallEnds(m_sharedCall, routing::own_outcome::neither);
 }
 
 /// The body of an authentic answer has arrived in part.
@@ -76,6 +92,7 @@
 {
     if (!m_firstBodyAt) {
         m_firstBodyAt = now;
+        m_context.load.onFirstAnswer(m_sharedCall, m_isEventStream ? std::optional(now - m_sentAt) : std::nullopt);
     }
     if (!m_isAnswerSettled && now - *m_firstBodyAt >= settlingTime) {
         m_isAnswerSettled = true;
@@ -100,6 +117,7 @@
     if (m_connection != nullptr) {
         m_context.pool.release(std::exchange(m_connection, nullptr), m_answerAttributes.idleLimit, now);
         m_context.choice.onCallEnds(m_endpointId, outcome, now);
+        m_context.load.onCallEnds(m_sharedCall, loadOutcome(outcome));
     }
     if (end == call_end::broken) {
         reportInterruption(now);
@@ -294,6 +312,7 @@
     }
     m_context.pool.release(std::exchange(m_connection, nullptr), m_answerAttributes.idleLimit, now);
     m_context.choice.onCallEnds(m_endpointId, call_outcome::answered, now);
+    m_context.load.onCallEnds(m_sharedCall, routing::own_outcome::answered);
     m_context.latencyEstimator.onAnswered(m_request.route->name, now - m_sentAt);
     m_context.metrics.counterOf(callsFamily, {{"outcome", "answered"}}).add();
     if (m_isEventStream) {
--- a/packages/frontend/src/request-session.cpp
+++ b/packages/frontend/src/request-session.cpp
@@ -59,6 +59,7 @@
         m_connection->abandon();
         m_context.pool.release(m_connection, std::nullopt, monotonicNow());
     }
+    m_context.load.onCallEnds(m_sharedCall, routing::own_outcome::neither);
 }
 
 result_locator request_session::locator() const
@@ -324,6 +325,8 @@
     m_answerBudget.restart(endpoint.address);
     m_flow.onCallBegins(endpoint.id);
     m_context.choice.onCallBegins(endpoint.id);
+    m_sharedCall = m_context.load.onCallBegins(m_service, endpoint.id,
+                                               {m_request.attributes.promptTokens, m_request.attributes.outputTokens});
     m_connection->start(http1::requestText(head) + m_body, head.method == "HEAD", *this);
 }
 
--- a/packages/frontend/src/request-session.h
+++ b/packages/frontend/src/request-session.h
@@ -113,6 +113,7 @@
     forwarding::data_centre_weights m_dataCentreWeights; ///< by the capacity of the stage services
     std::string m_dataCentre; ///< where stage results are preferred
     common::instant m_sentAt;
+    std::optional<shared_call> m_sharedCall; ///< if the load of the endpoint is shared
     http1::message_head m_answer;
     protocol::answer_attributes m_answerAttributes;
     answer_mode m_answerMode = answer_mode::none;
--- a/packages/stages/include/masticlever/stages/home-messages.h
+++ b/packages/stages/include/masticlever/stages/home-messages.h
@@ -55,9 +55,13 @@
     std::vector<std::int64_t> delays; ///< expected microseconds to compute a new piece, by priority
 };
 
-/// Sent by a home several times a second while it has work from the receiver.
+/// Sent by a home several times a second while it has work from the receiver. Without services, it carries the load of
+/// model endpoints between an instance and the reader of the registrations.
 struct status_message {
     std::vector<service_delay> services;
+    /// A report to the reader or an update from it, encoded by the package routing; empty: none. Earlier versions do
+    /// not read it, and ignore a status from a subscriber or the reader.
+    std::string endpointLoad;
 };
 
 /// Subscribes to the endpoint registrations that the receiver reads from the store.
--- a/packages/stages/src/home-messages.cpp
+++ b/packages/stages/src/home-messages.cpp
@@ -113,6 +113,10 @@
         if (const auto *update = std::get_if<directory_message>(&message)) {
             archive(update->storeGeneration);
         }
+        const auto *status = std::get_if<status_message>(&message);
+        if (status != nullptr && !status->endpointLoad.empty()) {
+            archive(status->endpointLoad);
+        }
     }
     const std::string body = std::move(stream).str();
     std::string frame;
@@ -144,9 +148,11 @@
     try {
         cereal::PortableBinaryInputArchive archive(stream);
         archive(message.emplace());
-        auto *update = std::get_if<directory_message>(&*message);
-        if (update != nullptr && stream.peek() != std::istringstream::traits_type::eof()) {
+        const bool hasMore = stream.peek() != std::istringstream::traits_type::eof();
+        if (auto *update = std::get_if<directory_message>(&*message); update != nullptr && hasMore) {
             archive(update->storeGeneration);
+        } else if (auto *status = std::get_if<status_message>(&*message); status != nullptr && hasMore) {
+            archive(status->endpointLoad);
         }
     } catch (const std::exception &) {
         return make_error_code(common::error::malformed); // cereal reports invalid input only by exceptions
--- a/packages/stages/test/home-messages-test.cpp
+++ b/packages/stages/test/home-messages-test.cpp
@@ -64,7 +64,7 @@
     {
         std::string bytes = encodeHomeMessage(cancel_message{3}) + encodeHomeMessage(release_message{"b", {"h"}})
             + encodeHomeMessage(results_message{4, 1, {{2, "h", 0}}})
-            + encodeHomeMessage(status_message{{{"b", {1, 2}}}});
+            + encodeHomeMessage(status_message{{{"b", {1, 2}}}, {}});
         CHECK(std::get<cancel_message>(*takeHomeMessage(bytes).value()).job == 3);
         CHECK(std::get<release_message>(*takeHomeMessage(bytes).value()).handles.size() == 1);
         CHECK(std::get<results_message>(*takeHomeMessage(bytes).value()).results[0].piece == 2);
@@ -120,3 +120,26 @@
         CHECK(std::get<directory_message>(*taken.value()).storeGeneration == 0);
     }
 }
+
+TEST_CASE("Endpoint load is exchanged with instances of earlier versions")
+{
+    std::string bytes = encodeHomeMessage(status_message{{{"b", {1, 2}}}, "load"});
+
+    SECTION("it is decoded")
+    {
+        const auto taken = takeHomeMessage(bytes);
+        REQUIRE(taken);
+        CHECK(std::get<status_message>(*taken.value()).services.size() == 1);
+        CHECK(std::get<status_message>(*taken.value()).endpointLoad == "load");
+    }
+    SECTION("it follows what an earlier version reads")
+    {
+        const std::string former = encodeHomeMessage(status_message{{{"b", {1, 2}}}, {}});
+        constexpr std::size_t lengthBytes = 4;
+        CHECK(bytes.substr(lengthBytes, former.size() - lengthBytes) == former.substr(lengthBytes));
+        std::string received = former;
+        const auto taken = takeHomeMessage(received);
+        REQUIRE(taken);
+        CHECK(std::get<status_message>(*taken.value()).endpointLoad.empty());
+    }
+}
