Requests to model endpoints are placed by the shared view of their load

Joins the tables and messages of endpoint load with the selection by cost: a request's tokens that are not cached count as pending until its first event, in the own state and in the reports.

--- a/packages/frontend/src/request-session-answer.cpp
+++ b/packages/frontend/src/request-session-answer.cpp
@@ -83,7 +83,7 @@
     used->abandon();
     const instant now = monotonicNow();
     m_context.pool.release(used, std::nullopt, now);
-    m_context.choice.onCallEnds(m_endpointId, outcome, now);
+    m_context.choice.onCallEnds(m_endpointId, outcome, now, m_callTokens);
     m_context.load.onCallEnds(m_sharedCall, routing::own_outcome::neither);
 }
 
@@ -92,6 +92,7 @@
 {
     if (!m_firstBodyAt) {
         m_firstBodyAt = now;
+        m_context.choice.onCallAnswers(m_endpointId, m_callTokens);
         m_context.load.onFirstAnswer(m_sharedCall, m_isEventStream ? std::optional(now - m_sentAt) : std::nullopt);
     }
     if (!m_isAnswerSettled && now - *m_firstBodyAt >= settlingTime) {
@@ -116,7 +117,7 @@
     const instant now = monotonicNow();
     if (m_connection != nullptr) {
         m_context.pool.release(std::exchange(m_connection, nullptr), m_answerAttributes.idleLimit, now);
-        m_context.choice.onCallEnds(m_endpointId, outcome, now);
+        m_context.choice.onCallEnds(m_endpointId, outcome, now, m_callTokens);
         m_context.load.onCallEnds(m_sharedCall, loadOutcome(outcome));
     }
     if (end == call_end::broken) {
@@ -311,7 +312,7 @@
         m_context.promptFaults.onAnswered(m_sharedParts, now);
     }
     m_context.pool.release(std::exchange(m_connection, nullptr), m_answerAttributes.idleLimit, now);
-    m_context.choice.onCallEnds(m_endpointId, call_outcome::answered, now);
+    m_context.choice.onCallEnds(m_endpointId, call_outcome::answered, now, m_callTokens);
     m_context.load.onCallEnds(m_sharedCall, routing::own_outcome::answered);
     m_context.latencyEstimator.onAnswered(m_request.route->name, now - m_sentAt);
     m_context.metrics.counterOf(callsFamily, {{"outcome", "answered"}}).add();
--- a/packages/frontend/src/request-session-endpoints.cpp
+++ b/packages/frontend/src/request-session-endpoints.cpp
@@ -44,13 +44,18 @@
     return services.back().service;
 }
 
-std::string request_session::chooseEndpoint(instant now)
+forwarding::chosen_endpoint request_session::chooseEndpoint(instant now)
 {
     const auto inputs = finalInputBytes(*m_request.route, m_flow.graph(), locator());
-    const forwarding::placement place{m_context.settings.dataCentre, m_dataCentreWeights, inputs};
+    const bool isLoadShared = m_context.load.isEnabled(m_service);
+    const catalog::service *service = m_request.configuration->findService(m_service);
+    const forwarding::endpoint_views views{[this, now](std::string_view id) { return m_context.load.view(id, now); },
+                                           service != nullptr && service->model ? service->model->cacheTokens : 0};
+    const forwarding::placement place{m_context.settings.dataCentre, m_dataCentreWeights, inputs,
+                                      isLoadShared ? &views : nullptr};
     auto usable = m_context.directory.usable(m_service);
     std::erase_if(usable, [&](const auto *endpoint) { return timeUntilOpen(*endpoint, now).count() > 0; });
-    return m_context.choice.choose(usable, m_flow.excluded(), m_request.attributes, place, now, m_context.random);
+    return m_context.choice.select(usable, m_flow.excluded(), m_request.attributes, place, now, m_context.random);
 }
 
 duration request_session::timeUntilOpen(const catalog::endpoint_record &endpoint, instant now) const
--- a/packages/frontend/src/request-session.cpp
+++ b/packages/frontend/src/request-session.cpp
@@ -82,7 +82,7 @@
         m_dataCentreWeights
             = dataCentreWeights(m_context.directory, *m_request.route, m_service,
                                 [this](std::string_view endpoint) { return m_context.gate.isLimited(endpoint); });
-        const catalog::endpoint_record *likely = m_context.directory.findUsable(chooseEndpoint(now));
+        const catalog::endpoint_record *likely = m_context.directory.findUsable(chooseEndpoint(now).id);
         m_dataCentre = likely == nullptr ? m_context.settings.dataCentre : likely->dataCentre;
     }
     apply(m_flow.onBegin(monotonicNow()));
@@ -283,15 +283,16 @@
     if (endIfWithheld(now) || endIfTooLate(now)) {
         return;
     }
-    const catalog::endpoint_record *endpoint = m_context.directory.findUsable(chooseEndpoint(now));
+    const forwarding::chosen_endpoint chosen = chooseEndpoint(now);
+    const catalog::endpoint_record *endpoint = m_context.directory.findUsable(chosen.id);
     if (endpoint == nullptr) {
         endWithoutEndpoint(now);
         return;
     }
-    send(*endpoint);
+    send(*endpoint, chosen.tokens);
 }
 
-void request_session::send(const catalog::endpoint_record &endpoint)
+void request_session::send(const catalog::endpoint_record &endpoint, const forwarding::call_tokens &tokens)
 {
     const instant now = monotonicNow();
     m_connection = m_context.pool.acquire(endpoint.id, endpoint.address, forwarding::sender_role::one_of_fleet, now);
@@ -324,9 +325,11 @@
     m_isAnswerSettled = false;
     m_answerBudget.restart(endpoint.address);
     m_flow.onCallBegins(endpoint.id);
-    m_context.choice.onCallBegins(endpoint.id);
+    m_callTokens = tokens;
+    m_context.choice.onCallBegins(endpoint.id, m_callTokens);
     m_sharedCall = m_context.load.onCallBegins(m_service, endpoint.id,
-                                               {m_request.attributes.promptTokens, m_request.attributes.outputTokens});
+                                               {m_request.attributes.promptTokens, m_request.attributes.outputTokens,
+                                                static_cast<std::uint64_t>(m_callTokens.pending)});
     m_connection->start(http1::requestText(head) + m_body, head.method == "HEAD", *this);
 }
 
--- a/packages/frontend/src/request-session.h
+++ b/packages/frontend/src/request-session.h
@@ -70,7 +70,7 @@
     void requestPieces(const std::vector<stages::piece_ref> &pieces);
     void recordFirstAnswer(common::instant now);
     void callEndpoint();
-    void send(const catalog::endpoint_record &endpoint);
+    void send(const catalog::endpoint_record &endpoint, const forwarding::call_tokens &tokens);
     bool isStreamCutOff() const;
     bool exceedsLimit(std::string_view bytes);
     void abortOversizedAnswer();
@@ -90,7 +90,7 @@
     void sendLocalAnswer(const forwarding::local_answer &answer);
     void finish(std::string_view outcome, int status, std::string_view reason);
     std::string chooseService();
-    std::string chooseEndpoint(common::instant now);
+    forwarding::chosen_endpoint chooseEndpoint(common::instant now);
     result_locator locator() const;
     common::duration delayOf(const std::string &service) const;
     common::duration timeToDrain() const;
@@ -113,6 +113,7 @@
     forwarding::data_centre_weights m_dataCentreWeights; ///< by the capacity of the stage services
     std::string m_dataCentre; ///< where stage results are preferred
     common::instant m_sentAt;
+    forwarding::call_tokens m_callTokens; ///< of the call in flight
     std::optional<shared_call> m_sharedCall; ///< if the load of the endpoint is shared
     http1::message_head m_answer;
     protocol::answer_attributes m_answerAttributes;
--- a/packages/routing/include/masticlever/routing/endpoint-view-table.h
+++ b/packages/routing/include/masticlever/routing/endpoint-view-table.h
@@ -22,6 +22,7 @@
 struct request_tokens {
     std::uint64_t prompt = 0;
     std::uint64_t output = 0; ///< expected
+    std::uint64_t uncached = 0; ///< of the prompt, that the endpoint has to process
 };
 
 enum class own_outcome {
--- a/packages/routing/src/endpoint-view-table.cpp
+++ b/packages/routing/src/endpoint-view-table.cpp
@@ -30,18 +30,18 @@
     own_load &own = m_states[endpointKey(id)].own;
     ++own.inFlight;
     own.tokens += tokens.prompt + tokens.output;
-    own.pendingTokens += tokens.prompt;
+    own.pendingTokens += tokens.uncached;
 }
 
 void endpoint_view_table::onOwnFirstAnswer(std::string_view id, const request_tokens &tokens,
                                            std::optional<duration> firstEvent)
 {
     endpoint_state &state = m_states[endpointKey(id)];
-    state.own.pendingTokens = remaining(state.own.pendingTokens, tokens.prompt);
+    state.own.pendingTokens = remaining(state.own.pendingTokens, tokens.uncached);
     if (firstEvent) {
         const double microseconds = std::max<double>(1, static_cast<double>(firstEvent->count()));
         ++state.sinceReport.firstEvents;
-        state.sinceReport.slownessSum += std::log2(microseconds / (static_cast<double>(tokens.prompt) + fixedTokens));
+        state.sinceReport.slownessSum += std::log2(microseconds / (static_cast<double>(tokens.uncached) + fixedTokens));
     }
 }
 
@@ -52,7 +52,7 @@
     state.own.inFlight = remaining<std::uint32_t>(state.own.inFlight, 1);
     state.own.tokens = remaining(state.own.tokens, tokens.prompt + tokens.output);
     if (!hasFirstAnswer) {
-        state.own.pendingTokens = remaining(state.own.pendingTokens, tokens.prompt);
+        state.own.pendingTokens = remaining(state.own.pendingTokens, tokens.uncached);
     }
     state.sinceReport.answered += outcome == own_outcome::answered ? 1 : 0;
     state.sinceReport.failed += outcome == own_outcome::failed ? 1 : 0;
