Evacuated data centres get no requests and no pieces

Cause: operators had no means to take a data centre out of service; records of their topic other than the configuration were ignored.

Ruled out: absence in a listing of a restored store as the end of an evacuation (a restore would silently undo it); gossip (bytes for the whole fleet); waiting for the operators' topic before the endpoints are listed (the probe of an unavailable store reads the endpoints first).

Change: catalog::evacuation_table keeps the newest record of each data centre, by generation and offset of the store. endpoint_directory leaves out their endpoints. The reader sends the records to its subscribers at once, and subscribers tell the next reader what they know. With [evacuation] limit_ms set (bounds.evacuate_ms), an instance that sees the endpoints before the records serves no requests for at most this time. Messages without records are unchanged byte for byte.

Endpoints of a data centre that returns do not count as cold yet.

--- a/packages/catalog/include/masticlever/catalog/endpoint-directory.h
+++ b/packages/catalog/include/masticlever/catalog/endpoint-directory.h
@@ -4,11 +4,14 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 /// \file
@@ -76,6 +79,13 @@
     /// pause.
     void onPauseRequested(std::string_view id, common::instant until);
 
+    /// Sets the evacuated data centres, whose endpoints accept no work.
+    void setEvacuated(std::set<std::string, std::less<>> dataCentres) { m_evacuated = std::move(dataCentres); }
+    /// While it is not known which data centres are evacuated, no endpoint accepts work.
+    void setEvacuationsUnknown(bool areUnknown) { m_areEvacuationsUnknown = areUnknown; }
+    bool isEvacuated(std::string_view dataCentre) const { return m_evacuated.contains(dataCentre); }
+    bool areEvacuationsUnknown() const { return m_areEvacuationsUnknown; }
+
     void setStoreReachable(bool isReachable, common::instant now);
     /// The store was restored from a copy: registrations that are missing from it are kept for the grace time, and
     /// those of endpoints that were removed before count only if they are newer.
@@ -132,6 +142,8 @@
     std::map<std::string, std::vector<std::string>, std::less<>> m_byService; ///< ids, sorted
     std::map<std::string, std::vector<std::string>, std::less<>> m_byAddress; ///< ids, sorted
     std::map<std::string, removed_entry, std::less<>> m_removed; ///< by id
+    std::set<std::string, std::less<>> m_evacuated;
+    bool m_areEvacuationsUnknown = false;
     bool m_isStoreReachable = false;
     std::optional<common::instant> m_storeLostAt;
     /// End of the last outage that was long enough for registrations to expire, or of the last restore.
--- a/packages/catalog/src/endpoint-directory.cpp
+++ b/packages/catalog/src/endpoint-directory.cpp
@@ -266,7 +266,9 @@
 const endpoint_record *endpoint_directory::findUsable(std::string_view id) const
 {
     const auto found = m_entries.find(id);
-    return found == m_entries.end() || found->second.isLeaving ? nullptr : &found->second.record;
+    const bool isUsable = found != m_entries.end() && !found->second.isLeaving && !m_areEvacuationsUnknown
+        && !m_evacuated.contains(found->second.record.dataCentre);
+    return isUsable ? &found->second.record : nullptr;
 }
 
 } // namespace masticlever::catalog
--- a/packages/frontend/include/masticlever/frontend/frontend-settings.h
+++ b/packages/frontend/include/masticlever/frontend/frontend-settings.h
@@ -30,6 +30,9 @@
     double retrySlack = 100; ///< retries that the fleet may send in addition to the ratio
     std::chrono::milliseconds retryWindow{10000};
     std::chrono::milliseconds stopLimit{8000}; ///< time from SIGTERM until the process is killed
+    /// Time in which an evacuation must be in force, and how long an instance that cannot know the evacuations serves
+    /// no requests after its start; 0: it serves them at once.
+    std::chrono::milliseconds evacuationLimit{0};
     std::size_t memoryBytes = 0; ///< memory limit of the process; 0: none
     double cores = 0; ///< processor time that the process may use, in cores; 0: unknown
     double linkMbps = 0; ///< bandwidth of the machine's link in megabits per second; 0: unknown
--- a/packages/frontend/src/daemon-core-updates.cpp
+++ b/packages/frontend/src/daemon-core-updates.cpp
@@ -4,6 +4,9 @@
 #include <masticlever/telemetry/events.h>
 
 #include <algorithm>
+#include <functional>
+#include <set>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -30,6 +33,9 @@
 const telemetry::metric_family limitedEndpointsFamily{"masticlever_frontend_limited_endpoints",
                                                       "Endpoints that state a rate limit."};
 
+const telemetry::metric_family evacuatedFamily{"masticlever_frontend_evacuated_data_centres",
+                                               "Data centres that get no requests because operators evacuate them."};
+
 const telemetry::metric_family crashesFamily{"masticlever_frontend_endpoint_crashes_total",
                                              "Crashes of endpoints during requests of this instance."};
 
@@ -90,11 +96,75 @@
 
 void daemon_core::onConfigurationUpdate(const topic_update &update)
 {
+    std::vector<catalog::evacuation_record> evacuations;
     for (const protocol::store_record &record : update.records) {
+        const std::string_view dataCentre = m_protocol.evacuatedDataCentre(record.key);
         if (m_protocol.isConfigurationKey(record.key) && record.value) {
             applyConfiguration(*record.value, "store");
+        } else if (!dataCentre.empty()) {
+            evacuations.push_back(
+                {std::string(dataCentre), record.value.has_value(), m_storeGeneration, record.offset});
+        }
+    }
+    onEvacuations(evacuations, "store");
+    if (!update.isCompleteListing) {
+        return;
+    }
+    std::set<std::string, std::less<>> listed;
+    for (const std::string &key : update.listedKeys) {
+        if (const std::string_view dataCentre = m_protocol.evacuatedDataCentre(key); !dataCentre.empty()) {
+            listed.emplace(dataCentre);
+        }
+    }
+    if (m_evacuations.onListing(listed, m_storeGeneration, update.position)) {
+        applyEvacuations("store");
+    }
+    m_areEvacuationsKnown = true;
+    withholdEndpoints(monotonicNow());
+}
+
+void daemon_core::onEvacuations(std::span<const catalog::evacuation_record> records, std::string_view source)
+{
+    bool isChanged = false;
+    for (const catalog::evacuation_record &record : records) {
+        isChanged = m_evacuations.onRecord(record) || isChanged;
+    }
+    if (isChanged) {
+        applyEvacuations(source);
+    }
+}
+
+void daemon_core::applyEvacuations(std::string_view source)
+{
+    const auto evacuated = m_evacuations.evacuated();
+    for (const catalog::evacuation_record &record : m_evacuations.records()) {
+        if (record.isEvacuated != m_directory.isEvacuated(record.dataCentre)) {
+            logEvent(event::evacuation_changed,
+                     {{"data_centre", std::string_view(record.dataCentre)},
+                      {"change", record.isEvacuated ? "begun" : "ended"},
+                      {"source", source},
+                      {"generation", record.generation},
+                      {"offset", record.offset}});
         }
     }
+    m_metrics.gaugeOf(evacuatedFamily).set(static_cast<double>(evacuated.size()));
+    m_directory.setEvacuated(evacuated);
+    m_pieces.onDirectoryChanged();
+    m_feed.setEvacuations(m_evacuations.records());
+}
+
+/// Endpoints that are known before it is known which data centres are evacuated get no work, but no longer than an
+/// evacuation may take to be in force: an instance that cannot read the records must not stop serving.
+void daemon_core::withholdEndpoints(instant now)
+{
+    if (!m_withheldUntil && m_directory.size() > 0) {
+        m_withheldUntil = now + m_settings.evacuationLimit;
+    }
+    const bool areUnknown = !m_areEvacuationsKnown && m_withheldUntil && now < *m_withheldUntil;
+    if (areUnknown != m_directory.areEvacuationsUnknown()) {
+        m_directory.setEvacuationsUnknown(areUnknown);
+        m_pieces.onDirectoryChanged();
+    }
 }
 
 void daemon_core::applyConfiguration(const std::string &text, std::string_view source)
@@ -124,6 +194,7 @@
 {
     const instant now = monotonicNow();
     applyChanges(m_registrations.onRead(update, now));
+    withholdEndpoints(now);
     // Subscribers read neither topic while they receive updates, so both must be recent here.
     const auto confirmed = m_registrations.confirmedRecords();
     const topic_follower &configurations = m_configurationWatch.follower();
@@ -137,6 +208,8 @@
 {
     const instant now = monotonicNow();
     onStoreGeneration(update.storeGeneration, "reader");
+    onEvacuations(update.evacuations, "reader");
+    m_areEvacuationsKnown = m_areEvacuationsKnown || update.hasRegistrations;
     applyChanges(m_registrations.onReaderUpdate(update, now));
     if (!update.configuration.empty()) {
         applyConfiguration(decompressConfiguration(update.configuration), "reader");
@@ -287,7 +360,8 @@
     if (m_registrations.onStoreReachability(isReachable, now)) {
         m_endpointWatch.onStoreReachable(now);
         // A call that the store accepted before the outage will not be answered.
-        m_configurationWatch.reissue(m_configuration && m_feed.isFollowing() ? readerUpdateTimeout : duration{}, now);
+        const bool mayWait = m_configuration && m_areEvacuationsKnown && m_feed.isFollowing();
+        m_configurationWatch.reissue(mayWait ? readerUpdateTimeout : duration{}, now);
     }
     const bool isUnreachable = m_registrations.isStoreUnreachable(now);
     if (isUnreachable == m_isReachableLogged) {
--- a/packages/frontend/src/daemon-core.cpp
+++ b/packages/frontend/src/daemon-core.cpp
@@ -168,6 +168,7 @@
     m_pieces.setOwnerHandlers(
         [this](std::uint64_t owner, const stages::home_message &message) {
             if (const auto *subscribed = std::get_if<stages::subscribe_message>(&message)) {
+                onEvacuations(subscribed->evacuations, "subscriber");
                 m_feed.onSubscriber(owner, subscribed->configurationVersion);
             }
         },
@@ -251,7 +252,8 @@
 {
     const duration sinceStart = now - m_startedAt;
     const bool hasHeard = m_fleet.liveCount() > 1 || sinceStart >= firstPeerTimeout;
-    const bool isCurrent = version() >= m_seenVersion || sinceStart >= catchUpTimeout;
+    const bool isCurrent
+        = (version() >= m_seenVersion && !m_directory.areEvacuationsUnknown()) || sinceStart >= catchUpTimeout;
     m_hasCaughtUp = m_hasCaughtUp || (m_configuration && hasHeard && isCurrent);
 }
 
@@ -453,6 +455,7 @@
     m_endpointWatch.onTick(now);
     m_finder.onTick(m_fleet.liveCount(), now);
     applyChanges(m_registrations.advance(now));
+    withholdEndpoints(now);
     m_crashes.onTick(now);
     m_pieces.onTick(now);
     m_status.onTick(now);
--- a/packages/frontend/src/daemon-core.h
+++ b/packages/frontend/src/daemon-core.h
@@ -11,6 +11,7 @@
 #include "store-probe-schedule.h"
 #include "store-watch.h"
 
+#include <masticlever/catalog/evacuation-table.h>
 #include <masticlever/frontend/frontend-daemon.h>
 #include <masticlever/net/stream-socket.h>
 
@@ -19,6 +20,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -64,6 +66,9 @@
     void onConfigurationUpdate(const topic_update &update);
     void applyConfiguration(const std::string &text, std::string_view source);
     void onEndpointUpdate(const topic_update &update);
+    void onEvacuations(std::span<const catalog::evacuation_record> records, std::string_view source);
+    void applyEvacuations(std::string_view source);
+    void withholdEndpoints(common::instant now);
     void onDirectoryUpdate(const stages::directory_message &update);
     void onStoreReachability(bool isReachable);
     void onStoreGeneration(std::uint64_t generation, std::string_view source);
@@ -93,6 +98,9 @@
     std::shared_ptr<const catalog::service_configuration> m_configuration;
     std::string m_configurationText; ///< served to instances that cannot reach the store
     catalog::endpoint_directory m_directory;
+    catalog::evacuation_table m_evacuations;
+    bool m_areEvacuationsKnown = false; ///< the store's or the reader's records of them have been read
+    std::optional<common::instant> m_withheldUntil; ///< for endpoints that are known before the evacuations
     registration_tracker m_registrations;
     fleet_host m_fleet;
     forwarding::endpoint_choice m_choice;
--- a/packages/frontend/src/directory-feed.cpp
+++ b/packages/frontend/src/directory-feed.cpp
@@ -87,7 +87,7 @@
         m_handlers.onReaderLost();
     };
     m_link = std::make_unique<home_link>(target.value(), m_budget, std::move(handlers), now);
-    m_link->send(stages::subscribe_message{configurationVersion});
+    m_link->send(stages::subscribe_message{configurationVersion, m_evacuations});
     logEvent(event::reader_followed, {{"reader", std::string_view(m_reader)}, {"configuration", configurationVersion}});
 }
 
@@ -102,6 +102,33 @@
     unfollow();
 }
 
+void directory_feed::onSubscriber(std::uint64_t subscriber, std::uint64_t configurationVersion)
+{
+    m_subscribers[subscriber] = {configurationVersion, false};
+    sendEvacuations(std::span(&subscriber, 1));
+}
+
+void directory_feed::setEvacuations(std::vector<catalog::evacuation_record> records)
+{
+    m_evacuations = std::move(records);
+    std::vector<std::uint64_t> all;
+    for (const auto &item : m_subscribers) {
+        all.push_back(item.first);
+    }
+    sendEvacuations(all);
+}
+
+void directory_feed::sendEvacuations(std::span<const std::uint64_t> subscribers)
+{
+    if (subscribers.empty() || m_evacuations.empty()) {
+        return;
+    }
+    stages::directory_message update;
+    update.hasRegistrations = false;
+    update.evacuations = m_evacuations;
+    m_handlers.send(subscribers, update);
+}
+
 void directory_feed::onStoreRestored(std::uint64_t generation, instant now)
 {
     m_storeGeneration = generation;
--- a/packages/frontend/src/directory-feed.h
+++ b/packages/frontend/src/directory-feed.h
@@ -62,10 +62,8 @@
     void setMembers(const std::vector<stages::home_candidate> &members, const std::string &self,
                     std::uint64_t configurationVersion, common::instant now);
     /// The subscriber gets a complete snapshot after the next read, as the records remembered here may be outdated.
-    void onSubscriber(std::uint64_t subscriber, std::uint64_t configurationVersion)
-    {
-        m_subscribers[subscriber] = {configurationVersion, false};
-    }
+    /// It gets the known evacuations at once, also while the store is unavailable.
+    void onSubscriber(std::uint64_t subscriber, std::uint64_t configurationVersion);
     void onSubscriberGone(std::uint64_t subscriber) { m_subscribers.erase(subscriber); }
     /// This instance has read the registrations: sends the changes, or a snapshot, to each subscriber.
     void onRead(const std::vector<catalog::endpoint_record> &records, std::uint64_t storeGeneration,
@@ -74,6 +72,8 @@
     void onStoreRestored(std::uint64_t generation, common::instant now);
     /// A configuration came into force here: sends it to the subscribers that already have a snapshot.
     void onConfiguration(const configuration_update &configuration);
+    /// Sends what is known of evacuations to the subscribers, and to the reader if one is followed later.
+    void setEvacuations(std::vector<catalog::evacuation_record> records);
     void onTick(common::instant now);
 
     bool isFollowing() const { return m_link != nullptr; }
@@ -90,6 +90,7 @@
     void follow(const std::string &address, std::uint64_t configurationVersion, common::instant now);
     void unfollow();
     void dropReader(std::string_view reason, common::instant now);
+    void sendEvacuations(std::span<const std::uint64_t> subscribers);
     std::string textToSend(std::span<const std::uint64_t> subscribers, const configuration_update &configuration);
     const std::string &compressedText(const configuration_update &configuration);
 
@@ -104,6 +105,7 @@
     std::uint64_t m_storeGeneration = 0; ///< the newest that is known
     stages::unavailable_homes m_avoided;
     std::map<std::uint64_t, subscriber_entry> m_subscribers;
+    std::vector<catalog::evacuation_record> m_evacuations;
     std::string m_compressed; ///< the compressed text of m_compressedVersion
     std::uint64_t m_compressedVersion = 0;
     std::map<std::string, catalog::endpoint_record> m_sentRecords; ///< by id, as last sent to the subscribers
--- a/packages/frontend/src/frontend-settings.cpp
+++ b/packages/frontend/src/frontend-settings.cpp
@@ -108,6 +108,7 @@
     read.retrySlack = reader.number("retries/slack", read.retrySlack);
     read.retryWindow = std::chrono::milliseconds(static_cast<int>(reader.number("retries/window_s", 10) * 1000));
     read.stopLimit = std::chrono::milliseconds(static_cast<int>(reader.number("stop/limit_s", 8) * 1000));
+    read.evacuationLimit = std::chrono::milliseconds(static_cast<int>(reader.number("evacuation/limit_ms", 0)));
     const std::string level = reader.text("log/level", false);
     read.logLevel = level.empty() ? read.logLevel : level;
     if (read.fleetKey.size() < minimumKeyLength) {
--- a/packages/frontend/test/frontend-settings-test.cpp
+++ b/packages/frontend/test/frontend-settings-test.cpp
@@ -79,3 +79,14 @@
         CHECK(std::holds_alternative<frontend_settings_error>(readFrontendSettings("/nowhere/front.ini")));
     }
 }
+
+TEST_CASE("Without a limit for evacuations in the settings, endpoints are used before evacuations are known")
+{
+    settings_folder folder;
+    const auto limitOf = [&](const std::string &section) {
+        return std::get<frontend_settings>(folder.read(completeSettings + section)).evacuationLimit;
+    };
+    CHECK(limitOf("[evacuation]\nlimit_ms=5000\n") == 5s);
+    CHECK(limitOf("[evacuation]\nlimit_ms=\n") == 0ms); // as rendered by a platform without the field
+    CHECK(limitOf("") == 0ms);
+}
--- a/packages/protocol/include/masticlever/protocol/wire-protocol.h
+++ b/packages/protocol/include/masticlever/protocol/wire-protocol.h
@@ -93,6 +93,8 @@
 
     /// Whether \p key is the key of the service configuration in the configuration topic.
     virtual bool isConfigurationKey(std::string_view key) const = 0;
+    /// The data centre that the record with \p key in the configuration topic evacuates; empty for other keys.
+    virtual std::string_view evacuatedDataCentre(std::string_view key) const = 0;
     virtual common::result<catalog::service_configuration> readConfiguration(std::string_view value) const = 0;
     virtual common::result<catalog::endpoint_record> readEndpoint(std::string_view id,
                                                                   std::string_view value) const = 0;
--- a/packages/stages/include/masticlever/stages/home-messages.h
+++ b/packages/stages/include/masticlever/stages/home-messages.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <masticlever/catalog/evacuation-table.h>
 #include <masticlever/common/result.h>
 #include <masticlever/protocol/requests.h>
 #include <masticlever/stages/batch-queue.h>
@@ -63,6 +64,7 @@
 /// Subscribes to the endpoint registrations that the receiver reads from the store.
 struct subscribe_message {
     std::uint64_t configurationVersion = 0; ///< in force at the subscriber
+    std::vector<catalog::evacuation_record> evacuations; ///< known to the subscriber
 };
 
 /// Configuration and endpoint registrations read from the store, sent to subscribers.
@@ -75,6 +77,7 @@
     std::vector<std::string> removed; ///< ids
     /// Of the store from which the registrations were read; 0: unknown, as from senders of earlier versions.
     std::uint64_t storeGeneration = 0;
+    std::vector<catalog::evacuation_record> evacuations; ///< known to the sender; empty: not sent with this message
 };
 
 using home_message = std::variant<piece_request_message, cancel_message, release_message, results_message,
--- a/packages/stages/src/home-messages.cpp
+++ b/packages/stages/src/home-messages.cpp
@@ -41,6 +41,11 @@
     stages::serializeRecord(archive, record);
 }
 
+template <typename Archive> void serialize(Archive &archive, evacuation_record &record)
+{
+    archive(record.dataCentre, record.isEvacuated, record.generation, record.offset);
+}
+
 } // namespace masticlever::catalog
 
 namespace masticlever::stages
@@ -109,9 +114,16 @@
     {
         cereal::PortableBinaryOutputArchive archive(stream);
         archive(message);
-        // Follows the message, so that receivers of earlier versions ignore it.
+        // These fields follow the message, so that receivers of earlier versions ignore them.
         if (const auto *update = std::get_if<directory_message>(&message)) {
             archive(update->storeGeneration);
+            if (!update->evacuations.empty()) {
+                archive(update->evacuations);
+            }
+        } else if (const auto *subscription = std::get_if<subscribe_message>(&message)) {
+            if (!subscription->evacuations.empty()) {
+                archive(subscription->evacuations);
+            }
         }
     }
     const std::string body = std::move(stream).str();
@@ -144,9 +156,18 @@
     try {
         cereal::PortableBinaryInputArchive archive(stream);
         archive(message.emplace());
-        auto *update = std::get_if<directory_message>(&*message);
-        if (update != nullptr && stream.peek() != std::istringstream::traits_type::eof()) {
-            archive(update->storeGeneration);
+        const auto hasMore = [&] { return stream.peek() != std::istringstream::traits_type::eof(); };
+        if (auto *update = std::get_if<directory_message>(&*message)) {
+            if (hasMore()) {
+                archive(update->storeGeneration);
+            }
+            if (hasMore()) {
+                archive(update->evacuations);
+            }
+        } else if (auto *subscription = std::get_if<subscribe_message>(&*message)) {
+            if (hasMore()) {
+                archive(subscription->evacuations);
+            }
         }
     } catch (const std::exception &) {
         return make_error_code(common::error::malformed); // cereal reports invalid input only by exceptions
--- a/packages/stages/test/home-messages-test.cpp
+++ b/packages/stages/test/home-messages-test.cpp
@@ -95,6 +95,29 @@
     }
 }
 
+TEST_CASE("Evacuations are exchanged with instances of earlier versions")
+{
+    const std::vector<catalog::evacuation_record> records{{"west", true, 2, 7}, {"east", false, 1, 4}};
+    const auto lengthOf = [](const std::string &bytes) { return bytes.size(); };
+    directory_message update;
+    subscribe_message subscription{5, {}};
+    // Without records the messages are those of earlier versions.
+    const std::size_t formerUpdate = lengthOf(encodeHomeMessage(update));
+    const std::size_t formerSubscription = lengthOf(encodeHomeMessage(subscription));
+    update.evacuations = records;
+    subscription.evacuations = records;
+    std::string bytes = encodeHomeMessage(update) + encodeHomeMessage(subscription);
+    CHECK(lengthOf(encodeHomeMessage(update)) > formerUpdate);
+    CHECK(lengthOf(encodeHomeMessage(subscription)) > formerSubscription);
+    CHECK(std::get<directory_message>(*takeHomeMessage(bytes).value()).evacuations == records);
+    CHECK(std::get<subscribe_message>(*takeHomeMessage(bytes).value()).evacuations == records);
+    CHECK(bytes.empty());
+
+    bytes = encodeHomeMessage(directory_message{}) + encodeHomeMessage(subscribe_message{5, {}});
+    CHECK(std::get<directory_message>(*takeHomeMessage(bytes).value()).evacuations.empty());
+    CHECK(std::get<subscribe_message>(*takeHomeMessage(bytes).value()).configurationVersion == 5);
+}
+
 TEST_CASE("The generation of the store is exchanged with instances of earlier versions")
 {
     directory_message sent;
--- a/tests/site/site-fixture.cpp
+++ b/tests/site/site-fixture.cpp
@@ -90,9 +90,10 @@
                     R"("idle_timeout_ms":1500},"tenants":[{"name":"team-1","api_keys":["key-1"]}]})");
 }
 
-void site_fixture::addEndpoint(const std::string &id, site_endpoint::kind kind, const std::string &service)
+void site_fixture::addEndpoint(const std::string &id, site_endpoint::kind kind, const std::string &service,
+                               const std::string &dataCentre)
 {
-    auto endpoint = std::make_unique<site_endpoint>(id, kind, service, "west");
+    auto endpoint = std::make_unique<site_endpoint>(id, kind, service, dataCentre);
     endpoint->start();
     store.put("keyed.servers", endpoint->id(), endpoint->registration());
     m_endpoints.push_back(std::move(endpoint));
@@ -139,6 +140,7 @@
     settings.memoryBytes = memoryBytes;
     settings.cores = cores;
     settings.stopLimit = stopLimit;
+    settings.evacuationLimit = evacuationLimit;
     if (index > 0) {
         settings.contacts.push_back(m_frontAddresses.front().substr(0, m_frontAddresses.front().find(':')) + ":"
                                     + std::to_string(basePort + 3));
--- a/tests/site/site-fixture.h
+++ b/tests/site/site-fixture.h
@@ -49,7 +49,8 @@
     ~site_fixture();
 
     /// Starts an endpoint and registers it in the store.
-    void addEndpoint(const std::string &id, site_endpoint::kind kind, const std::string &service);
+    void addEndpoint(const std::string &id, site_endpoint::kind kind, const std::string &service,
+                     const std::string &dataCentre = "west");
     site_endpoint &endpoint(std::size_t index) { return *m_endpoints[index]; }
     std::size_t endpointCount() const { return m_endpoints.size(); }
     /// Starts and registers a crashed endpoint again, as a new incarnation.
@@ -69,6 +70,8 @@
     double cores = 0;
     /// Time from the stop to the kill in the settings of daemons started later.
     std::chrono::milliseconds stopLimit{8000};
+    /// Time in which an evacuation must be in force, in the settings of daemons started later; 0: not set.
+    std::chrono::milliseconds evacuationLimit{0};
     frontend::frontend_daemon &daemon(std::size_t index) { return *m_daemons[index]; }
     const std::string &frontAddressOf(std::size_t index) const { return m_frontAddresses[index]; }
     int readyStatusOf(std::size_t index);
