--- a/packages/frontend/src/directory-feed.cpp
+++ b/packages/frontend/src/directory-feed.cpp
@@ -78,6 +78,10 @@
             if (hasRegistrations && (generation == 0 || generation >= m_storeGeneration)) {
                 m_freshUntil = m_lastMessageAt + m_options.freshFor;
             }
+        } else if (const auto *status = std::get_if<stages::status_message>(&message)) {
+            if (!status->endpointLoad.empty() && m_handlers.onEndpointLoad) {
+                m_handlers.onEndpointLoad(status->endpointLoad);
+            }
         }
     };
     handlers.onClosed = [this](home_link &) {
@@ -87,7 +91,10 @@
         m_handlers.onReaderLost();
     };
     m_link = std::make_unique<home_link>(target.value(), m_budget, std::move(handlers), now);
-    m_link->send(stages::subscribe_message{configurationVersion});
+    m_link->send(stages::subscribe_message{configurationVersion, m_evacuations});
+    if (m_handlers.onReaderFollowed) {
+        m_handlers.onReaderFollowed();
+    }
     logEvent(event::reader_followed, {{"reader", std::string_view(m_reader)}, {"configuration", configurationVersion}});
 }
 
@@ -102,6 +109,33 @@
     unfollow();
 }
 
+void directory_feed::onSubscriber(std::uint64_t subscriber, std::uint64_t configurationVersion)
+{
+    m_subscribers[subscriber] = {configurationVersion, false};
+    sendEvacuations(std::span(&subscriber, 1));
+}
+
+void directory_feed::setEvacuations(std::vector<catalog::evacuation_record> records)
+{
+    m_evacuations = std::move(records);
+    std::vector<std::uint64_t> all;
+    for (const auto &item : m_subscribers) {
+        all.push_back(item.first);
+    }
+    sendEvacuations(all);
+}
+
+void directory_feed::sendEvacuations(std::span<const std::uint64_t> subscribers)
+{
+    if (subscribers.empty() || m_evacuations.empty()) {
+        return;
+    }
+    stages::directory_message update;
+    update.hasRegistrations = false;
+    update.evacuations = m_evacuations;
+    m_handlers.send(subscribers, update);
+}
+
 void directory_feed::onStoreRestored(std::uint64_t generation, instant now)
 {
     m_storeGeneration = generation;
@@ -212,6 +246,22 @@
     return qUncompress(bytes, static_cast<qsizetype>(compressed.size())).toStdString();
 }
 
+void directory_feed::sendToReader(const stages::home_message &message)
+{
+    if (m_link) {
+        m_link->send(message);
+    }
+}
+
+std::vector<std::uint64_t> directory_feed::subscribers() const
+{
+    std::vector<std::uint64_t> ids;
+    for (const auto &[subscriber, entry] : m_subscribers) {
+        ids.push_back(subscriber);
+    }
+    return ids;
+}
+
 void directory_feed::onTick(instant now)
 {
     m_ended.reset();
