--- a/packages/frontend/src/daemon-core-updates.cpp
+++ b/packages/frontend/src/daemon-core-updates.cpp
@@ -157,6 +157,7 @@
                   {"change", nameOf(change.kind)}});
         if (change.kind == catalog::directory_change::what::removed) {
             m_choice.forget(change.id);
+            m_reports.forget(change.id);
         }
     }
     if (!changes.empty()) {
--- a/packages/frontend/src/endpoint-reports.cpp
+++ b/packages/frontend/src/endpoint-reports.cpp
@@ -28,6 +28,7 @@
                                 instant sentAt, instant now)
 {
     updateRateLimit(endpointId, status, answer, sentAt, now);
+    updatePace(endpointId, answer, now);
     if (answer.isLeaving) {
         markLeaving(endpointId, now);
     }
@@ -65,6 +66,30 @@
     }
 }
 
+void endpoint_reports::updatePace(std::string_view endpointId, const protocol::answer_attributes &answer, instant now)
+{
+    if (answer.isLoadMalformed) {
+        logEvent(event::endpoint_load_unreadable, {{"endpoint", endpointId}});
+    } else if (answer.load && answer.load->pace && !m_directory.serviceOf(endpointId).empty()) {
+        m_paces.try_emplace(std::string(endpointId), stages::pace_filter({}))
+            .first->second.onReport(*answer.load->pace, now);
+    }
+}
+
+double endpoint_reports::paceOf(std::string_view endpointId, instant now) const
+{
+    const auto found = m_paces.find(endpointId);
+    return found == m_paces.end() ? 1 : found->second.pace(now);
+}
+
+void endpoint_reports::forget(std::string_view endpointId)
+{
+    const auto found = m_paces.find(endpointId);
+    if (found != m_paces.end()) {
+        m_paces.erase(found);
+    }
+}
+
 void endpoint_reports::onMisdirected(std::string_view endpointId, instant now)
 {
     markLeaving(endpointId, now);
--- a/packages/frontend/src/endpoint-reports.h
+++ b/packages/frontend/src/endpoint-reports.h
@@ -4,8 +4,11 @@
 #include <masticlever/common/time.h>
 #include <masticlever/membership/rate-limits.h>
 #include <masticlever/protocol/requests.h>
+#include <masticlever/stages/pace-filter.h>
 
 #include <functional>
+#include <map>
+#include <string>
 #include <string_view>
 #include <utility>
 #include <vector>
@@ -38,7 +41,14 @@
     /// Another endpoint answered at the address of \p endpointId, which is therefore taken to be leaving.
     void onMisdirected(std::string_view endpointId, common::instant now);
 
+    /// Whether an endpoint has reported the time that work takes there.
+    bool hasPaces() const { return !m_paces.empty(); }
+    /// Time that work takes at the endpoint now, relative to the usual time; 1 without reports.
+    double paceOf(std::string_view endpointId, common::instant now) const;
+    void forget(std::string_view endpointId);
+
 private:
+    void updatePace(std::string_view endpointId, const protocol::answer_attributes &answer, common::instant now);
     void markLeaving(std::string_view endpointId, common::instant now);
     void updateRateLimit(std::string_view endpointId, int status, const protocol::answer_attributes &answer,
                          common::instant sentAt, common::instant now);
@@ -46,6 +56,7 @@
     catalog::endpoint_directory &m_directory;
     membership::rate_limit_table &m_rateLimits;
     leaving_handler m_onLeaving;
+    std::map<std::string, stages::pace_filter, std::less<>> m_paces; ///< by endpoint
 };
 
 } // namespace masticlever::frontend
--- a/packages/frontend/src/home-server.cpp
+++ b/packages/frontend/src/home-server.cpp
@@ -171,6 +171,7 @@
     for (auto &[service, target] : m_queues) {
         if (target.queue.onReleased(handles) && target.queue.waitingPieces() > 0) {
             updateRateLimits(service, target, now);
+            updatePaces(service, target, now);
             startCalls(service, target, now);
         }
     }
@@ -191,6 +192,16 @@
     target.queue.setRateLimits(limits);
 }
 
+void home_server::updatePaces(const std::string &service, service_queue &target, instant now)
+{
+    if (!m_access.reports.hasPaces()) {
+        return;
+    }
+    for (const catalog::endpoint_record *endpoint : m_directory.usable(service)) {
+        target.queue.setPace(endpoint->id, m_access.reports.paceOf(endpoint->id, now));
+    }
+}
+
 void home_server::startCalls(const std::string &service, service_queue &target, instant now)
 {
     for (stages::batch_call &call : target.queue.takeCalls(now)) {
@@ -201,6 +212,7 @@
 void home_server::processQueue(const std::string &service, service_queue &target, instant now)
 {
     updateRateLimits(service, target, now);
+    updatePaces(service, target, now);
     deliver(target.queue.takeInfeasible(now));
     startCalls(service, target, now);
 }
--- a/packages/frontend/src/home-server.h
+++ b/packages/frontend/src/home-server.h
@@ -73,6 +73,7 @@
     /// Endpoints have confirmed the release of results, so they may have room for new ones.
     void onResultsReleased(const std::vector<std::string> &handles);
     void updateRateLimits(const std::string &service, service_queue &target, common::instant now);
+    void updatePaces(const std::string &service, service_queue &target, common::instant now);
     void startCalls(const std::string &service, service_queue &target, common::instant now);
     /// Reports pieces that cannot be made in time and starts the calls that are possible now.
     void processQueue(const std::string &service, service_queue &target, common::instant now);
--- a/packages/protocol/include/masticlever/protocol/requests.h
+++ b/packages/protocol/include/masticlever/protocol/requests.h
@@ -37,6 +37,7 @@
     std::size_t running = 0;
     std::size_t waiting = 0;
     std::size_t slots = 0;
+    std::optional<double> pace; ///< time that work takes there now, relative to the usual time; 2: twice as long
 };
 
 struct answer_attributes {
@@ -50,6 +51,7 @@
     std::optional<double> rateLimit; ///< requests per second that the endpoint accepts from all instances together
     bool isRateLimitMalformed = false; ///< the endpoint states a rate limit that cannot be read
     std::optional<load_report> load;
+    bool isLoadMalformed = false; ///< the endpoint reports a load that cannot be read
     std::optional<common::duration> idleLimit; ///< time after which the endpoint closes an idle connection
 };
 
--- a/packages/stages/include/masticlever/stages/batch-queue.h
+++ b/packages/stages/include/masticlever/stages/batch-queue.h
@@ -100,6 +100,9 @@
     /// The endpoint asked for no calls before \p until; a time in the past ends the requested pause.
     void onPauseRequested(const std::string &endpointId, common::instant until);
 
+    /// Sets the time that work takes at the endpoint now, relative to its usual time, as it reports it.
+    void setPace(const std::string &endpointId, double pace);
+
     /// Replaces the limits of all endpoints; those that are not listed have none.
     void setRateLimits(std::span<const call_rate_limit> limits);
     bool hasRateLimits() const { return m_hasRateLimits; }
@@ -141,7 +144,8 @@
     struct endpoint_entry {
         catalog::endpoint_record record;
         std::size_t calls = 0;
-        double slowness = 1; ///< moving average of actual over expected call time
+        double slowness = 1; ///< moving average of actual over expected call time, without the effect of the pace
+        double pace = 1; ///< reported by the endpoint; 2: work takes twice as long as usual
         common::instant lastUsedAt;
         common::instant backoffUntil;
         common::instant pausedUntil; ///< requested by the endpoint, hence certain; counts as missing capacity
@@ -168,6 +172,7 @@
         std::string endpointId;
         common::instant sentAt;
         common::duration expected{};
+        double pace = 1; ///< of the endpoint when the call was sent
         double reserved = 0;
         std::vector<queued_piece> pieces;
         std::vector<std::uint64_t> requests; ///< key in m_requests of each piece
--- a/packages/stages/src/batch-queue.cpp
+++ b/packages/stages/src/batch-queue.cpp
@@ -29,6 +29,7 @@
             endpoint.namedHandles.clear();
             endpoint.namedHandleSet.clear();
             endpoint.slowness = 1;
+            endpoint.pace = 1;
         }
         endpoint.record = *record;
         endpoint.isListed = true;
@@ -44,6 +45,14 @@
     }
 }
 
+void batch_queue::setPace(const std::string &endpointId, double pace)
+{
+    const auto endpoint = m_endpoints.find(endpointId);
+    if (endpoint != m_endpoints.end()) {
+        endpoint->second.pace = pace;
+    }
+}
+
 void batch_queue::setRateLimits(std::span<const call_rate_limit> limits)
 {
     for (auto &[id, endpoint] : m_endpoints) {
@@ -94,7 +103,9 @@
 {
     const double halfLives = std::max(0.0, static_cast<double>((now - endpoint.lastUsedAt).count()))
         / static_cast<double>(m_options.slownessHalfLife.count());
-    return endpoint.calls > 0 ? endpoint.slowness : 1 + (endpoint.slowness - 1) * std::exp2(-halfLives);
+    const double measured
+        = endpoint.calls > 0 ? endpoint.slowness : 1 + (endpoint.slowness - 1) * std::exp2(-halfLives);
+    return measured * endpoint.pace;
 }
 
 duration batch_queue::expectedCallTime(const endpoint_entry &endpoint, std::size_t pieces, instant now) const
@@ -253,6 +264,7 @@
     call.address = endpoint.record.address;
     entry.endpointId = endpoint.record.id;
     entry.sentAt = now;
+    entry.pace = endpoint.pace;
     entry.expected = baseCallTime(call.orders.size());
     call.callTimeoutAt = now
         + common::scaled(expectedCallTime(endpoint, call.orders.size(), now), m_options.callTimeoutFactor)
@@ -368,7 +380,8 @@
     if (endpoint != m_endpoints.end()) {
         const double ratio = static_cast<double>((now - ended->sentAt).count())
             / static_cast<double>(std::max<duration::rep>(1, ended->expected.count()));
-        endpoint->second.slowness += m_options.learningRate * (ratio - endpoint->second.slowness);
+        const double pace = (ended->pace + endpoint->second.pace) / 2; // over the time of the call
+        endpoint->second.slowness += m_options.learningRate * (ratio / pace - endpoint->second.slowness);
         endpoint->second.lastUsedAt = now;
     }
     std::vector<finished_piece> finished;
--- a/packages/stages/test/batch-queue-test.cpp
+++ b/packages/stages/test/batch-queue-test.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <map>
 
 using namespace masticlever;
 using namespace masticlever::stages;
@@ -542,3 +543,75 @@
         CHECK(calls.front().endpointId == "e1");
     }
 }
+
+// Guards against a plan that goes on with an endpoint's usual speed until several slow calls have been answered.
+TEST_CASE("An endpoint that reports half its usual speed gets half the work")
+{
+    test_service service(2);
+    batch_queue queue({}, limits());
+    queue.setEndpoints(service.pointers());
+    const auto inFlight = [&](const batch_call &call) { return call.endpointId == "e0"; };
+
+    SECTION("as soon as it is known")
+    {
+        constexpr auto callTime = 240ms;
+        constexpr int calls = 40;
+        queue.setPace("e0", 2);
+        std::map<std::string, std::size_t> pieces;
+        std::multimap<common::instant, batch_call> running;
+        common::instant now = start;
+        for (std::uint64_t job = 1; job <= calls; ++job) {
+            piece_request request = makeRequest(job, 4);
+            request.resultBytes = 0;
+            request.objective = request.deadline = start + 1h;
+            queue.onPieceRequest(std::move(request), now);
+        }
+        while (queue.waitingPieces() > 0) {
+            for (batch_call &call : queue.takeCalls(now)) {
+                pieces[call.endpointId] += call.orders.size();
+                const auto time = inFlight(call) ? 2 * callTime : callTime;
+                running.emplace(now + time, std::move(call));
+            }
+            now = running.begin()->first;
+            const batch_call ended = std::move(running.extract(running.begin()).mapped());
+            queue.onAnswer(ended.number, successfulResults(ended), now);
+        }
+        const double share = static_cast<double>(pieces["e0"]) / static_cast<double>(pieces["e1"]);
+        CHECK(share > 0.4);
+        CHECK(share < 0.6);
+    }
+    SECTION("and a single request goes to the other one")
+    {
+        queue.setPace("e0", 2);
+        queue.onPieceRequest(makeRequest(1, 1), start);
+        const auto calls = queue.takeCalls(start);
+        REQUIRE(calls.size() == 1);
+        CHECK(calls[0].endpointId == "e1");
+    }
+    SECTION("and the plan counts on half of it")
+    {
+        for (std::uint64_t job = 1; job <= 40; ++job) {
+            queue.onPieceRequest(makeRequest(job, 4), start);
+        }
+        const auto usual = queue.expectedDelay(1, start);
+        queue.setPace("e0", 2);
+        CHECK(queue.expectedDelay(1, start) > usual * 5 / 4);
+    }
+    SECTION("and is not taken for slow beyond its report")
+    {
+        // Four times as slow without a report, it would get no calls.
+        queue.setPace("e0", 4);
+        queue.setPace("e1", 4);
+        common::instant now = start;
+        for (std::uint64_t job = 1; job <= 20; ++job) {
+            queue.onPieceRequest(makeRequest(job, 4), now);
+            const auto calls = queue.takeCalls(now);
+            REQUIRE(calls.size() == 1);
+            now += 960ms;
+            queue.onAnswer(calls[0].number, successfulResults(calls[0]), now);
+        }
+        queue.setPace("e0", 1);
+        queue.setPace("e1", 1);
+        CHECK(queue.expectedDelay(1, now) < 500ms);
+    }
+}
--- a/packages/telemetry/include/masticlever/telemetry/events.h
+++ b/packages/telemetry/include/masticlever/telemetry/events.h
@@ -102,6 +102,7 @@
     log_lines_dropped = 834,
 
     load_message_ignored = 860,
+    endpoint_load_unreadable = 861,
 };
 
 enum class log_level { debug, info, warning, error };
--- a/packages/telemetry/src/event-catalogue.cpp
+++ b/packages/telemetry/src/event-catalogue.cpp
@@ -86,6 +86,7 @@
     {process_paused, "process_paused", warning},
     {log_lines_dropped, "log_lines_dropped", warning},
     {load_message_ignored, "load_message_ignored", warning},
+    {endpoint_load_unreadable, "endpoint_load_unreadable", warning},
 });
 
 } // namespace
