--- a/packages/telemetry/include/masticlever/telemetry/events.h
+++ b/packages/telemetry/include/masticlever/telemetry/events.h
@@ -103,6 +103,7 @@
     evacuation_changed = 835,
 
     load_message_ignored = 860,
+    endpoint_load_unreadable = 861,
 };
 
 enum class log_level { debug, info, warning, error };
--- a/packages/telemetry/src/event-catalogue.cpp
+++ b/packages/telemetry/src/event-catalogue.cpp
@@ -87,6 +87,7 @@
     {log_lines_dropped, "log_lines_dropped", warning},
     {load_message_ignored, "load_message_ignored", warning},
     {evacuation_changed, "evacuation_changed", warning},
+    {endpoint_load_unreadable, "endpoint_load_unreadable", warning},
 });
 
 } // namespace
