--- a/tests/site/site-caller.h
+++ b/tests/site/site-caller.h
@@ -21,6 +21,7 @@
     explicit site_caller(const std::string &address);
 
     void send(std::string_view bytes) { m_socket->write(bytes); }
+    void setReading(bool isReading) { m_socket->setReading(isReading); }
     bool isConnected() const { return m_socket->isConnected(); }
     void disconnect() { m_socket->abort(); }
     /// Closes in order once everything is sent.
--- a/tests/soak/soak-fleet.cpp
+++ b/tests/soak/soak-fleet.cpp
@@ -1,5 +1,6 @@
 #include "soak-fleet.h"
 
+#include <sys/resource.h>
 #include <unistd.h>
 
 #include <csignal>
@@ -16,8 +17,9 @@
 
 } // namespace
 
-soak_fleet::soak_fleet(QString program, std::size_t count, const std::string &storeAddress)
-    : m_program(std::move(program))
+soak_fleet::soak_fleet(QString program, std::size_t count, const std::string &storeAddress,
+                       const std::string &instanceSettings, std::size_t descriptorLimit)
+    : m_program(std::move(program)), m_descriptorLimit(descriptorLimit)
 {
     const std::string network = reserveNetwork();
     const auto at = [&](std::size_t index, int offset) {
@@ -29,10 +31,10 @@
         added.settings = m_folder.filePath(QStringLiteral("front-%1.ini").arg(i + 1));
         added.log = m_folder.filePath(QStringLiteral("front-%1.log").arg(i + 1));
         std::ofstream(added.settings.toStdString())
-            << "[instance]\nname=front-" << i + 1 << "\ndata_centre=west\n[listen]\nfront=" << at(i, 0)
-            << "\nready=" << at(i, 1) << "\ngossip=" << at(i, 3) << "\nhomes=" << at(i, 4)
-            << "\n[fleet]\ncontacts=" << at(0, 0) << "," << at(1, 0) << "\nport=" << basePort + 3
-            << "\nkey=a key for the fleet of the soak\n[store]\naddress=" << storeAddress
+            << "[instance]\nname=front-" << i + 1 << "\ndata_centre=west\n"
+            << instanceSettings << "[listen]\nfront=" << at(i, 0) << "\nready=" << at(i, 1) << "\ngossip=" << at(i, 3)
+            << "\nhomes=" << at(i, 4) << "\n[fleet]\ncontacts=" << at(0, 0) << "," << at(1, 0)
+            << "\nport=" << basePort + 3 << "\nkey=a key for the fleet of the soak\n[store]\naddress=" << storeAddress
             << "\n[retries]\nratio=0.2\nslack=100\nwindow_s=10\n[stop]\nlimit_s=8\n";
         m_daemons.push_back(std::move(added));
     }
@@ -78,6 +80,12 @@
     target.process->setStandardErrorFile(target.log, QIODevice::Append);
     QObject::connect(target.process.get(), &QProcess::finished, target.process.get(),
                      [this, index](int code, QProcess::ExitStatus status) { onFinished(index, code, status); });
+    if (m_descriptorLimit > 0) {
+        target.process->setChildProcessModifier([limit = m_descriptorLimit] {
+            const rlimit files{limit, limit};
+            ::setrlimit(RLIMIT_NOFILE, &files);
+        });
+    }
     target.lastSignal = 0;
     target.startedAt = std::chrono::steady_clock::now();
     target.process->start(m_program, {QStringLiteral("--frontend"), QStringLiteral("--config"), target.settings});
--- a/tests/soak/soak-fleet.h
+++ b/tests/soak/soak-fleet.h
@@ -20,14 +20,18 @@
 class soak_fleet
 {
 public:
-    /// \p program is the path of the daemon, \p storeAddress the store address in its settings.
-    soak_fleet(QString program, std::size_t count, const std::string &storeAddress);
+    /// \p program is the path of the daemon, \p storeAddress the store address in its settings, \p instanceSettings
+    /// more lines of the section [instance]. The processes may open \p descriptorLimit files each; 0: as many as this
+    /// one.
+    soak_fleet(QString program, std::size_t count, const std::string &storeAddress,
+               const std::string &instanceSettings = {}, std::size_t descriptorLimit = 0);
     ~soak_fleet();
 
     std::size_t size() const { return m_daemons.size(); }
     const std::string &frontAddressOf(std::size_t index) const { return m_daemons[index].front; }
     void signal(std::size_t index, int number);
     bool isRunning(std::size_t index) const;
+    qint64 processId(std::size_t index) const { return m_daemons[index].process->processId(); }
     /// Starts a daemon again if its process has ended.
     void restart(std::size_t index);
     /// Descriptions of the processes that ended although the fleet did not end them.
@@ -50,6 +54,7 @@
     void onFinished(std::size_t index, int code, QProcess::ExitStatus status);
 
     QString m_program;
+    std::size_t m_descriptorLimit;
     std::unique_ptr<net::listener> m_reservation;
     QTemporaryDir m_folder;
     std::vector<daemon> m_daemons;
