--- a/packages/telemetry/include/masticlever/telemetry/events.h
+++ b/packages/telemetry/include/masticlever/telemetry/events.h
@@ -101,6 +101,7 @@
     process_paused = 833,
     log_lines_dropped = 834,
     evacuation_changed = 835,
+    caller_shed = 836,
 
     load_message_ignored = 860,
     endpoint_load_unreadable = 861,
--- a/packages/telemetry/src/event-catalogue.cpp
+++ b/packages/telemetry/src/event-catalogue.cpp
@@ -88,6 +88,7 @@
     {load_message_ignored, "load_message_ignored", warning},
     {evacuation_changed, "evacuation_changed", warning},
     {endpoint_load_unreadable, "endpoint_load_unreadable", warning},
+    {caller_shed, "caller_shed", warning},
 });
 
 } // namespace
