A part of a response to an unfinished upload is not complete

Failure: an endpoint answers an upload early without a length and resets or closes the connection while the upload is still being written; the caller gets the first part of the response as a whole 200.

Cause: a failed send() consumes the socket's error, after which recv() returns 0 for a reset connection as for one closed in order, and flush() dropped the error. client_connection::onClosed() took an orderly close as the end of an unframed response whether or not the request had been written.

Ruled out: resets that recv() meets first were reported correctly (12 of the 48 combinations of the test).

Change: stream_socket keeps the error of a failed write as the close reason, and tells after an orderly close whether the peer had received all written bytes (nothing unsent, SIOCOUTQ 0). client_connection completes an unframed response only then; a connection whose write failed is not reusable.

--- a/packages/http1/src/client-connection.cpp
+++ b/packages/http1/src/client-connection.cpp
@@ -56,7 +56,7 @@
 bool client_connection::isReusable() const
 {
     return m_isOpen && m_handler == nullptr && m_keepsAlive && !m_hasSkipped && m_reader.pendingBytes() == 0
-        && m_socket->unsentBytes() == 0;
+        && m_socket->unsentBytes() == 0 && !m_socket->hasSendFailed();
 }
 
 void client_connection::onBytes(std::string_view bytes)
@@ -78,7 +78,9 @@
     if (m_handler == nullptr) {
         return;
     }
-    if (reason == net::close_reason::orderly && !m_isSkipping && m_reader.hasHead() && !m_reader.finish()) {
+    // An endpoint that gives up while it receives the request has not necessarily sent its whole response.
+    const bool isFinished = reason == net::close_reason::orderly && m_socket->hasDeliveredAll();
+    if (isFinished && !m_isSkipping && m_reader.hasHead() && !m_reader.finish()) {
         if (m_handler == nullptr) {
             return; // the close was the end of the response
         }
--- a/packages/net/include/masticlever/net/stream-socket.h
+++ b/packages/net/include/masticlever/net/stream-socket.h
@@ -86,6 +86,10 @@
     /// Returns whether the peer has closed or reset the connection and no unread bytes remain.
     bool hasPeerClosed() const;
     std::size_t unsentBytes() const { return m_sendBuffer.size() - m_sendOffset; }
+    /// A write failed; the bytes that were not sent are lost, although the connection may not have been closed yet.
+    bool hasSendFailed() const { return m_sendError != 0; }
+    /// After an orderly close: whether the peer had received all written bytes by then.
+    bool hasDeliveredAll() const { return m_hasDeliveredAll; }
 
 private:
     stream_socket(int descriptor, bool isConnected, socket_handler *handler);
@@ -98,6 +102,7 @@
     void finishSending();
     void close(close_reason reason);
     void closeDescriptor();
+    void onPeerFinished();
 
     int m_descriptor = -1;
     bool m_isConnected = false;
@@ -108,6 +113,8 @@
     QSocketNotifier *m_writeNotifier = nullptr;
     std::string m_sendBuffer;
     std::size_t m_sendOffset = 0; ///< bytes at the front of m_sendBuffer that are already sent
+    int m_sendError = 0; ///< errno of the write that failed; 0: none did
+    bool m_hasDeliveredAll = false;
 };
 
 class listener : public QObject
--- a/packages/net/src/stream-socket.cpp
+++ b/packages/net/src/stream-socket.cpp
@@ -5,8 +5,10 @@
 #include <QTimer>
 
 #include <arpa/inet.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -236,7 +238,8 @@
         const ssize_t sent = ::send(m_descriptor, m_sendBuffer.data() + m_sendOffset, unsentBytes(), MSG_NOSIGNAL);
         if (sent < 0) {
             if (!isRetryable(errno)) {
-                // A response may still be waiting to be read; the read side reports the close reason.
+                // A response may still be waiting to be read, so the read side reports the close.
+                m_sendError = errno;
                 m_sendBuffer.clear();
                 m_sendOffset = 0;
                 break;
@@ -291,6 +294,19 @@
     }
 }
 
+void stream_socket::onPeerFinished()
+{
+    if (m_sendError != 0) {
+        // The failed write has consumed the error of the socket, after which a reset connection reads as finished.
+        close(closeReasonFor(m_sendError));
+        return;
+    }
+    int unacknowledged = 0;
+    const bool isKnown = ::ioctl(m_descriptor, SIOCOUTQ, &unacknowledged) == 0;
+    m_hasDeliveredAll = unsentBytes() == 0 && isKnown && unacknowledged == 0;
+    close(close_reason::orderly);
+}
+
 void stream_socket::onReadable()
 {
     static thread_local std::array<char, readBufferBytes> buffer;
@@ -300,7 +316,7 @@
             m_handler->onBytes({buffer.data(), static_cast<std::size_t>(size)});
         }
     } else if (size == 0) {
-        close(close_reason::orderly);
+        onPeerFinished();
     } else if (!isRetryable(errno)) {
         close(closeReasonFor(errno));
     }
--- a/tests/site/site-endpoint.cpp
+++ b/tests/site/site-endpoint.cpp
@@ -37,7 +37,8 @@
 
 site_endpoint::site_endpoint(std::string id, kind what, std::string service, std::string dataCentre)
     : m_id(std::move(id)), m_kind(what), m_service(std::move(service)), m_dataCentre(std::move(dataCentre)),
-      m_server([this](const exchange_pointer &exchange) { onRequest(exchange); })
+      m_server([this](const exchange_pointer &exchange) { onRequest(exchange); },
+               [this](const exchange_pointer &exchange) { return answerEarly(exchange); })
 { }
 
 std::string site_endpoint::start(std::uint16_t port)
@@ -300,6 +301,9 @@
     case fault::error:
         exchange->answer(500, "failed", fields);
         return;
+    case fault::invalid_status:
+        answerInvalidStatus(exchange);
+        return;
     case fault::unproven_refusal:
         answerUnproven(exchange, fields);
         return;
@@ -342,6 +346,41 @@
     }
 }
 
+void site_endpoint::answerInvalidStatus(const exchange_pointer &exchange) const
+{
+    std::vector<http1::header_field> fields = rejectionFields();
+    if (behaviour.hasStatusId) {
+        fields.push_back({"Request-Id", exchange->field("Request-Id")});
+        fields.push_back({"Server-Signature", "sig-" + exchange->field("Request-Id")});
+    }
+    exchange->answerAs(behaviour.invalidStatus + " Odd", R"({"items":[]})", fields);
+}
+
+/// Called with the head of a request. Returns whether the fault applies; the body is then left unread.
+bool site_endpoint::answerEarly(const exchange_pointer &exchange)
+{
+    if (behaviour.kind != fault::early_part || takeFault() == fault::none) {
+        return false;
+    }
+    const std::string requestId = exchange->field("Request-Id");
+    ++runs[requestId];
+    http1::message_head head;
+    head.status = 200;
+    head.fields = answerFields(requestId);
+    std::string part = "answer";
+    if (m_kind == kind::model) {
+        head.fields.push_back({"Content-Type", "text/event-stream"});
+        part = "id: 1\ndata: event 1\n\n";
+    }
+    exchange->write(http1::answerText(head) + part);
+    if (behaviour.isEarlyPartReset) {
+        exchange->reset();
+    } else {
+        exchange->closeWhenSent();
+    }
+    return true;
+}
+
 void site_endpoint::answerUnproven(const exchange_pointer &exchange, std::vector<http1::header_field> fields) const
 {
     using refusal_form = endpoint_behaviour::refusal_form;
@@ -427,6 +466,10 @@
     if (injected == fault::silent || beginEndless(exchange, injected)) {
         return;
     }
+    if (injected == fault::invalid_status) {
+        answerInvalidStatus(exchange);
+        return;
+    }
     if (injected == fault::repeated_rejection && repeatRejection(exchange)) {
         return;
     }
@@ -468,6 +511,11 @@
 
 void site_endpoint::onStageFree(const exchange_pointer &exchange)
 {
+    if (behaviour.kind == fault::invalid_status && takeFault() == fault::invalid_status) {
+        ++rejections;
+        answerInvalidStatus(exchange);
+        return;
+    }
     for (const auto &value : object(exchange->body()).value(QStringLiteral("handles")).toArray()) {
         results.erase(value.toString().toStdString());
     }
--- a/tests/site/site-endpoint.h
+++ b/tests/site/site-endpoint.h
@@ -53,6 +53,8 @@
         endless_event, ///< streams an event that does not end
         endless_rejection, ///< 503 marked as not executed, with an endless body
         endless_tail, ///< sends endless bytes after a complete answer
+        invalid_status, ///< runs a request or call, then answers it with the status set, marked as not executed
+        early_part, ///< answers an upload without a length after its head, sends a part and ends the connection as set
     };
 
     /// How much of an unproven refusal arrives.
@@ -62,6 +64,9 @@
     refusal_form refusal = refusal_form::whole;
     std::size_t remainingFaults = 1000000; ///< number of requests that the fault still applies to
     std::chrono::milliseconds serviceTime{1};
+    std::string invalidStatus = "000"; ///< as written in the status line of an invalid status
+    bool hasStatusId = true; ///< whether invalid statuses echo the id of their request
+    bool isEarlyPartReset = true; ///< whether a reset ends an early part, in place of an orderly close
     int refusalStatus = 503; ///< of an unproven refusal
     std::size_t events = 4; ///< per stream
     std::chrono::milliseconds eventInterval{1}; ///< time between events
@@ -123,6 +128,8 @@
     void run(const exchange_pointer &exchange);
     bool hasCrashingPart(const exchange_pointer &exchange) const;
     void answerPlain(const exchange_pointer &exchange, endpoint_behaviour::fault fault);
+    void answerInvalidStatus(const exchange_pointer &exchange) const;
+    bool answerEarly(const exchange_pointer &exchange);
     void answerUnproven(const exchange_pointer &exchange, std::vector<http1::header_field> fields) const;
     void stream(const exchange_pointer &exchange, endpoint_behaviour::fault fault);
     void sendEvent(const exchange_pointer &exchange, std::size_t number, endpoint_behaviour::fault fault);
--- a/tests/site/site-fixture.cpp
+++ b/tests/site/site-fixture.cpp
@@ -86,7 +86,8 @@
                   + R"(],"services":[{"name":"desk","health_path":"/h","max_conns":64},)"
                     R"({"name":"model","health_path":"/h","max_conns":64,"engine":{"slots":8,"stride":1}},)"
                   + stageService("encode") + "," + stageService("rank")
-                  + R"(],"limits":{"max_header_bytes":4096,"max_body_bytes":65536,"header_timeout_ms":400,)"
+                  + R"(],"limits":{"max_header_bytes":4096,"max_body_bytes":)" + std::to_string(maximumBodyBytes)
+                  + R"(,"header_timeout_ms":400,)"
                     R"("idle_timeout_ms":1500},"tenants":[{"name":"team-1","api_keys":["key-1"]}]})");
 }
 
--- a/tests/site/site-fixture.h
+++ b/tests/site/site-fixture.h
@@ -63,6 +63,8 @@
     void configure(std::uint64_t version, const std::string &extra = {});
     std::size_t startDaemon();
     void killDaemon(std::size_t index) { m_daemons[index].reset(); }
+    /// Limit of request bodies in configurations written later.
+    std::size_t maximumBodyBytes = 65536;
     /// Memory setting of daemons started later; 0: not set.
     std::size_t memoryBytes = 0;
     /// Processor cores in the settings of daemons started later; 0: not set.
--- a/tests/site/site-server.cpp
+++ b/tests/site/site-server.cpp
@@ -24,6 +24,16 @@
     write(http1::answerText(answer) + std::string(body));
 }
 
+void site_exchange::answerAs(std::string_view status, std::string_view body,
+                             const std::vector<http1::header_field> &fields)
+{
+    std::string text = "HTTP/1.1 " + std::string(status) + "\r\n";
+    for (const http1::header_field &field : fields) {
+        text += field.name + ": " + field.value + "\r\n";
+    }
+    write(text + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + std::string(body));
+}
+
 std::string site_exchange::path() const
 {
     return head().target.substr(0, head().target.find('?'));
@@ -128,7 +138,15 @@
             }
         });
     }
-    void onHead(http1::message_head head) override { m_head = std::move(head); }
+    void onHead(http1::message_head head) override
+    {
+        m_head = std::move(head);
+        if (m_server.m_onHead
+            && m_server.m_onHead(std::make_shared<exchange>(weak_from_this(), m_number, m_head, std::string()))) {
+            m_isRequestTaken = true;
+            m_socket->setReading(false);
+        }
+    }
     void onBody(std::string_view bytes) override { m_body += bytes; }
 
     void onEnd() override
@@ -136,6 +154,9 @@
         auto request
             = std::make_shared<exchange>(weak_from_this(), m_number, std::move(m_head), std::exchange(m_body, {}));
         m_head = {};
+        if (m_isRequestTaken) {
+            return;
+        }
         m_server.m_handler(std::move(request));
         abortOnError(m_reader.next());
     }
@@ -154,9 +175,12 @@
     http1::message_head m_head;
     std::string m_body;
     bool m_isOpen = true;
+    bool m_isRequestTaken = false; ///< by the handler of heads
 };
 
-site_server::site_server(request_handler handler) : m_handler(std::move(handler)) { }
+site_server::site_server(request_handler handler, head_handler onHead)
+    : m_handler(std::move(handler)), m_onHead(std::move(onHead))
+{ }
 
 site_server::~site_server() = default;
 
--- a/tests/site/site-server.h
+++ b/tests/site/site-server.h
@@ -30,6 +30,8 @@
     virtual std::size_t connectionNumber() const = 0; ///< number of its connection at the server
     virtual std::size_t unsentBytes() const = 0; ///< written but not yet read by the daemon
 
+    /// Answers with \p status as the status line's text after the version.
+    void answerAs(std::string_view status, std::string_view body, const std::vector<http1::header_field> &fields);
     void answer(int status, std::string_view body, const std::vector<http1::header_field> &fields = {});
     /// Value of a query parameter; empty if absent.
     std::string query(std::string_view name) const;
@@ -44,7 +46,10 @@
 public:
     using request_handler = std::function<void(exchange_pointer exchange)>;
 
-    explicit site_server(request_handler handler);
+    /// Receives the head of a request before its body; returns whether it has dealt with the request.
+    using head_handler = std::function<bool(exchange_pointer exchange)>;
+
+    explicit site_server(request_handler handler, head_handler onHead = nullptr);
     ~site_server();
 
     /// Listens on 127.0.0.1; port 0 selects any free port. Returns "IP:port".
@@ -57,6 +62,7 @@
     class connection;
 
     request_handler m_handler;
+    head_handler m_onHead;
     std::unique_ptr<net::listener> m_listener;
     std::map<connection *, std::shared_ptr<connection>> m_connections;
     std::size_t m_accepted = 0;
--- a/tests/site/site-store.cpp
+++ b/tests/site/site-store.cpp
@@ -123,6 +123,10 @@
     case state::malformed:
         answer(exchange, 200, "{\"items\":3");
         return;
+    case state::invalid_status:
+        exchange->answerAs(invalidStatus + " Odd", R"({"items":[],"records":[],"offset":0,"end":0,"next":0})",
+                           {{"Store-Era", std::to_string(m_generation)}});
+        return;
     }
     if (path == "/masticlever/log-append") {
         onAppend(exchange);
--- a/tests/site/site-store.h
+++ b/tests/site/site-store.h
@@ -28,6 +28,7 @@
         resetting, ///< resets every connection
         answers_lost, ///< applies writes, then resets the connection instead of answering
         malformed, ///< answers with malformed JSON
+        invalid_status, ///< does not execute calls, and answers with an invalid status and a body as of a success
     };
 
     site_store();
@@ -43,6 +44,7 @@
     /// Replaces all topics with the copy and starts a new generation.
     void restore();
 
+    std::string invalidStatus = "000"; ///< as written in the status line of an invalid status
     std::size_t calls() const { return m_calls; }
     std::size_t pendingReads() const { return m_longPolls.size(); }
     std::optional<std::string> newest(const std::string &topic, const std::string &key) const;
