A response with a status outside 100 to 599 is a failed call

Failure: a response with status 600 or 999 was passed on to the caller, its statement that the request was not executed was believed (a request that may run once ran twice), and after 000 or 099 the caller waited until its deadline.

Cause: the parser accepts any three digits; message_reader took everything below 200 for an interim response.

Ruled out: calls for stage results, releases and calls to the store were handled in time also before; messages between instances have no status.

Change: message_reader treats such a response as malformed before any of its fields is used, and keeps its status line. Exchanges end with invalid_status; requests, piece calls, releases and store calls log it as E835.

--- a/packages/frontend/src/piece-call.cpp
+++ b/packages/frontend/src/piece-call.cpp
@@ -92,8 +92,13 @@
     finish(m_status == statusOk ? outcome::answered : outcomeFromHead());
 }
 
-void piece_call::onFailure(http1::exchange_failure /*failure*/)
+void piece_call::onFailure(http1::exchange_failure failure)
 {
+    if (failure == http1::exchange_failure::invalid_status) {
+        logEvent(
+            event::invalid_status,
+            {{"from", std::string_view(m_endpointId)}, {"line", std::string_view(m_connection->invalidStatusLine())}});
+    }
     finish(outcome::lost);
 }
 
--- a/packages/frontend/src/request-session-answer.cpp
+++ b/packages/frontend/src/request-session-answer.cpp
@@ -312,7 +312,14 @@
 
 void request_session::onFailure(http1::exchange_failure failure)
 {
-    m_answer.status = failure == http1::exchange_failure::garbled ? -1 : 0;
+    const bool hasInvalidStatus = failure == http1::exchange_failure::invalid_status;
+    if (hasInvalidStatus) {
+        logEvent(event::invalid_status,
+                 {{"from", std::string_view(m_endpointId)},
+                  {"request", std::string_view(m_request.attributes.requestId)},
+                  {"line", std::string_view(m_connection->invalidStatusLine())}});
+    }
+    m_answer.status = hasInvalidStatus || failure == http1::exchange_failure::garbled ? -1 : 0;
     if (m_answerMode == answer_mode::discard && m_endIfDiscarded != call_end::broken) {
         endCall(m_endIfDiscarded, discardOutcome()); // the head alone decides the outcome
     } else if (failure == http1::exchange_failure::not_connected) {
--- a/packages/frontend/src/store-connection.cpp
+++ b/packages/frontend/src/store-connection.cpp
@@ -91,6 +91,10 @@
 
 void store_connection::onFailure(http1::exchange_failure failure)
 {
+    if (failure == http1::exchange_failure::invalid_status) {
+        logEvent(event::invalid_status,
+                 {{"from", "store"}, {"line", std::string_view(m_connection->invalidStatusLine())}});
+    }
     const bool isUnsent = failure == http1::exchange_failure::not_connected;
     finish(make_error_code(isUnsent ? common::error::unavailable : common::error::lost_answer));
 }
--- a/packages/http1/include/masticlever/http1/client-connection.h
+++ b/packages/http1/include/masticlever/http1/client-connection.h
@@ -19,6 +19,7 @@
     not_connected, ///< no byte of the request was sent
     closed, ///< the connection closed before the response was complete
     garbled, ///< the received bytes are not a valid response
+    invalid_status, ///< the status is none of 100 to 599; see client_connection::invalidStatusLine()
 };
 
 /// Receives the response of one exchange. onEnd or onFailure is the last call.
@@ -54,6 +55,7 @@
     bool isOpen() const { return m_isOpen; }
     /// Whether the current exchange is the first one, so that a response cannot belong to an earlier request.
     bool isFirstExchange() const { return m_exchanges == 1; }
+    const std::string &invalidStatusLine() const { return m_reader.invalidStatusLine(); }
     void setReading(bool isReading) { m_socket->setReading(isReading); }
 
 private:
--- a/packages/http1/include/masticlever/http1/message-reader.h
+++ b/packages/http1/include/masticlever/http1/message-reader.h
@@ -57,6 +57,8 @@
     bool isEnded() const { return m_isEnded; } ///< a complete message was read and next() was not called yet
     bool isUntouched() const; ///< no byte of the current message has been received
     bool hasHead() const { return m_hasHead; }
+    /// The status line of a response whose status is none of 100 to 599, after error::malformed; empty otherwise.
+    const std::string &invalidStatusLine() const { return m_invalidStatusLine; }
     bool isBodyTooLarge() const { return m_isBodyTooLarge; } ///< after error::too_large
     std::size_t pendingBytes() const { return m_pending.size(); } ///< read but not parsed
 
@@ -77,6 +79,7 @@
     bool m_isStarted = false;
     bool m_isBodyExpected = true;
     bool m_isBodyTooLarge = false;
+    std::string m_invalidStatusLine;
     std::size_t m_interimResponses = 0; ///< before the current response
 };
 
--- a/packages/http1/src/client-connection.cpp
+++ b/packages/http1/src/client-connection.cpp
@@ -66,7 +66,7 @@
         return;
     }
     if (m_reader.feed(bytes)) {
-        fail(exchange_failure::garbled);
+        fail(m_reader.invalidStatusLine().empty() ? exchange_failure::garbled : exchange_failure::invalid_status);
     } else if (m_handler == nullptr && m_reader.pendingBytes() > 0) {
         close(); // bytes follow the complete response
     }
@@ -117,7 +117,7 @@
     }
     if (std::exchange(m_isSkipping, false)) {
         if (!m_keepsAlive || m_reader.next()) {
-            fail(exchange_failure::garbled);
+            fail(m_reader.invalidStatusLine().empty() ? exchange_failure::garbled : exchange_failure::invalid_status);
         }
         return;
     }
--- a/packages/http1/src/message-reader.cpp
+++ b/packages/http1/src/message-reader.cpp
@@ -16,7 +16,10 @@
 namespace
 {
 
+constexpr int firstStatus = 100;
 constexpr int firstFinalStatus = 200; // a 1xx response is followed by another response
+constexpr int lastStatus = 599; // RFC 9110, 15: others are invalid
+constexpr std::size_t maximumReasonBytes = 64; ///< kept of an invalid status line, for logs
 constexpr std::size_t maximumInterimResponses = 16; ///< before one final response
 constexpr std::size_t unparsedAllowance = 4096; ///< beyond the head limit: a chunk header and its line ends
 
@@ -70,8 +73,16 @@
         m_head.isVersion11 = version >= 11;
     }
 
-    void on_response_impl(int code, beast::string_view reason, int version, error_code & /*failure*/) override
+    void on_response_impl(int code, beast::string_view reason, int version, error_code &failure) override
     {
+        if (code < firstStatus || code > lastStatus) {
+            const std::string digits = std::to_string(code);
+            m_owner.m_invalidStatusLine = version >= 11 ? "HTTP/1.1 " : "HTTP/1.0 ";
+            m_owner.m_invalidStatusLine.append(3 - digits.size(), '0').append(digits).append(" ");
+            m_owner.m_invalidStatusLine.append(reason.data(), std::min(reason.size(), maximumReasonBytes));
+            failure = make_error_code(beast::http::error::bad_status);
+            return;
+        }
         m_head.status = code;
         m_head.reason.assign(reason.data(), reason.size());
         m_head.isVersion11 = version >= 11;
--- a/packages/http1/test/message-reader-test.cpp
+++ b/packages/http1/test/message-reader-test.cpp
@@ -220,3 +220,21 @@
         CHECK(reader.feed("SSH-2.0-x\r\n\r\n"));
     }
 }
+
+// Guards against a response with an invalid status that is passed on, or taken for an interim response and waited out.
+TEST_CASE("A response with an invalid status is malformed")
+{
+    recording_sink received;
+    message_reader reader(message_kind::answer, {}, received);
+    const std::string status = GENERATE("000", "001", "099", "600", "999");
+    const std::string fields = GENERATE("", "Request-Id: r1\r\nNot-Executed: 1\r\n");
+    const bool isAfterInterim = GENERATE(false, true);
+    if (isAfterInterim) {
+        REQUIRE_FALSE(reader.feed("HTTP/1.1 100 Continue\r\n\r\n"));
+    }
+    CHECK(reader.feed("HTTP/1.1 " + status + " Odd\r\n" + fields + "Content-Length: 2\r\n\r\nok")
+          == common::error::malformed);
+    CHECK(reader.invalidStatusLine() == "HTTP/1.1 " + status + " Odd");
+    CHECK(received.heads.empty());
+    CHECK(received.ends == 0);
+}
--- a/packages/telemetry/include/masticlever/telemetry/events.h
+++ b/packages/telemetry/include/masticlever/telemetry/events.h
@@ -100,6 +100,7 @@
     settings_reloaded = 832,
     process_paused = 833,
     log_lines_dropped = 834,
+    invalid_status = 835,
 };
 
 enum class log_level { debug, info, warning, error };
--- a/packages/telemetry/src/event-catalogue.cpp
+++ b/packages/telemetry/src/event-catalogue.cpp
@@ -85,6 +85,7 @@
     {settings_reloaded, "settings_reloaded", info},
     {process_paused, "process_paused", warning},
     {log_lines_dropped, "log_lines_dropped", warning},
+    {invalid_status, "invalid_status", warning},
 });
 
 } // namespace
