--- a/packages/telemetry/include/masticlever/telemetry/events.h
+++ b/packages/telemetry/include/masticlever/telemetry/events.h
@@ -102,6 +102,7 @@
     log_lines_dropped = 834,
     evacuation_changed = 835,
     caller_shed = 836,
+    invalid_status = 837,
 
     load_message_ignored = 860,
     endpoint_load_unreadable = 861,
--- a/packages/telemetry/src/event-catalogue.cpp
+++ b/packages/telemetry/src/event-catalogue.cpp
@@ -85,10 +85,11 @@
     {settings_reloaded, "settings_reloaded", info},
     {process_paused, "process_paused", warning},
     {log_lines_dropped, "log_lines_dropped", warning},
-    {load_message_ignored, "load_message_ignored", warning},
     {evacuation_changed, "evacuation_changed", warning},
-    {endpoint_load_unreadable, "endpoint_load_unreadable", warning},
     {caller_shed, "caller_shed", warning},
+    {invalid_status, "invalid_status", warning},
+    {load_message_ignored, "load_message_ignored", warning},
+    {endpoint_load_unreadable, "endpoint_load_unreadable", warning},
 });
 
 } // namespace
