Tests of endpoint load state how many prompt tokens are not cached

Joining the reports with the selection split the prompt's tokens into all and those to process (request_tokens::uncached); the checks are the same.

--- a/packages/routing/test/endpoint-view-table-test.cpp
+++ b/packages/routing/test/endpoint-view-table-test.cpp
@@ -18,7 +18,7 @@
 TEST_CASE("Own requests are reported when something changes")
 {
     endpoint_view_table table({});
-    const request_tokens tokens{2200, 100};
+    const request_tokens tokens{2200, 100, 2200};
     table.onOwnBegin("a", tokens);
     auto report = table.takeReport();
     REQUIRE(report.size() == 1);
@@ -62,9 +62,9 @@
 {
     endpoint_view_table table({});
     CHECK_FALSE(table.view("a", start).isKnown);
-    table.onOwnBegin("a", {640, 64});
+    table.onOwnBegin("a", {640, 64, 640});
     table.takeReport();
-    table.onOwnBegin("a", {640, 64}); // not reported yet, so not in the sums
+    table.onOwnBegin("a", {640, 64, 640}); // not reported yet, so not in the sums
     table.onUpdate(std::vector<load_update_entry>{{endpointKey("a"), 4, 3000, 1280, 0.5, 3, 2, 100ms}}, start);
     const endpoint_view view = table.view("a", start + 200ms);
     CHECK(view.isKnown);
--- a/packages/routing/test/fleet-load-table-test.cpp
+++ b/packages/routing/test/fleet-load-table-test.cpp
@@ -197,7 +197,7 @@
     }
     auto table = std::make_unique<fleet_load_table>(fleet_load_options{});
     table->setEndpoints(references);
-    const request_tokens tokens{2400, 100};
+    const request_tokens tokens{2400, 100, 2400};
     common::instant now = start;
     for (int round = 0; round < 60; ++round) {
         now += 200ms;
