--- a/packages/frontend/src/request-session-endpoints.cpp
+++ b/packages/frontend/src/request-session-endpoints.cpp
@@ -44,6 +44,11 @@
     return services.back().service;
 }
 
+result_locator request_session::locator() const
+{
+    return [this](std::string_view handle) { return m_context.pieces.dataCentreOf(handle); };
+}
+
 forwarding::chosen_endpoint request_session::chooseEndpoint(instant now)
 {
     const auto inputs = finalInputBytes(*m_request.route, m_flow.graph(), locator());
--- a/packages/frontend/src/request-session.cpp
+++ b/packages/frontend/src/request-session.cpp
@@ -63,11 +63,6 @@
     m_context.load.onCallEnds(m_sharedCall, routing::own_outcome::neither);
 }
 
-result_locator request_session::locator() const
-{
-    return [this](std::string_view handle) { return m_context.pieces.dataCentreOf(handle); };
-}
-
 void request_session::begin()
 {
     const instant now = monotonicNow();
