--- a/packages/http1/test/message-reader-test.cpp
+++ b/packages/http1/test/message-reader-test.cpp
@@ -227,7 +227,7 @@
     recording_sink received;
     message_reader reader(message_kind::answer, {}, received);
     const std::string status = GENERATE("000", "001", "099", "600", "999");
-    const std::string fields = GENERATE("", "Request-Id: r1\r\nNot-Executed: 1\r\n");
+    const std::string fields = GENERATE("", "Call-Id: r1\r\nNot-Run: 1\r\n");
     const bool isAfterInterim = GENERATE(false, true);
     if (isAfterInterim) {
         REQUIRE_FALSE(reader.feed("HTTP/1.1 100 Continue\r\n\r\n"));
