--- a/review/stand-2/deployment.h
+++ b/review/stand-2/deployment.h
@@ -38,6 +38,8 @@
     bool waitUntilReady(int timeoutMs) const;
     bool isReady(std::size_t index) const;
     bool isRunning(std::size_t index) const;
+    /// Starts a daemon again whose process has ended.
+    void restart(std::size_t index) { start(m_daemons[index]); }
     /// How the process ended; empty while it runs.
     std::string endOf(std::size_t index) const;
     void signal(std::size_t index, int number) const;
