--- a/review/stand-2/deployment.cpp
+++ b/review/stand-2/deployment.cpp
@@ -1,6 +1,6 @@
 #include "deployment.h"
 
-#include "site-caller.h"
+#include "../../tests/site/site-caller.h"
 
 #include <QCoreApplication>
 #include <QElapsedTimer>
--- a/review/stand-2/deployment.h
+++ b/review/stand-2/deployment.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "site-store.h"
+#include "../../tests/site/site-store.h"
 
 #include <masticlever/net/stream-socket.h>
 
