Memory of a request with many pieces no longer grows with the product of its stages

Callers saw: processes ended while their orders ran, after one request with 2,000 pieces in each of two stages.

Cause: each piece of the second stage had a copy of all handles of the first one's results, in the orders of a call, the JSON document of its body and two copies of its text; the calls to all idle endpoints were made at once, and pieces that failed were ordered again one by one, each with the whole list.

Ruled out: a lower limit of pieces.

--- a/packages/forwarding/include/masticlever/forwarding/request-flow.h
+++ b/packages/forwarding/include/masticlever/forwarding/request-flow.h
@@ -64,6 +64,8 @@
     std::string_view reason; ///< why the request ended, for logs
 
     bool isEnd() const { return answer.has_value() || abortAnswer || forwardFailure; }
+    /// Adds the actions of a later event of the same request.
+    void add(flow_step later);
 };
 
 struct flow_options {
--- a/packages/forwarding/src/request-flow.cpp
+++ b/packages/forwarding/src/request-flow.cpp
@@ -57,6 +57,20 @@
     return end != call_end::failure_answer && end != call_end::unproven_refusal && end != call_end::broken;
 }
 
+void flow_step::add(flow_step later)
+{
+    order.insert(order.end(), later.order.begin(), later.order.end());
+    std::ranges::move(later.release, std::back_inserter(release));
+    call = call || later.call;
+    abortCall = abortCall || later.abortCall;
+    if (!isEnd() && later.isEnd()) {
+        forwardFailure = later.forwardFailure;
+        answer = later.answer;
+        abortAnswer = later.abortAnswer;
+        reason = later.reason;
+    }
+}
+
 request_flow::request_flow(const catalog::route &route, protocol::request_attributes attributes, instant receivedAt,
                            instant deadline, flow_options options)
     : m_route(route), m_attributes(std::move(attributes)), m_receivedAt(receivedAt), m_deadline(deadline),
--- a/packages/frontend/src/daemon-core.cpp
+++ b/packages/frontend/src/daemon-core.cpp
@@ -41,6 +41,7 @@
 constexpr duration answerMargin = std::chrono::milliseconds(600);
 constexpr duration stopMargin = std::chrono::milliseconds(400); ///< time left for the exit before the process is killed
 constexpr double answerMemoryShare = 0.15; ///< for data received from endpoints, the store and other instances
+constexpr double stageCallMemoryShare = 0.05; ///< for calls to endpoints of stages that are not sent yet
 constexpr int mappedBlockBytes = 131072; ///< larger blocks are returned to the system when they are freed
 constexpr std::size_t defaultMemory = 256u << 20;
 
@@ -119,10 +120,13 @@
               [this](std::string update) {
                   m_pieces.sendToOwners(m_feed.subscribers(), stages::status_message{{}, std::move(update)});
               }}),
-      m_pieces({}, {m_pool, m_gate, protocol, m_reports, m_budget}, m_directory,
-               [this](std::uint64_t job, stages::piece_ref piece, const protocol::piece_result &result) {
+      m_pieces({},
+               {m_pool, m_gate, protocol, m_reports, m_budget,
+                static_cast<std::size_t>(stageCallMemoryShare * static_cast<double>(memoryOf(m_settings)))},
+               m_directory,
+               [this](std::uint64_t job, std::span<const stages::piece_outcome> outcomes) {
                    if (request_session *session = findSession(job)) {
-                       session->onPiece(piece, result);
+                       session->onPieces(outcomes);
                    }
                }),
       m_context{m_settings,
--- a/packages/frontend/src/endpoint-access.h
+++ b/packages/frontend/src/endpoint-access.h
@@ -19,6 +19,7 @@
     const protocol::wire_protocol &protocol;
     endpoint_reports &reports;
     net::receive_budget &budget;
+    std::size_t unsentCallBytes = 0; ///< limit for the calls to endpoints of stages together
 };
 
 /// Body bytes to read of an answer whose head alone decides the outcome. A longer answer is aborted.
--- a/packages/frontend/src/home-server.cpp
+++ b/packages/frontend/src/home-server.cpp
@@ -202,9 +202,22 @@
     }
 }
 
+std::size_t home_server::unsentCallBytes() const
+{
+    std::size_t bytes = 0;
+    for (const auto &[service, target] : m_queues) {
+        for (const auto &[number, running] : target.calls) {
+            bytes += running.call->unsentBytes();
+        }
+    }
+    return bytes;
+}
+
 void home_server::startCalls(const std::string &service, service_queue &target, instant now)
 {
-    for (stages::batch_call &call : target.queue.takeCalls(now)) {
+    const std::size_t unsent = unsentCallBytes();
+    const std::size_t left = m_access.unsentCallBytes - std::min(unsent, m_access.unsentCallBytes);
+    for (stages::batch_call &call : target.queue.takeCalls(now, left)) {
         start(service, target, std::move(call));
     }
 }
--- a/packages/frontend/src/home-server.h
+++ b/packages/frontend/src/home-server.h
@@ -74,6 +74,7 @@
     void onResultsReleased(const std::vector<std::string> &handles);
     void updateRateLimits(const std::string &service, service_queue &target, common::instant now);
     void updatePaces(const std::string &service, service_queue &target, common::instant now);
+    std::size_t unsentCallBytes() const;
     void startCalls(const std::string &service, service_queue &target, common::instant now);
     /// Reports pieces that cannot be made in time and starts the calls that are possible now.
     void processQueue(const std::string &service, service_queue &target, common::instant now);
--- a/packages/frontend/src/piece-call.cpp
+++ b/packages/frontend/src/piece-call.cpp
@@ -33,7 +33,7 @@
 }
 
 bool piece_call::start(const std::string &endpointId, const std::string &address, http1::message_head head,
-                       const std::string &body)
+                       std::string_view body)
 {
     m_endpointId = endpointId;
     m_address = address;
@@ -44,7 +44,7 @@
         return false;
     }
     head.fields.push_back({"Content-Length", std::to_string(body.size())});
-    m_connection->start(http1::requestText(head) + body, false, *this);
+    m_connection->start(http1::requestText(head), body, false, *this);
     return true;
 }
 
--- a/packages/frontend/src/piece-call.h
+++ b/packages/frontend/src/piece-call.h
@@ -31,7 +31,9 @@
     /// \p endpointId is the address when the id is not known. Returns false, without calling the done handler, when no
     /// connection can be opened or the endpoint's rate limit does not admit the call.
     bool start(const std::string &endpointId, const std::string &address, http1::message_head head,
-               const std::string &body);
+               std::string_view body);
+    /// Bytes of the call that have not been sent yet.
+    std::size_t unsentBytes() const { return m_connection == nullptr ? 0 : m_connection->unsentBytes(); }
     /// Abandons the call and reports it as lost.
     void expire();
 
--- a/packages/frontend/src/piece-service.cpp
+++ b/packages/frontend/src/piece-service.cpp
@@ -249,7 +249,7 @@
 
 void piece_service::processResults(const stages::results_message &message)
 {
-    std::vector<stages::result_entry> accepted;
+    std::vector<stages::piece_outcome> accepted;
     std::vector<std::string> unused;
     for (const stages::result_entry &entry : message.results) {
         const auto found = findPending(message.job, message.stage, entry.piece);
@@ -266,12 +266,12 @@
         if (found->second.request.pieces.empty()) {
             m_pending.erase(found);
         }
-        accepted.push_back(entry);
+        accepted.push_back({{static_cast<std::size_t>(message.stage), static_cast<std::size_t>(entry.piece)},
+                            {entry.handle, static_cast<protocol::piece_failure>(entry.failure)}});
     }
     release(unused);
-    for (const stages::result_entry &entry : accepted) {
-        m_onResult(message.job, {static_cast<std::size_t>(message.stage), static_cast<std::size_t>(entry.piece)},
-                   {entry.handle, static_cast<protocol::piece_failure>(entry.failure)});
+    if (!accepted.empty()) {
+        m_onResult(message.job, accepted);
     }
 }
 
--- a/packages/frontend/src/piece-service.h
+++ b/packages/frontend/src/piece-service.h
@@ -35,8 +35,7 @@
 class piece_service
 {
 public:
-    using result_handler
-        = std::function<void(std::uint64_t job, stages::piece_ref piece, const protocol::piece_result &result)>;
+    using result_handler = std::function<void(std::uint64_t job, std::span<const stages::piece_outcome> outcomes)>;
 
     using owner_handler = std::function<void(std::uint64_t owner, stages::home_message message)>;
 
--- a/packages/frontend/src/request-session.cpp
+++ b/packages/frontend/src/request-session.cpp
@@ -52,6 +52,7 @@
     m_body.reserve(static_cast<std::size_t>(m_request.head.length)); // growing by doubling needs up to three times it
     m_service = chooseService();
     m_stageTimings.resize(m_request.route->stages.size());
+    m_stageInputs.resize(m_request.route->stages.size());
 }
 
 request_session::~request_session()
@@ -89,17 +90,32 @@
     apply(m_flow.onBody(monotonicNow()));
 }
 
-void request_session::onPiece(stages::piece_ref piece, const protocol::piece_result &result)
+/// Pieces that failed together are ordered again together, as each order carries the inputs of the stage.
+void request_session::onPieces(std::span<const stages::piece_outcome> outcomes)
 {
     const instant now = monotonicNow();
-    if (result.handle.empty()) {
-        apply(m_flow.onPieceFailed(piece, result.failure, now));
-    } else {
-        apply(m_flow.onPieceCompleted(piece, result.handle, now));
-        if (!m_isEnded && m_flow.graph().missingPieces(piece.stage) == 0) {
-            m_stageTimings[piece.stage].completedAt = now;
+    flow_step step;
+    for (const stages::piece_outcome &outcome : outcomes) {
+        if (outcome.result.handle.empty()) {
+            step.add(m_flow.onPieceFailed(outcome.piece, outcome.result.failure, now));
+            continue;
         }
+        step.add(m_flow.onPieceCompleted(outcome.piece, outcome.result.handle, now));
+        if (!step.isEnd() && m_flow.graph().missingPieces(outcome.piece.stage) == 0) {
+            m_stageTimings[outcome.piece.stage].completedAt = now;
+        }
+    }
+    apply(std::move(step));
+}
+
+/// Inputs of a stage, in the same memory as for its last order if they have not changed.
+protocol::handle_list request_session::inputsOf(std::size_t stage)
+{
+    protocol::handle_list current(m_flow.graph().inputsOf(stage));
+    if (current != m_stageInputs[stage]) {
+        m_stageInputs[stage] = std::move(current);
     }
+    return m_stageInputs[stage];
 }
 
 /// Records the latency of the first answer and the time from the end of each stage to it.
@@ -238,7 +254,7 @@
         pieceRequest.job = m_number;
         pieceRequest.requestId = m_request.attributes.requestId;
         pieceRequest.stage = stage;
-        pieceRequest.inputs = m_flow.graph().inputsOf(stage);
+        pieceRequest.inputs = inputsOf(stage);
         pieceRequest.key = pieceRequest.inputs.empty() ? m_request.attributes.pieceKey : std::string();
         const std::string inputDataCentre = dataCentreOfInputs(m_flow.graph(), stage, locator());
         pieceRequest.dataCentre = inputDataCentre.empty() ? m_dataCentre : inputDataCentre;
@@ -327,7 +343,7 @@
     m_sharedCall = m_context.load.onCallBegins(m_service, endpoint.id,
                                                {m_request.attributes.promptTokens, m_request.attributes.outputTokens,
                                                 static_cast<std::uint64_t>(m_callTokens.pending)});
-    m_connection->start(http1::requestText(head) + m_body, head.method == "HEAD", *this);
+    m_connection->start(http1::requestText(head), m_body, head.method == "HEAD", *this);
 }
 
 /// Sends the endpoint's answer, which has been received in full.
--- a/packages/frontend/src/request-session.h
+++ b/packages/frontend/src/request-session.h
@@ -39,7 +39,7 @@
     void begin();
     void addBody(std::string_view bytes) { m_body += bytes; }
     void onBodyEnd();
-    void onPiece(stages::piece_ref piece, const protocol::piece_result &result);
+    void onPieces(std::span<const stages::piece_outcome> outcomes);
     void onCallerGone();
     void onCallerDrained();
     void onTick(common::instant now);
@@ -69,6 +69,7 @@
 
     void apply(forwarding::flow_step step);
     void requestPieces(const std::vector<stages::piece_ref> &pieces);
+    protocol::handle_list inputsOf(std::size_t stage);
     void recordFirstAnswer(common::instant now);
     void callEndpoint();
     void send(const catalog::endpoint_record &endpoint, const forwarding::call_tokens &tokens);
@@ -132,6 +133,7 @@
     bool m_isAnswerSettled = false; ///< the answer in flight has made progress for a while, or is complete
     common::duration m_firstAnswerDelay{};
     std::vector<stage_timing> m_stageTimings; ///< by stage
+    std::vector<protocol::handle_list> m_stageInputs; ///< that were last sent with an order, by stage
 };
 
 } // namespace masticlever::frontend
--- a/packages/frontend/src/store-connection.cpp
+++ b/packages/frontend/src/store-connection.cpp
@@ -46,7 +46,7 @@
     if (!call.body.empty()) {
         head.fields.push_back({"Content-Length", std::to_string(call.body.size())});
     }
-    m_connection->start(http1::requestText(head) + call.body, false, *this);
+    m_connection->start(http1::requestText(head), call.body, false, *this);
 }
 
 void store_connection::onTick(common::instant now)
--- a/packages/http1/include/masticlever/http1/client-connection.h
+++ b/packages/http1/include/masticlever/http1/client-connection.h
@@ -42,8 +42,8 @@
     client_connection(const client_connection &) = delete;
     client_connection &operator=(const client_connection &) = delete;
 
-    /// Sends a request. \p handler must outlive the exchange, unless abandon() is called first.
-    void start(std::string_view request, bool isHead, exchange_handler &handler);
+    /// Sends a request with \p head and \p body. \p handler must outlive the exchange, unless abandon() is called first.
+    void start(std::string_view head, std::string_view body, bool isHead, exchange_handler &handler);
     /// Cancels the exchange without calling the handler, and resets the connection.
     void abandon();
     /// Fails the exchange with not_connected if the connection is not established yet.
@@ -53,6 +53,7 @@
     /// Returns whether no exchange is in flight and the connection can be used for another one.
     bool isReusable() const;
     bool isOpen() const { return m_isOpen; }
+    std::size_t unsentBytes() const { return m_socket->unsentBytes(); }
     /// Whether the current exchange is the first one, so that a response cannot belong to an earlier request.
     bool isFirstExchange() const { return m_exchanges == 1; }
     const std::string &invalidStatusLine() const { return m_reader.invalidStatusLine(); }
--- a/packages/http1/src/client-connection.cpp
+++ b/packages/http1/src/client-connection.cpp
@@ -19,7 +19,7 @@
 
 client_connection::~client_connection() = default;
 
-void client_connection::start(std::string_view request, bool isHead, exchange_handler &handler)
+void client_connection::start(std::string_view head, std::string_view body, bool isHead, exchange_handler &handler)
 {
     m_handler = &handler;
     ++m_exchanges;
@@ -31,7 +31,8 @@
     if (isHead) {
         m_reader.expectNoBody();
     }
-    m_socket->write(request);
+    m_socket->write(head);
+    m_socket->write(body);
 }
 
 void client_connection::abandon()
--- a/packages/net/include/masticlever/net/stream-socket.h
+++ b/packages/net/include/masticlever/net/stream-socket.h
@@ -101,6 +101,7 @@
     void onReadable();
     void onWritable();
     void finishConnecting();
+    std::size_t sendNow(std::string_view bytes);
     void flush();
     void finishSending();
     void close(close_reason reason);
--- a/packages/net/src/stream-socket.cpp
+++ b/packages/net/src/stream-socket.cpp
@@ -216,10 +216,30 @@
     if (m_descriptor < 0 || bytes.empty()) {
         return;
     }
+    if (m_isConnected && unsentBytes() == 0) {
+        bytes.remove_prefix(sendNow(bytes)); // without a copy in the buffer
+        m_writeNotifier->setEnabled(!bytes.empty());
+    }
     m_sendBuffer.append(bytes);
-    if (m_isConnected) {
-        flush();
+}
+
+/// Sends what the kernel accepts and returns its size. A write that fails loses all bytes.
+std::size_t stream_socket::sendNow(std::string_view bytes)
+{
+    std::size_t sent = 0;
+    while (sent < bytes.size()) {
+        const ssize_t size = ::send(m_descriptor, bytes.data() + sent, bytes.size() - sent, MSG_NOSIGNAL);
+        if (size >= 0) {
+            sent += static_cast<std::size_t>(size);
+        } else if (isRetryable(errno)) {
+            break;
+        } else {
+            // A response may still be waiting to be read, so the read side reports the close.
+            m_sendError = errno;
+            return bytes.size();
+        }
     }
+    return sent;
 }
 
 void stream_socket::closeWhenSent()
@@ -242,19 +262,8 @@
 
 void stream_socket::flush()
 {
-    while (m_descriptor >= 0 && unsentBytes() > 0) {
-        const ssize_t sent = ::send(m_descriptor, m_sendBuffer.data() + m_sendOffset, unsentBytes(), MSG_NOSIGNAL);
-        if (sent < 0) {
-            if (!isRetryable(errno)) {
-                // A response may still be waiting to be read, so the read side reports the close.
-                m_sendError = errno;
-                m_sendBuffer.clear();
-                m_sendOffset = 0;
-                break;
-            }
-            break;
-        }
-        m_sendOffset += static_cast<std::size_t>(sent);
+    if (m_descriptor >= 0) {
+        m_sendOffset += sendNow(std::string_view(m_sendBuffer).substr(m_sendOffset));
     }
     if (unsentBytes() == 0) {
         m_sendBuffer.clear();
--- a/packages/protocol/include/masticlever/protocol/requests.h
+++ b/packages/protocol/include/masticlever/protocol/requests.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <masticlever/common/time.h>
+#include <masticlever/protocol/handle-list.h>
 
 #include <cstddef>
 #include <cstdint>
@@ -85,7 +86,7 @@
     std::size_t piece = 0;
     common::duration remaining{};
     std::string key;
-    std::vector<std::string> inputs; ///< handles of the results of earlier stages
+    handle_list inputs; ///< results of earlier stages
 };
 
 } // namespace masticlever::protocol
--- a/packages/stages/include/masticlever/stages/batch-queue.h
+++ b/packages/stages/include/masticlever/stages/batch-queue.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <limits>
 #include <map>
 #include <optional>
 #include <span>
@@ -41,7 +42,7 @@
     std::size_t stage = 0;
     std::vector<std::size_t> pieces;
     std::string key;
-    std::vector<std::string> inputs;
+    protocol::handle_list inputs;
     std::string dataCentre; ///< holds the inputs, or needs the results if there are no inputs; empty: any
     double transferBytes = 0; ///< transferred between data centres if all pieces are computed elsewhere
     int priority = 0; ///< 0 is the highest
@@ -63,6 +64,7 @@
     std::string endpointId;
     std::string address;
     std::vector<protocol::batch_item> orders;
+    std::size_t inputBytes = 0; ///< listed for all pieces
     std::size_t remotePieces = 0; ///< pieces above the locality threshold whose data centre is not the endpoint's
     common::instant callTimeoutAt; ///< when the call times out
 };
@@ -87,6 +89,10 @@
     common::duration arrivalWindow = std::chrono::milliseconds(1000); ///< the load is measured over this time
     /// Minimum share of the endpoints' time assumed to be left for requests that miss their objective.
     double minSpareShare = 0.1;
+    /// A call lists the inputs of each of its pieces. It has fewer pieces than a batch if they would exceed this.
+    std::size_t callInputBytes = 524288;
+    /// A call may always list inputs up to this size, so that usual ones don't wait for large ones to be sent.
+    std::size_t smallCallInputBytes = 16384;
 };
 
 class batch_queue
@@ -113,8 +119,9 @@
     /// Results were released by their owner. Returns whether an endpoint has more free space now.
     bool onReleased(std::span<const std::string> handles);
 
-    /// Forms the calls that can be sent now.
-    std::vector<batch_call> takeCalls(common::instant now);
+    /// Forms the calls that can be sent now. They list inputs of \p inputBytes in total, besides those of small calls.
+    std::vector<batch_call> takeCalls(common::instant now,
+                                      std::size_t inputBytes = std::numeric_limits<std::size_t>::max());
     /// Whether \p results can be the answer to the call: one for each piece, and no handle that the endpoint has named
     /// before. An answer that an endpoint repeats names those of an earlier call.
     bool isAnswerTo(std::uint64_t call, std::span<const protocol::piece_result> results) const;
@@ -166,6 +173,8 @@
         bool canWaitForLocal = false; ///< can wait for an endpoint in its data centre and meet its objective
         std::vector<std::size_t> waiting; ///< pieces that are queued
         std::size_t inFlight = 0; ///< number of pieces in calls
+
+        std::size_t inputBytes() const; ///< that a call lists for one piece
     };
 
     struct call_entry {
@@ -209,9 +218,13 @@
     double spareShare(double rate, common::instant now) const;
     std::vector<request_map::iterator> plan(common::instant now);
     void planLocalWaits(const std::vector<request_map::iterator> &waiting, common::instant now);
-    std::optional<batch_call> fillCall(endpoint_entry &endpoint, common::instant now);
+    /// Number of pieces that the call may still take of a request.
+    std::size_t placesFor(const request_entry &candidate, const batch_call &call, std::size_t inputBytes) const;
+    std::optional<batch_call> fillCall(endpoint_entry &endpoint, std::size_t inputBytes, common::instant now);
     std::optional<call_entry> endCall(std::uint64_t call);
     void requeue(const call_entry &call);
+    /// The list that another entry of the same job and stage has, if it is equal.
+    protocol::handle_list findSharedInputs(const piece_request &request) const;
     void backOff(const std::string &endpointId, common::instant until);
     void removeRequest(request_map::iterator found);
     void removeRequests(const std::function<bool(const piece_request &)> &matches);
--- a/packages/stages/include/masticlever/stages/stage-graph.h
+++ b/packages/stages/include/masticlever/stages/stage-graph.h
@@ -2,6 +2,7 @@
 
 #include <masticlever/catalog/service-configuration.h>
 #include <masticlever/common/time.h>
+#include <masticlever/protocol/requests.h>
 
 #include <cstddef>
 #include <functional>
@@ -24,6 +25,11 @@
     auto operator<=>(const piece_ref &) const = default;
 };
 
+struct piece_outcome {
+    piece_ref piece;
+    protocol::piece_result result;
+};
+
 class stage_graph
 {
 public:
--- a/packages/stages/src/batch-queue.cpp
+++ b/packages/stages/src/batch-queue.cpp
@@ -123,9 +123,21 @@
     while (now - m_arrivals.front().first > m_options.arrivalWindow) {
         m_arrivals.pop_front();
     }
+    entry.request.inputs = findSharedInputs(entry.request);
     m_requests.emplace(++m_lastRequest, std::move(entry));
 }
 
+/// Pieces that failed are ordered again in messages of their own, each with the whole list.
+protocol::handle_list batch_queue::findSharedInputs(const piece_request &request) const
+{
+    const auto found = std::ranges::find_if(m_requests, [&](const auto &item) {
+        const piece_request &other = item.second.request;
+        return other.job == request.job && other.owner == request.owner && other.stage == request.stage
+            && other.inputs == request.inputs;
+    });
+    return found == m_requests.end() ? request.inputs : found->second.request.inputs;
+}
+
 void batch_queue::removeRequest(request_map::iterator found)
 {
     m_waitingPieces -= found->second.waiting.size();
@@ -219,7 +231,26 @@
     return idle;
 }
 
-std::optional<batch_call> batch_queue::fillCall(endpoint_entry &endpoint, instant now)
+std::size_t batch_queue::request_entry::inputBytes() const
+{
+    constexpr std::size_t separatorBytes = 3; // quotes and a comma
+    return request.inputs.bytes() + request.inputs.size() * separatorBytes;
+}
+
+std::size_t batch_queue::placesFor(const request_entry &candidate, const batch_call &call, std::size_t inputBytes) const
+{
+    const std::size_t places = m_limits.batchSize - call.orders.size();
+    const std::size_t each = candidate.inputBytes();
+    if (each == 0) {
+        return places;
+    }
+    const std::size_t limit = std::min(m_options.callInputBytes, std::max(inputBytes, m_options.smallCallInputBytes));
+    const std::size_t fitting = (std::max(limit, call.inputBytes) - call.inputBytes) / each;
+    const bool isAlone = call.orders.empty() && inputBytes > 0; // a piece with longer inputs is sent by itself
+    return std::min(places, std::max<std::size_t>(fitting, isAlone ? 1 : 0));
+}
+
+std::optional<batch_call> batch_queue::fillCall(endpoint_entry &endpoint, std::size_t inputBytes, instant now)
 {
     expireResults(endpoint, now);
     batch_call call;
@@ -227,17 +258,19 @@
     double freeSpace = freeBytes(endpoint);
     for (const auto found : rankedRequests(endpoint)) {
         request_entry &candidate = found->second;
-        std::size_t count = m_limits.batchSize - call.orders.size();
+        const std::size_t places = placesFor(candidate, call, inputBytes);
+        std::size_t count = places;
         if (candidate.request.resultBytes > 0) {
             count = std::min(count, static_cast<std::size_t>(std::max(0.0, freeSpace / candidate.request.resultBytes)));
         }
         // A request needs all of its pieces and its finished results occupy space until the last one is available, so
         // its pieces are kept in one call where possible.
         const bool isSplit = count < candidate.waiting.size();
-        if (isSplit && (!call.orders.empty() || count < std::min(candidate.waiting.size(), m_limits.batchSize) / 2)) {
+        if (isSplit && (!call.orders.empty() || count < std::min(candidate.waiting.size(), places) / 2)) {
             continue;
         }
         count = std::min(count, candidate.waiting.size());
+        call.inputBytes += candidate.inputBytes() * count;
         for (std::size_t i = 0; i < count; ++i) {
             const std::size_t piece = candidate.waiting[i];
             entry.pieces.push_back({candidate.request.owner, candidate.request.job, piece, candidate.request.stage});
@@ -275,7 +308,7 @@
     return call;
 }
 
-std::vector<batch_call> batch_queue::takeCalls(instant now)
+std::vector<batch_call> batch_queue::takeCalls(instant now, std::size_t inputBytes)
 {
     std::vector<batch_call> calls;
     const std::vector<endpoint_entry *> idle = idleEndpoints(now);
@@ -285,10 +318,11 @@
     plan(now);
     for (endpoint_entry *endpoint : idle) {
         while (m_waitingPieces > 0 && freeCallSlots(*endpoint) > 0) {
-            auto call = fillCall(*endpoint, now);
+            auto call = fillCall(*endpoint, inputBytes, now);
             if (!call) {
                 break; // no space for results, or no eligible request
             }
+            inputBytes -= std::min(inputBytes, call->inputBytes);
             calls.push_back(std::move(*call));
             if (endpoint->callsPerSecond) {
                 break; // until setRateLimits() sets the time of the next call
--- a/packages/stages/test/batch-queue-test.cpp
+++ b/packages/stages/test/batch-queue-test.cpp
@@ -615,3 +615,69 @@
         CHECK(queue.expectedDelay(1, now) < 500ms);
     }
 }
+
+TEST_CASE("Calls whose pieces read many results stay small")
+{
+    constexpr std::size_t handleBytes = 97; // and three for the quotes and the comma
+    constexpr std::size_t perPiece = 1000 * (handleBytes + 3);
+    const test_service service(3);
+    catalog::batch_limits large = limits();
+    large.batchSize = 88;
+    large.resultCapacityBytes = 1e9;
+    batch_queue queue({.callInputBytes = 5 * perPiece, .smallCallInputBytes = perPiece / 2}, large);
+    queue.setEndpoints(service.pointers());
+    piece_request request = makeRequest(1, 400);
+    request.inputs = protocol::handle_list(std::vector<std::string>(1000, std::string(handleBytes, 'h')));
+
+    SECTION("a call has only as many pieces as its limit has room for")
+    {
+        queue.onPieceRequest(request, start);
+        const auto calls = queue.takeCalls(start);
+        REQUIRE(calls.size() == 3);
+        for (const batch_call &call : calls) {
+            CHECK(call.orders.size() == 5);
+            CHECK(call.inputBytes == 5 * perPiece);
+        }
+    }
+    SECTION("all calls together list no more than is left")
+    {
+        queue.onPieceRequest(request, start);
+        const auto calls = queue.takeCalls(start, 7 * perPiece);
+        REQUIRE(calls.size() == 2);
+        CHECK(calls[0].orders.size() == 5);
+        CHECK(calls[1].orders.size() == 2);
+        CHECK(queue.takeCalls(start, 0).empty());
+    }
+    SECTION("a piece whose inputs alone exceed the limit is sent by itself")
+    {
+        request.inputs = protocol::handle_list(std::vector<std::string>(6000, std::string(handleBytes, 'h')));
+        queue.onPieceRequest(request, start);
+        const auto calls = queue.takeCalls(start, 1);
+        REQUIRE(calls.size() == 1);
+        CHECK(calls[0].orders.size() == 1);
+    }
+    SECTION("usual pieces are sent beside them, also when nothing is left")
+    {
+        piece_request usual = makeRequest(2, 4);
+        usual.inputs = protocol::handle_list(std::vector<std::string>(25, std::string(handleBytes, 'h')));
+        queue.onPieceRequest(request, start);
+        queue.onPieceRequest(usual, start);
+        const auto calls = queue.takeCalls(start, 0);
+        REQUIRE(calls.size() == 1);
+        CHECK(calls[0].orders.size() == 4);
+        CHECK(calls[0].orders[0].requestId == "r2");
+    }
+    SECTION("pieces that are ordered again share the list of the others")
+    {
+        piece_request again = makeRequest(1, 1);
+        again.inputs = protocol::handle_list(std::vector<std::string>(1000, std::string(handleBytes, 'h')));
+        REQUIRE_FALSE(again.inputs.sharesWith(request.inputs));
+        queue.onPieceRequest(request, start);
+        queue.onPieceRequest(again, start);
+        for (const batch_call &call : queue.takeCalls(start)) {
+            for (const protocol::batch_item &order : call.orders) {
+                CHECK(order.inputs.sharesWith(request.inputs));
+            }
+        }
+    }
+}
--- a/packages/stages/test/home-messages-test.cpp
+++ b/packages/stages/test/home-messages-test.cpp
@@ -34,7 +34,7 @@
         CHECK(received.request.requestId == "r1");
         CHECK(received.request.stage == 2);
         CHECK(received.request.pieces == std::vector<std::size_t>{0, 3});
-        CHECK(received.request.inputs == std::vector<std::string>{"h1", "h2"});
+        CHECK(received.request.inputs == protocol::handle_list{"h1", "h2"});
         CHECK(received.request.dataCentre == "west");
         CHECK(received.request.priority == 1);
         CHECK(received.request.resultBytes == 6000);
