Bytes of callers that are not read yet stay within the memory

Callers saw: on the platform, a process that was ended while it served them, after hundreds of connections had sent bodies.

The account of memory counted what was read; the kernel received 128 KiB and more of each connection before that, and chunked bodies grew by doubling.

Ruled out: asking the kernel at each tick how much is unread, which is a system call for each connection and finds out too late; closing connections instead of pausing them, as the bytes arrive before there is a pause.

[large-answers] now plays streams without end; the event without end that it played before is aborted by another limit.

--- a/packages/frontend/include/masticlever/frontend/frontend-settings.h
+++ b/packages/frontend/include/masticlever/frontend/frontend-settings.h
@@ -39,6 +39,7 @@
     /// Instances share the load of the model endpoints of services with at most this many slots per endpoint; 0: of
     /// none. With more slots, the random variation of an endpoint's load is less than a fifth of them.
     std::size_t sharedLoadMaximumSlots = 20;
+    double connectionMemoryShare = 0.2; ///< of the memory, for the receive buffers of idle callers
     double callerMemoryShare = 0.35; ///< of the memory limit, for what callers make the process hold
     std::size_t maximumPieces = 4096; ///< of one request, over all its stages
     std::size_t connectionsPerAddress = 0; ///< of callers; 0: five eighths of the files that the process may open
--- a/packages/frontend/src/caller-connection.cpp
+++ b/packages/frontend/src/caller-connection.cpp
@@ -20,6 +20,9 @@
 constexpr int headTooLarge = 431;
 constexpr int unavailable = 503;
 constexpr std::size_t unreadLimit = 262144; ///< bytes of answers that a caller may leave unread before its next request
+constexpr std::size_t largeBody = 32768; ///< bytes from which a body gets the large receive buffer
+constexpr std::size_t largeReceiveBuffer = 131072; ///< lets a body arrive in fewer round trips
+constexpr std::size_t kernelFactor = 2; ///< memory that the kernel takes for a receive buffer, relative to its size
 constexpr std::size_t pipelineLimit = 262144; ///< bytes that a caller may pipeline before an answer
 constexpr net::socket_options callerSocket{std::chrono::milliseconds(20000), std::chrono::seconds(5)};
 
@@ -59,6 +62,14 @@
     }
 }
 
+void caller_connection::setLargeReceiveBuffer(bool isLarge)
+{
+    if (m_hasLargeReceiveBuffer != isLarge) {
+        m_hasLargeReceiveBuffer = isLarge;
+        m_socket->setReceiveBuffer(isLarge ? largeReceiveBuffer : idleReceiveBuffer);
+    }
+}
+
 void caller_connection::onDrained()
 {
     m_handler.onCallerDrained(*this);
@@ -78,6 +89,7 @@
     const bool isReadingBody = m_reader.hasHead() && !m_reader.isEnded();
     return {.declaredBody = m_declaredBody,
             .receivedBody = m_receivedBody,
+            .receiveBuffer = m_hasLargeReceiveBuffer ? kernelFactor * largeReceiveBuffer : 0,
             .readAhead = m_reader.pendingBytes(),
             .unsent = unsentBytes(),
             .isReadingBody = isReadingBody};
@@ -114,6 +126,7 @@
 {
     m_handler.onBadRequest(status);
     m_isFinished = true;
+    setLargeReceiveBuffer(false);
     if (m_progress == answer_progress::begun) {
         dropRequest();
         return;
@@ -147,12 +160,16 @@
     if (expectation != nullptr && http1::equalNames(*expectation, "100-continue")) {
         m_socket->write("HTTP/1.1 100 Continue\r\n\r\n");
     }
+    setLargeReceiveBuffer(m_declaredBody > largeBody);
     m_handler.onRequestHead(*this, std::move(head));
 }
 
 void caller_connection::onBody(std::string_view bytes)
 {
     m_receivedBody += bytes.size();
+    if (m_receivedBody > largeBody) {
+        setLargeReceiveBuffer(true);
+    }
     m_handler.onRequestBody(*this, bytes);
 }
 
@@ -224,6 +241,7 @@
     }
     m_declaredBody = 0;
     m_receivedBody = 0;
+    setLargeReceiveBuffer(false);
     if (m_isAdvancing) {
         return; // continued by the loop below; a recursion for each request read ahead would exhaust the stack
     }
--- a/packages/frontend/src/caller-connection.h
+++ b/packages/frontend/src/caller-connection.h
@@ -41,6 +41,9 @@
 class caller_connection final : private net::socket_handler, private http1::message_sink
 {
 public:
+    /// Receive buffer of a connection without a large body, for a listener: enough for a head and a short body.
+    static constexpr std::size_t idleReceiveBuffer = 16384;
+
     caller_connection(int descriptor, const catalog::caller_limits &limits, request_handler &handler,
                       common::instant now);
     ~caller_connection() override;
@@ -95,6 +98,7 @@
     void finishExchange();
     bool isNextReady() const;
     void limitReading();
+    void setLargeReceiveBuffer(bool isLarge);
     void checkUnread(common::instant now);
 
     net::stream_socket::pointer m_socket;
@@ -106,6 +110,7 @@
     std::size_t m_declaredBody = 0; ///< stated length of the body of the request in flight
     std::size_t m_receivedBody = 0; ///< of the request in flight
     std::size_t m_lastUnsent = 0; ///< at the last tick
+    bool m_hasLargeReceiveBuffer = false;
     bool m_hasRequested = false;
     bool m_isAwaitingDrain = false; ///< the next request is begun when the caller has read the answers
     bool m_isAdvancing = false; ///< the requests that were read ahead are being processed
--- a/packages/frontend/src/caller-limits.cpp
+++ b/packages/frontend/src/caller-limits.cpp
@@ -25,11 +25,14 @@
 }
 
 /// Five eighths of the descriptors for one address, as a load balancer may be the only peer, and three quarters for all
-/// leave a quarter for endpoints and other instances.
-net::connection_limits connectionLimits(const frontend_settings &settings)
+/// leave a quarter for endpoints and other instances. Each connection may also fill its receive buffer.
+net::connection_limits connectionLimits(const frontend_settings &settings, std::size_t memoryBytes)
 {
+    constexpr std::size_t bytesEach = 2 * caller_connection::idleReceiveBuffer; // the kernel takes twice its size
     const std::size_t files = descriptorLimit();
-    const std::size_t total = files / 4 * 3;
+    const auto fitting
+        = static_cast<std::size_t>(settings.connectionMemoryShare * static_cast<double>(memoryBytes)) / bytesEach;
+    const std::size_t total = std::min(files / 4 * 3, fitting);
     const std::size_t perAddress = settings.connectionsPerAddress > 0 ? settings.connectionsPerAddress : files / 8 * 5;
     return {std::min(perAddress, total), total};
 }
@@ -51,7 +54,7 @@
 
 caller_limits::caller_limits(const frontend_settings &settings, std::size_t memoryBytes,
                              telemetry::metric_registry &metrics)
-    : m_connections(connectionLimits(settings)),
+    : m_connections(connectionLimits(settings, memoryBytes)),
       m_memory({.limit = static_cast<std::size_t>(settings.callerMemoryShare * static_cast<double>(memoryBytes))}),
       m_maximumPieces(settings.maximumPieces), m_metrics(metrics)
 { }
--- a/packages/frontend/src/daemon-core.cpp
+++ b/packages/frontend/src/daemon-core.cpp
@@ -211,7 +211,7 @@
     m_bootTime = bootMicroseconds();
     const auto front = net::parseAddress(m_settings.frontAddress);
     const auto homes = net::parseAddress(m_settings.homeAddress);
-    if (!m_front.listen(front.value(), backlog)) {
+    if (!m_front.listen(front.value(), backlog, caller_connection::idleReceiveBuffer)) {
         return "cannot listen on " + m_settings.frontAddress;
     }
     if (!m_homes.listen(homes.value(), backlog)) {
@@ -303,6 +303,7 @@
 {
     net::memory_use use = caller.memoryUse();
     if (const request_session *session = findSession(caller.session)) {
+        use.allocatedBody = session->allocatedBodyBytes();
         use.copies = session->copyBytes();
     }
     return m_callerLimits.updateMemory(m_callers, caller, use, now);
--- a/packages/frontend/src/frontend-settings.cpp
+++ b/packages/frontend/src/frontend-settings.cpp
@@ -115,6 +115,10 @@
     if (read.callerMemoryShare <= 0 || read.callerMemoryShare > 1) {
         reader.fail("callers/memory_share", "not a number above 0 and up to 1");
     }
+    read.connectionMemoryShare = reader.number("callers/connection_memory_share", read.connectionMemoryShare);
+    if (read.connectionMemoryShare <= 0 || read.connectionMemoryShare > 1) {
+        reader.fail("callers/connection_memory_share", "not a number above 0 and up to 1");
+    }
     read.maximumPieces
         = static_cast<std::size_t>(reader.number("callers/max_pieces", static_cast<double>(read.maximumPieces)));
     read.connectionsPerAddress = static_cast<std::size_t>(reader.number("callers/connections_per_address", 0));
--- a/packages/frontend/src/request-session.cpp
+++ b/packages/frontend/src/request-session.cpp
@@ -49,7 +49,7 @@
       m_answerBudget(context.budget, {}), m_sharedParts(forwarding::sharedParts(m_request.attributes))
 {
     m_flow.setProducerCheck([this](std::string_view handle) { return m_context.pieces.isProducerGone(handle); });
-    m_body.reserve(static_cast<std::size_t>(m_request.head.length)); // growing by doubling needs up to three times it
+    m_body.reserve(static_cast<std::size_t>(m_request.head.length));
     m_service = chooseService();
     m_stageTimings.resize(m_request.route->stages.size());
     m_stageInputs.resize(m_request.route->stages.size());
@@ -140,7 +140,7 @@
     flow_step step = m_flow.onCallerGone();
     const bool continuesWithoutCaller = m_connection != nullptr && !step.abortCall;
     apply(std::move(step));
-    m_body = {}; // the request is not sent again
+    m_body.clear(); // the request is not sent again
     if (!continuesWithoutCaller) {
         finish("caller_left", 0, "");
     }
@@ -343,7 +343,7 @@
     m_sharedCall = m_context.load.onCallBegins(m_service, endpoint.id,
                                                {m_request.attributes.promptTokens, m_request.attributes.outputTokens,
                                                 static_cast<std::uint64_t>(m_callTokens.pending)});
-    m_connection->start(http1::requestText(head), m_body, head.method == "HEAD", *this);
+    m_connection->start(http1::requestText(head), m_body.views(), head.method == "HEAD", *this);
 }
 
 /// Sends the endpoint's answer, which has been received in full.
@@ -382,7 +382,7 @@
     }
     m_isEnded = true;
     m_caller = nullptr;
-    m_body = {};
+    m_body.clear();
     m_context.pieces.cancel(m_number);
     const instant now = monotonicNow();
     const std::int64_t version = static_cast<std::int64_t>(m_request.configuration->version());
--- a/packages/frontend/src/request-session.h
+++ b/packages/frontend/src/request-session.h
@@ -4,6 +4,7 @@
 #include "frontend-context.h"
 #include "request-placement.h"
 
+#include <masticlever/common/block-buffer.h>
 #include <masticlever/forwarding/event-splitter.h>
 #include <masticlever/forwarding/request-flow.h>
 #include <masticlever/http1/client-connection.h>
@@ -37,7 +38,7 @@
     ~request_session() override;
 
     void begin();
-    void addBody(std::string_view bytes) { m_body += bytes; }
+    void addBody(std::string_view bytes) { m_body.append(bytes); }
     void onBodyEnd();
     void onPieces(std::span<const stages::piece_outcome> outcomes);
     void onCallerGone();
@@ -50,6 +51,7 @@
 
     bool isEnded() const { return m_isEnded; }
     /// Bytes of the copy of the body that is being sent to an endpoint.
+    std::size_t allocatedBodyBytes() const { return m_body.capacity(); }
     std::size_t copyBytes() const { return m_connection == nullptr ? 0 : m_body.size(); }
 
 private:
@@ -104,7 +106,7 @@
     caller_connection *m_caller;
     admitted_request m_request;
     forwarding::request_flow m_flow;
-    std::string m_body;
+    common::block_buffer m_body;
     bool m_isEnded = false;
     std::optional<common::instant> m_answerBy; ///< when the process stops answering; nothing unless it is stopping
 
--- a/packages/http1/include/masticlever/http1/client-connection.h
+++ b/packages/http1/include/masticlever/http1/client-connection.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -42,8 +43,10 @@
     client_connection(const client_connection &) = delete;
     client_connection &operator=(const client_connection &) = delete;
 
-    /// Sends a request with \p head and \p body. \p handler must outlive the exchange, unless abandon() is called first.
+    /// Sends a request with \p head and \p body. \p handler must outlive the exchange, unless abandon() is called
+    /// first.
     void start(std::string_view head, std::string_view body, bool isHead, exchange_handler &handler);
+    void start(std::string_view head, std::span<const std::string_view> body, bool isHead, exchange_handler &handler);
     /// Cancels the exchange without calling the handler, and resets the connection.
     void abandon();
     /// Fails the exchange with not_connected if the connection is not established yet.
--- a/packages/http1/src/client-connection.cpp
+++ b/packages/http1/src/client-connection.cpp
@@ -20,6 +20,12 @@
 client_connection::~client_connection() = default;
 
 void client_connection::start(std::string_view head, std::string_view body, bool isHead, exchange_handler &handler)
+{
+    start(head, std::span(&body, 1), isHead, handler);
+}
+
+void client_connection::start(std::string_view head, std::span<const std::string_view> body, bool isHead,
+                              exchange_handler &handler)
 {
     m_handler = &handler;
     ++m_exchanges;
@@ -32,7 +38,9 @@
         m_reader.expectNoBody();
     }
     m_socket->write(head);
-    m_socket->write(body);
+    for (const std::string_view part : body) {
+        m_socket->write(part);
+    }
 }
 
 void client_connection::abandon()
--- a/packages/http1/test/client-connection-test.cpp
+++ b/packages/http1/test/client-connection-test.cpp
@@ -107,13 +107,13 @@
         client_connection connection(server.address(), {}, {});
         if (isSecondExchange) {
             recording_handler first;
-            connection.start(request, {}, false, first);
+            connection.start(request, "", false, first);
             REQUIRE(server.waitForConnection());
             server.write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
             REQUIRE(runUntil([&] { return first.isWhole; }));
         }
         recording_handler handler;
-        connection.start(request, {}, false, handler);
+        connection.start(request, "", false, handler);
         REQUIRE(server.waitForConnection());
         server.write((isAfterInterim ? "HTTP/1.1 100 Continue\r\n\r\n" : "") + response.substr(0, size));
         server.finish();
--- a/packages/http1/test/early-response-test.cpp
+++ b/packages/http1/test/early-response-test.cpp
@@ -47,8 +47,8 @@
     {
         REQUIRE(::send(m_descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(bytes.size()));
     }
-    /// Reads what has arrived. With a single buffer at a time, the kernel's window would limit a large upload to one buffer
-    /// for each turn of the event loop.
+    /// Reads what has arrived. With a single buffer at a time, the kernel's window would limit a large upload to one
+    /// buffer for each turn of the event loop.
     std::size_t read()
     {
         std::array<char, 65536> buffer{};
@@ -104,7 +104,7 @@
     }
     recording_handler first;
     const std::string request = "GET / HTTP/1.1\r\nHost: site.example\r\n\r\n";
-    connection.start(request, {}, false, first);
+    connection.start(request, "", false, first);
     std::size_t received = 0;
     REQUIRE(runUntil([&] { return (received += server.read()) == request.size(); }));
     server.write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
@@ -140,9 +140,9 @@
     if (noticed == order::write_first) {
         server.write(response);
         endConnection();
-        connection.start(upload(size), {}, false, handler);
+        connection.start(upload(size), "", false, handler);
     } else {
-        connection.start(upload(size), {}, false, handler);
+        connection.start(upload(size), "", false, handler);
         server.write(response);
         if (noticed == order::read_first) {
             REQUIRE(runUntil([&] { return handler.hasHead && handler.body.empty() != hasBody; }));
@@ -162,7 +162,7 @@
     client_connection connection(server.address(), {}, {});
     REQUIRE(server.waitForConnection());
     recording_handler handler;
-    connection.start(upload(size), {}, false, handler);
+    connection.start(upload(size), "", false, handler);
     server.write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
     REQUIRE(runUntil([&] { return handler.isDone(); }));
     CHECK(handler.isWhole);
@@ -193,7 +193,7 @@
     server.reset();
     recording_handler handler;
     handler.connection = &connection;
-    connection.start(upload(1000), {}, false, handler);
+    connection.start(upload(1000), "", false, handler);
     REQUIRE(runUntil([&] { return handler.isDone(); }));
     CHECK(handler.isWhole);
     CHECK_FALSE(handler.wasReusable);
--- a/packages/net/include/masticlever/net/memory-account.h
+++ b/packages/net/include/masticlever/net/memory-account.h
@@ -18,12 +18,14 @@
 struct memory_use {
     std::size_t declaredBody = 0; ///< stated length of the body of the request in flight
     std::size_t receivedBody = 0;
+    std::size_t allocatedBody = 0; ///< memory that was allocated for the received part
+    std::size_t receiveBuffer = 0; ///< that the kernel may take for unread bytes, beyond what every connection has
     std::size_t copies = 0; ///< of the body, while it is sent to an endpoint
     std::size_t readAhead = 0; ///< received after the request in flight
     std::size_t unsent = 0; ///< responses that the caller has not read
     bool isReadingBody = false; ///< the body is not complete
 
-    /// Counts the declared or the received size of the body, whichever is larger.
+    /// Counts the declared, received or allocated size of the body, whichever is largest.
     std::size_t total() const;
 };
 
--- a/packages/net/include/masticlever/net/stream-socket.h
+++ b/packages/net/include/masticlever/net/stream-socket.h
@@ -47,6 +47,7 @@
     /// The connection is closed when sent data stays unacknowledged for longer.
     std::chrono::milliseconds unacknowledgedLimit{1000};
     std::chrono::seconds probeAfter{0}; ///< idle time before keep-alive probes; 0 disables them
+    std::size_t receiveBuffer = 0; ///< bytes that the kernel may hold unread, see setReceiveBuffer(); 0: its default
 };
 
 class socket_handler
@@ -84,6 +85,8 @@
     /// Resets the connection, so that the peer cannot mistake a partial message for a complete one.
     void abort();
     void setReading(bool isReading);
+    /// Limits the bytes that the kernel receives before they are read. It takes up to twice as much memory.
+    void setReceiveBuffer(std::size_t bytes);
 
     bool isConnected() const { return m_isConnected; }
     /// Returns whether the peer has closed or reset the connection and no unread bytes remain.
@@ -131,8 +134,9 @@
     explicit listener(accept_handler handler);
     ~listener() override;
 
-    /// Returns the port, or error::unavailable when the address is in use.
-    common::result<std::uint16_t> listen(const socket_address &address, int backlog);
+    /// Returns the port, or error::unavailable when the address is in use. Accepted connections begin with
+    /// \p receiveBuffer, see stream_socket::setReceiveBuffer(); 0: the kernel's default.
+    common::result<std::uint16_t> listen(const socket_address &address, int backlog, std::size_t receiveBuffer = 0);
     void close();
 
 private:
--- a/packages/net/src/memory-account.cpp
+++ b/packages/net/src/memory-account.cpp
@@ -7,7 +7,7 @@
 
 std::size_t memory_use::total() const
 {
-    return std::max(declaredBody, receivedBody) + copies + readAhead + unsent;
+    return std::max({declaredBody, receivedBody, allocatedBody}) + receiveBuffer + copies + readAhead + unsent;
 }
 
 std::vector<shed_decision> memory_account::update(std::uint64_t connection, const memory_use &use, common::instant now)
--- a/packages/net/src/stream-socket.cpp
+++ b/packages/net/src/stream-socket.cpp
@@ -37,8 +37,16 @@
     static_cast<void>(::setsockopt(descriptor, level, name, &value, sizeof(value)));
 }
 
+void limitReceiving(int descriptor, std::size_t bytes)
+{
+    if (bytes > 0) {
+        setOption(descriptor, SOL_SOCKET, SO_RCVBUF, static_cast<int>(bytes));
+    }
+}
+
 void configure(int descriptor, const socket_options &options)
 {
+    limitReceiving(descriptor, options.receiveBuffer);
     setOption(descriptor, IPPROTO_TCP, TCP_NODELAY, 1);
     setOption(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<unsigned>(options.unacknowledgedLimit.count()));
     if (options.probeAfter.count() > 0) {
@@ -201,6 +209,13 @@
     }
 }
 
+void stream_socket::setReceiveBuffer(std::size_t bytes)
+{
+    if (m_descriptor >= 0) {
+        limitReceiving(m_descriptor, bytes);
+    }
+}
+
 bool stream_socket::hasPeerClosed() const
 {
     if (m_descriptor < 0) {
@@ -349,10 +364,11 @@
     close();
 }
 
-common::result<std::uint16_t> listener::listen(const socket_address &address, int backlog)
+common::result<std::uint16_t> listener::listen(const socket_address &address, int backlog, std::size_t receiveBuffer)
 {
     m_descriptor = openSocket();
     setOption(m_descriptor, SOL_SOCKET, SO_REUSEADDR, 1);
+    limitReceiving(m_descriptor, receiveBuffer); // before a connection can receive anything
     const sockaddr_in local = toSockaddr(address);
     const bool isListening = ::bind(m_descriptor, reinterpret_cast<const sockaddr *>(&local), sizeof(local)) == 0
         && ::listen(m_descriptor, backlog) == 0;
--- a/packages/net/test/memory-account-test.cpp
+++ b/packages/net/test/memory-account-test.cpp
@@ -19,8 +19,10 @@
         CHECK(account.heldBytes() == 300);
         account.update(1, reading(0, 400), start);
         CHECK(account.heldBytes() == 400);
-        account.update(1, {.copies = 1, .readAhead = 2, .unsent = 4}, start);
-        CHECK(account.heldBytes() == 7);
+        account.update(1, {.receivedBody = 400, .allocatedBody = 450, .isReadingBody = true}, start);
+        CHECK(account.heldBytes() == 450);
+        account.update(1, {.receiveBuffer = 8, .copies = 1, .readAhead = 2, .unsent = 4}, start);
+        CHECK(account.heldBytes() == 15);
         account.remove(1);
         CHECK(account.heldBytes() == 0);
     }
--- a/tests/crowds/misbehaving-callers-test.cpp
+++ b/tests/crowds/misbehaving-callers-test.cpp
@@ -205,7 +205,7 @@
 TEST_CASE("A process survives large answers that are not read", "[large-answers]")
 {
     crowd_fixture crowd;
-    crowd.model().behaviour.kind = site::endpoint_behaviour::fault::endless_event;
+    crowd.model().behaviour.kind = site::endpoint_behaviour::fault::endless_events;
     const std::string request
         = "POST /chat/ HTTP/1.1\r\nRequest-Id: crowd\r\n" + requestFields + "Content-Length: 0\r\n\r\n";
     crowd.connect(fewCallers, crowds::port::front, {.opening = request});
--- a/tests/site/site-endpoint.cpp
+++ b/tests/site/site-endpoint.cpp
@@ -161,6 +161,11 @@
         head.fields.push_back({"Content-Type", "text/event-stream"});
         exchange->write(http1::answerText(head) + "id: 1\ndata: ");
         break;
+    case fault::endless_events:
+        head.fields.push_back({"Content-Type", "text/event-stream"});
+        exchange->write(http1::answerText(head));
+        bytes = "id: 1\ndata: " + block + "\n\n";
+        break;
     case fault::endless_rejection:
         head.status = 503;
         head.fields = rejectionFields();
--- a/tests/site/site-endpoint.h
+++ b/tests/site/site-endpoint.h
@@ -51,6 +51,7 @@
         endless_extension, ///< sends a chunk header that does not end
         endless_unframed, ///< sends an endless body without a length
         endless_event, ///< streams an event that does not end
+        endless_events, ///< streams events without end
         endless_rejection, ///< 503 marked as not executed, with an endless body
         endless_tail, ///< sends endless bytes after a complete answer
         invalid_status, ///< runs a request or call, then answers it with the status set, marked as not executed
