Calls to endpoints leave file descriptors for the store and other instances

Callers saw: with all descriptors in use an instance can neither accept connections nor reach the store or its peers.

Cause: connections of callers were limited, those to endpoints on their behalf were not.

--- a/packages/frontend/src/caller-limits.cpp
+++ b/packages/frontend/src/caller-limits.cpp
@@ -25,11 +25,10 @@
 }
 
 /// Five eighths of the descriptors for one address, as a load balancer may be the only peer, and three quarters for all
-/// leave a quarter for endpoints and other instances. Each connection may also fill its receive buffer.
-net::connection_limits connectionLimits(const frontend_settings &settings, std::size_t memoryBytes)
+/// leave an eighth for endpoints and one for the rest. Each connection may also fill its receive buffer.
+net::connection_limits connectionLimits(const frontend_settings &settings, std::size_t memoryBytes, std::size_t files)
 {
     constexpr std::size_t bytesEach = 2 * caller_connection::idleReceiveBuffer; // the kernel takes twice its size
-    const std::size_t files = descriptorLimit();
     const auto fitting
         = static_cast<std::size_t>(settings.connectionMemoryShare * static_cast<double>(memoryBytes)) / bytesEach;
     const std::size_t total = std::min(files / 4 * 3, fitting);
@@ -54,7 +53,7 @@
 
 caller_limits::caller_limits(const frontend_settings &settings, std::size_t memoryBytes,
                              telemetry::metric_registry &metrics)
-    : m_connections(connectionLimits(settings, memoryBytes)),
+    : m_descriptors(descriptorLimit()), m_connections(connectionLimits(settings, memoryBytes, m_descriptors)),
       m_memory({.limit = static_cast<std::size_t>(settings.callerMemoryShare * static_cast<double>(memoryBytes))}),
       m_maximumPieces(settings.maximumPieces), m_metrics(metrics)
 { }
@@ -110,6 +109,13 @@
     }
 }
 
+/// Both together have three quarters of the descriptors, and endpoints an eighth however many callers there are.
+std::size_t caller_limits::endpointConnections(std::size_t callers) const
+{
+    const std::size_t shared = m_descriptors / 4 * 3;
+    return std::max(m_descriptors / 8, shared - std::min(callers, shared));
+}
+
 bool caller_limits::mayHavePieces(const std::vector<std::size_t> &pieces) const
 {
     std::size_t left = m_maximumPieces;
--- a/packages/frontend/src/caller-limits.h
+++ b/packages/frontend/src/caller-limits.h
@@ -34,6 +34,8 @@
     bool updateMemory(const caller_map &callers, const caller_connection &caller, const net::memory_use &use,
                       common::instant now);
     void forgetGone(const caller_map &callers);
+    /// Connections to endpoints that may be open beside \p callers connections of callers.
+    std::size_t endpointConnections(std::size_t callers) const;
     /// Whether a request may have so many pieces in its stages.
     bool mayHavePieces(const std::vector<std::size_t> &pieces) const;
     /// Logs and counts a connection that was closed or a request that was ended for \p cause.
@@ -41,6 +43,7 @@
     void count(std::string_view cause);
 
 private:
+    std::size_t m_descriptors; ///< that the process may open
     net::connection_limits m_connections;
     net::memory_account m_memory;
     std::size_t m_maximumPieces;
--- a/packages/frontend/src/daemon-core.cpp
+++ b/packages/frontend/src/daemon-core.cpp
@@ -296,6 +296,7 @@
     raw->address = address;
     m_callers.emplace(raw, std::move(caller));
     m_callerLimits.limitConnections(m_callers, *raw);
+    m_pool.setLimit(m_callerLimits.endpointConnections(m_callers.size()));
 }
 
 /// Updates what \p caller holds. Returns false if the memory account sheds it, which is left to the caller of this.
@@ -359,6 +360,10 @@
         reason = "too_many_pieces";
         return badRequest;
     }
+    if (m_pool.isFull()) {
+        reason = "endpoint_connections";
+        return unavailable;
+    }
     if (!updateMemory(caller, now)) {
         reason = "memory";
         return unavailable;
@@ -536,6 +541,7 @@
     }
     m_callerLimits.forgetGone(m_callers);
     std::erase_if(m_callers, [](const auto &item) { return item.first->isGone(); });
+    m_pool.setLimit(m_callerLimits.endpointConnections(m_callers.size()));
     m_pool.sweep(now);
 }
 
--- a/packages/frontend/src/endpoint-pool.cpp
+++ b/packages/frontend/src/endpoint-pool.cpp
@@ -1,5 +1,6 @@
 #include "endpoint-pool.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace masticlever::frontend
@@ -15,7 +16,7 @@
 endpoint_pool::connection *endpoint_pool::acquire(const std::string &endpointId, const std::string &address,
                                                   forwarding::sender_role role, common::instant now)
 {
-    if (!m_gate.admit(endpointId, address, role, now)) {
+    if (isFull() || !m_gate.admit(endpointId, address, role, now)) {
         return nullptr;
     }
     for (auto &[known, item] : m_entries) {
@@ -29,12 +30,37 @@
     if (!target) {
         return nullptr;
     }
+    makeRoom();
     auto created = std::make_unique<connection>(target.value(), m_options.socket, answerLimits);
     connection *raw = created.get();
     m_entries.emplace(raw, entry{std::move(created), endpointId, now, {}, false});
     return raw;
 }
 
+bool endpoint_pool::isFull() const
+{
+    const auto isBusy = [](const auto &item) { return !item.second.isIdle; };
+    return m_entries.size() >= m_limit && static_cast<std::size_t>(std::ranges::count_if(m_entries, isBusy)) >= m_limit;
+}
+
+void endpoint_pool::makeRoom()
+{
+    if (m_entries.size() < m_limit) {
+        return;
+    }
+    auto oldest = m_entries.end();
+    for (auto it = m_entries.begin(); it != m_entries.end(); ++it) {
+        if (it->second.isIdle && (oldest == m_entries.end() || it->second.stateSince < oldest->second.stateSince)) {
+            oldest = it;
+        }
+    }
+    if (oldest != m_entries.end()) {
+        oldest->first->abandon();
+        m_ended.push_back(std::move(oldest->second.owned));
+        m_entries.erase(oldest);
+    }
+}
+
 void endpoint_pool::release(connection *used, std::optional<common::duration> idleLimit, common::instant now)
 {
     const auto found = m_entries.find(used);
--- a/packages/frontend/src/endpoint-pool.h
+++ b/packages/frontend/src/endpoint-pool.h
@@ -6,6 +6,7 @@
 #include <masticlever/common/time.h>
 #include <masticlever/http1/client-connection.h>
 
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -15,7 +16,7 @@
 
 /// \file
 /// Pool of connections to endpoints. A connection is reused after a complete exchange, but only well before the
-/// endpoint's idle limit closes it.
+/// endpoint's idle limit closes it. The number of connections is limited, as each of them needs a file descriptor.
 
 namespace masticlever::frontend
 {
@@ -34,8 +35,13 @@
 
     endpoint_pool(endpoint_pool_options options, endpoint_gate &gate) : m_options(options), m_gate(gate) { }
 
-    /// Returns an idle connection or a new one for one request; nullptr when the gate does not admit the request or the
-    /// address is malformed.
+    /// Sets how many connections may be open. Those above it stay open until their exchange ends.
+    void setLimit(std::size_t connections) { m_limit = connections; }
+    /// Whether all connections that may be open have an exchange in flight.
+    bool isFull() const;
+
+    /// Returns an idle connection or a new one for one request; nullptr when the gate does not admit the request, the
+    /// address is malformed or the pool is full.
     connection *acquire(const std::string &endpointId, const std::string &address, forwarding::sender_role role,
                         common::instant now);
     /// Returns a connection to the pool, which keeps it if it can carry another exchange.
@@ -57,8 +63,12 @@
         bool isIdle = false;
     };
 
+    /// Closes the connection that has been idle for longest, if the limit is reached.
+    void makeRoom();
+
     endpoint_pool_options m_options;
     endpoint_gate &m_gate;
+    std::size_t m_limit = std::numeric_limits<std::size_t>::max();
     std::map<connection *, entry> m_entries;
     std::vector<std::unique_ptr<connection>> m_ended;
 };
--- a/packages/frontend/src/home-server.cpp
+++ b/packages/frontend/src/home-server.cpp
@@ -215,6 +215,9 @@
 
 void home_server::startCalls(const std::string &service, service_queue &target, instant now)
 {
+    if (m_access.pool.isFull()) {
+        return; // tried again at the next tick
+    }
     const std::size_t unsent = unsentCallBytes();
     const std::size_t left = m_access.unsentCallBytes - std::min(unsent, m_access.unsentCallBytes);
     for (stages::batch_call &call : target.queue.takeCalls(now, left)) {
@@ -239,7 +242,11 @@
         });
     if (!newCall->start(call.endpointId, call.address, m_access.protocol.pieceCall(call.address, call.endpointId),
                         m_access.protocol.pieceCallBody(call.orders))) {
-        target.queue.onLost(number, monotonicNow());
+        if (m_access.pool.isFull()) {
+            target.queue.onRejected(number, monotonicNow());
+        } else {
+            target.queue.onLost(number, monotonicNow());
+        }
         return;
     }
     target.calls.emplace(
