Status requests are answered as fast as their answers are read

Callers saw: no ordinary request answered within 30 s, and a process over its memory, when status answers were left unread; an instance taken for lost when 64 connections to the readiness port were kept open.

--- a/packages/frontend/src/status-server.cpp
+++ b/packages/frontend/src/status-server.cpp
@@ -1,5 +1,6 @@
 #include "status-server.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace masticlever::frontend
@@ -10,6 +11,7 @@
 
 constexpr int backlog = 32;
 constexpr std::size_t connectionLimit = 64;
+constexpr std::size_t receiveBuffer = 16384; ///< more than one request
 constexpr common::duration idleLimit = std::chrono::seconds(30);
 constexpr http1::reader_limits limits{8192, 0};
 constexpr net::socket_options socketOptions{std::chrono::milliseconds(5000), std::chrono::seconds(5)};
@@ -26,20 +28,36 @@
 
     bool isGone() const { return m_isGone || m_now - m_lastReadAt > idleLimit; }
     void setNow(common::instant now) { m_now = now; }
+    common::instant lastReadAt() const { return m_lastReadAt; }
 
 private:
     void onBytes(std::string_view bytes) override
     {
         m_lastReadAt = m_now;
-        if (m_reader.feed(bytes)) {
-            m_socket->closeWhenSent();
-        }
+        m_hasFailed = m_hasFailed || m_reader.feed(bytes);
+        answerRequests();
     }
+    void onDrained() override { answerRequests(); }
     void onClosed(net::close_reason /*reason*/) override { m_isGone = true; }
     void onHead(http1::message_head head) override { m_head = std::move(head); }
     void onBody(std::string_view /*bytes*/) override { }
+    void onEnd() override { }
+
+    /// Answers requests while their answers are read. Nothing is read from a caller that leaves them unread.
+    void answerRequests()
+    {
+        while (!m_hasFailed && m_reader.isEnded() && m_socket->unsentBytes() == 0) {
+            answerRequest();
+            m_hasFailed = !m_head.keepAlive || m_reader.next();
+        }
+        if (m_hasFailed) {
+            m_socket->closeWhenSent();
+        } else {
+            m_socket->setReading(m_socket->unsentBytes() == 0);
+        }
+    }
 
-    void onEnd() override
+    void answerRequest()
     {
         const status_answer answer = m_answer(m_head);
         http1::message_head head;
@@ -50,9 +68,6 @@
             head.fields.push_back({"Connection", "close"});
         }
         m_socket->write(http1::answerText(head) + answer.body);
-        if (!m_head.keepAlive || m_reader.next()) {
-            m_socket->closeWhenSent();
-        }
     }
 
     const answer_function &m_answer;
@@ -61,6 +76,7 @@
     http1::message_head m_head;
     common::instant m_now;
     common::instant m_lastReadAt;
+    bool m_hasFailed = false; ///< nothing more is read
     bool m_isGone = false;
 };
 
@@ -77,11 +93,14 @@
     auto added = std::make_unique<net::listener>([this](int descriptor) {
         auto accepted = std::make_unique<connection>(descriptor, m_answer, m_now);
         connection *raw = accepted.get();
-        if (m_connections.size() < connectionLimit) {
-            m_connections.emplace(raw, std::move(accepted));
+        if (m_connections.size() >= connectionLimit) {
+            // In place of the new one, so that checks get through however many connections are kept open.
+            m_connections.erase(
+                std::ranges::min_element(m_connections, {}, [](const auto &item) { return item.first->lastReadAt(); }));
         }
+        m_connections.emplace(raw, std::move(accepted));
     });
-    if (!added->listen(parsed.value(), backlog)) {
+    if (!added->listen(parsed.value(), backlog, receiveBuffer)) {
         return false;
     }
     m_listeners.push_back(std::move(added));
--- a/packages/http1/include/masticlever/http1/message-reader.h
+++ b/packages/http1/include/masticlever/http1/message-reader.h
@@ -60,13 +60,14 @@
     /// The status line of a response whose status is none of 100 to 599, after error::malformed; empty otherwise.
     const std::string &invalidStatusLine() const { return m_invalidStatusLine; }
     bool isBodyTooLarge() const { return m_isBodyTooLarge; } ///< after error::too_large
-    std::size_t pendingBytes() const { return m_pending.size(); } ///< read but not parsed
+    std::size_t pendingBytes() const { return m_pending.size() - m_parsed; } ///< read but not parsed
 
 private:
     class parser;
     template <bool isRequest> class beast_parser;
 
     std::error_code advance();
+    void dropParsed();
     void createParser();
 
     message_kind m_kind;
@@ -74,6 +75,7 @@
     message_sink &m_sink;
     std::unique_ptr<parser> m_parser;
     std::string m_pending;
+    std::size_t m_parsed = 0; ///< bytes at the front of m_pending that are parsed already
     bool m_isEnded = false;
     bool m_hasHead = false;
     bool m_isStarted = false;
--- a/packages/http1/src/message-reader.cpp
+++ b/packages/http1/src/message-reader.cpp
@@ -191,7 +191,7 @@
 
 bool message_reader::isUntouched() const
 {
-    return !m_isStarted && m_pending.empty();
+    return !m_isStarted && pendingBytes() == 0;
 }
 
 void message_reader::createParser()
@@ -237,16 +237,31 @@
     return {};
 }
 
+/// Moves the rest to the front only when it is the smaller part, so that the time for many short messages that arrive
+/// together grows with their size.
+void message_reader::dropParsed()
+{
+    if (m_parsed < m_pending.size() - m_parsed) {
+        return;
+    }
+    m_pending.erase(0, m_parsed);
+    m_parsed = 0;
+    if (m_pending.empty() && m_pending.capacity() > keptCapacityBytes) {
+        m_pending = {}; // every idle connection would keep the memory of its largest read
+    }
+}
+
 std::error_code message_reader::advance()
 {
-    while (!m_isEnded && !m_pending.empty()) {
+    while (!m_isEnded && pendingBytes() > 0) {
         if (!m_parser) {
             createParser();
         }
         m_isStarted = true;
         error_code failure;
-        const std::size_t consumed = m_parser->put(m_pending, failure);
-        m_pending.erase(0, consumed);
+        const std::size_t consumed = m_parser->put(std::string_view(m_pending).substr(m_parsed), failure);
+        m_parsed += consumed;
+        dropParsed();
         if (failure && failure != beast::http::error::need_more) {
             m_isBodyTooLarge = failure == beast::http::error::body_limit;
             const bool isTooLarge = failure == beast::http::error::header_limit || m_isBodyTooLarge;
@@ -267,11 +282,8 @@
             break;
         }
     }
-    if (m_pending.empty() && m_pending.capacity() > keptCapacityBytes) {
-        m_pending = {}; // every idle connection would keep the memory of its largest read
-    }
     // Body bytes are consumed as they arrive. Unparsed bytes belong to a head or a chunk header, whose size is limited.
-    const bool isHeadTooLarge = !m_isEnded && m_pending.size() > m_limits.headBytes + unparsedAllowance;
+    const bool isHeadTooLarge = !m_isEnded && pendingBytes() > m_limits.headBytes + unparsedAllowance;
     return isHeadTooLarge ? make_error_code(common::error::too_large) : std::error_code{};
 }
 
