The product's own interface limits all callers together

Callers saw: processes that were ended over their memory, and no answer within 30 s, when others sent bodies of legal size or requests ahead of their answers; no connection at all when others kept theirs open.

--- a/packages/frontend/src/caller-limits.cpp
+++ b/packages/frontend/src/caller-limits.cpp
@@ -36,19 +36,6 @@
     return {std::min(perAddress, total), total};
 }
 
-std::string_view nameOf(net::shed_cause cause)
-{
-    switch (cause) {
-    case net::shed_cause::stalled_body:
-        return "memory_stalled_body";
-    case net::shed_cause::largest:
-        return "memory_largest";
-    case net::shed_cause::newest:
-        break;
-    }
-    return "memory_newest";
-}
-
 } // namespace
 
 caller_limits::caller_limits(const frontend_settings &settings, std::size_t memoryBytes,
@@ -90,7 +77,7 @@
         if (found == callers.end()) {
             continue;
         }
-        report(nameOf(shed.cause), found->first->address, shed.bytes);
+        report(net::nameOf(shed.cause), found->first->address, shed.bytes);
         if (found->first == &caller) {
             isKept = false;
         } else {
--- a/packages/gateway/include/masticlever/gateway/http-server.h
+++ b/packages/gateway/include/masticlever/gateway/http-server.h
@@ -5,6 +5,7 @@
 
 #include <QAbstractHttpServer>
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -23,6 +24,8 @@
     std::string certificateFile; ///< PEM; empty: plain HTTP
     std::string privateKeyFile; ///< PEM
     std::size_t bodyLimitBytes = 262144;
+    std::size_t callerMemoryBytes = 0; ///< limit of what all callers make the process hold
+    std::chrono::milliseconds idleTimeout{}; ///< of a connection without a request
 };
 
 class http_server : public QAbstractHttpServer
--- a/packages/gateway/src/http-server.cpp
+++ b/packages/gateway/src/http-server.cpp
@@ -1,4 +1,4 @@
-#include "detail/connection-guard.h"
+#include "detail/caller-registry.h"
 
 #include <masticlever/gateway/http-server.h>
 
@@ -16,6 +16,9 @@
 #include <QUrl>
 #include <QUrlQuery>
 
+#include <sys/resource.h>
+#include <sys/socket.h>
+
 #include <optional>
 #include <utility>
 
@@ -25,6 +28,8 @@
 namespace
 {
 
+constexpr int receiveBufferBytes = 65536;
+
 std::string methodOf(const QHttpServerRequest &request)
 {
     switch (request.method()) {
@@ -64,6 +69,17 @@
     return parsed;
 }
 
+/// Half of the descriptors for one address, as a load balancer may be the only peer, and five eighths for all leave the
+/// rest for endpoints, the platform and other instances.
+net::connection_limits connectionLimits()
+{
+    constexpr std::size_t usualLimit = 1024;
+    rlimit files{};
+    const bool isKnown = ::getrlimit(RLIMIT_NOFILE, &files) == 0 && files.rlim_cur != RLIM_INFINITY;
+    const std::size_t descriptors = isKnown ? files.rlim_cur : usualLimit;
+    return {descriptors / 2, descriptors / 8 * 5};
+}
+
 QByteArray readFile(const std::string &path)
 {
     QFile file(QString::fromStdString(path));
@@ -75,7 +91,11 @@
 class http_server::listener : public QTcpServer
 {
 public:
-    explicit listener(const server_options &options) : m_options(options) { }
+    explicit listener(const server_options &options)
+        : m_options(options), m_registry(connectionLimits(), options.callerMemoryBytes)
+    { }
+
+    void onAnswered(const QTcpSocket *socket) { m_registry.onAnswered(socket); }
 
     std::string loadCertificate()
     {
@@ -113,7 +133,7 @@
         }
         socket->setSocketDescriptor(handle);
         socket->setSocketOption(QAbstractSocket::LowDelayOption, 1);
-        new detail::connection_guard(socket, m_options.bodyLimitBytes);
+        m_registry.add(socket, {m_options.bodyLimitBytes, m_options.idleTimeout});
         if (m_tlsConfiguration) {
             static_cast<QSslSocket *>(socket)->startServerEncryption();
         }
@@ -122,6 +142,7 @@
 
 private:
     server_options m_options;
+    detail::caller_registry m_registry;
     std::optional<QSslConfiguration> m_tlsConfiguration;
 };
 
@@ -141,6 +162,10 @@
     if (!m_listener->listen(host, m_options.address.port)) {
         return m_options.address.toString() + ": " + m_listener->errorString().toStdString();
     }
+    // Accepted connections inherit it. It bounds what arrives before the guard of a connection can reject it.
+    const int receiveBuffer = receiveBufferBytes;
+    static_cast<void>(::setsockopt(static_cast<int>(m_listener->socketDescriptor()), SOL_SOCKET, SO_RCVBUF,
+                                   &receiveBuffer, sizeof(receiveBuffer)));
     // bind() makes the listener a child of the server, but m_listener owns it.
     bind(m_listener.get());
     m_listener->setParent(nullptr);
@@ -168,7 +193,10 @@
     const bool keepAlive = parsed.header("Connection").compare("close", Qt::CaseInsensitive) != 0;
     auto *httpExchange = new exchange(socket, std::move(parsed), keepAlive);
     m_activeSockets.insert(socket);
-    connect(httpExchange, &exchange::finished, this, [this, socket] { m_activeSockets.erase(socket); });
+    connect(httpExchange, &exchange::finished, this, [this, socket] {
+        m_activeSockets.erase(socket);
+        m_listener->onAnswered(socket);
+    });
     m_handler(*httpExchange);
     return true;
 }
--- a/packages/masticleverd/src/daemon.cpp
+++ b/packages/masticleverd/src/daemon.cpp
@@ -52,12 +52,14 @@
         *this, gateway::caller_options{.bodyLimitBytes = m_settings.bodyLimitBytes});
     m_operators = std::make_unique<gateway::operator_api>(
         *this, gateway::operator_options{m_settings.readTokenDigests, m_settings.changeTokenDigests});
-    m_server
-        = std::make_unique<gateway::http_server>(gateway::server_options{.address = m_settings.gateway,
-                                                                         .certificateFile = m_settings.certificateFile,
-                                                                         .privateKeyFile = m_settings.privateKeyFile,
-                                                                         .bodyLimitBytes = m_settings.bodyLimitBytes},
-                                                 [this](gateway::exchange &exchange) { handle(exchange); });
+    m_server = std::make_unique<gateway::http_server>(
+        gateway::server_options{.address = m_settings.gateway,
+                                .certificateFile = m_settings.certificateFile,
+                                .privateKeyFile = m_settings.privateKeyFile,
+                                .bodyLimitBytes = m_settings.bodyLimitBytes,
+                                .callerMemoryBytes = m_settings.callerMemoryMegabytes << 20,
+                                .idleTimeout = m_settings.idleTimeout},
+        [this](gateway::exchange &exchange) { handle(exchange); });
     connect(&m_secondTimer, &QTimer::timeout, this, &daemon::onSecondTimer);
     connect(&m_membershipTimer, &QTimer::timeout, this, &daemon::onMembershipTimer);
 }
--- a/packages/net/include/masticlever/net/memory-account.h
+++ b/packages/net/include/masticlever/net/memory-account.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <string_view>
 #include <vector>
 
 /// \file
@@ -43,6 +44,9 @@
     newest, ///< the latest of several that held most
 };
 
+/// For logs and metrics.
+std::string_view nameOf(shed_cause cause);
+
 struct shed_decision {
     std::uint64_t connection = 0;
     shed_cause cause = shed_cause::largest;
--- a/packages/net/src/memory-account.cpp
+++ b/packages/net/src/memory-account.cpp
@@ -5,6 +5,19 @@
 namespace masticlever::net
 {
 
+std::string_view nameOf(shed_cause cause)
+{
+    switch (cause) {
+    case shed_cause::stalled_body:
+        return "memory_stalled_body";
+    case shed_cause::largest:
+        return "memory_largest";
+    case shed_cause::newest:
+        break;
+    }
+    return "memory_newest";
+}
+
 std::size_t memory_use::total() const
 {
     return std::max({declaredBody, receivedBody, allocatedBody}) + receiveBuffer + copies + readAhead + unsent;
--- a/packages/settings/include/masticlever/settings/settings.h
+++ b/packages/settings/include/masticlever/settings/settings.h
@@ -28,6 +28,8 @@
     std::string certificateFile; ///< PEM; empty: plain HTTP
     std::string privateKeyFile; ///< PEM
     std::size_t bodyLimitBytes = 262144;
+    std::size_t callerMemoryMegabytes = 40; ///< that all callers together make the process hold
+    std::chrono::milliseconds idleTimeout{120000}; ///< of a caller's connection without a request
 
     std::vector<std::string> readTokenDigests; ///< SHA-256; operators with read access
     std::vector<std::string> changeTokenDigests; ///< SHA-256; operators with read and change access
--- a/packages/settings/src/detail/key-rules.cpp
+++ b/packages/settings/src/detail/key-rules.cpp
@@ -130,6 +130,8 @@
         {"gateway", "certificate_file", false, "path of a PEM file", textSetter(&s::certificateFile)},
         {"gateway", "private_key_file", false, "path of a PEM file", textSetter(&s::privateKeyFile)},
         {"gateway", "body_limit_bytes", false, "1024 to 16777216", numberSetter(&s::bodyLimitBytes, 1024, 16777216)},
+        {"gateway", "caller_memory_mb", false, "8 to 1000000", numberSetter(&s::callerMemoryMegabytes, 8, 1000000)},
+        {"gateway", "idle_timeout_ms", false, "1000 to 86400000", numberSetter(&s::idleTimeout, 1000, 86400000)},
         {"operators", "read_token_digests", false, digestList, digestsSetter(&s::readTokenDigests)},
         {"operators", "change_token_digests", true, digestList, digestsSetter(&s::changeTokenDigests)},
         {"platform", "url", true, "http://IP:port or https://IP:port", urlSetter(&s::platformUrl)},
