--- a/tests/crowds/crowd-fixture.cpp
+++ b/tests/crowds/crowd-fixture.cpp
@@ -7,6 +7,7 @@
 #include <QElapsedTimer>
 #include <QEventLoop>
 
+#include <csignal>
 #include <cstdio>
 #include <utility>
 
@@ -111,6 +112,18 @@
     CHECK(m_fleet.crashes().empty());
 }
 
+bool crowd_fixture::stopsByItself()
+{
+    m_fleet.signal(0, SIGTERM);
+    QElapsedTimer timer;
+    timer.start();
+    while (timer.elapsed() < answerTimeoutMs && m_fleet.isRunning(0)) {
+        run(50);
+    }
+    CHECK(m_usage.peakHeld() < memoryBound);
+    return !m_fleet.isRunning(0);
+}
+
 /// Whether one of a well-behaved caller's requests is answered, each of which is one ordinary request.
 bool crowd_fixture::isServed()
 {
--- a/tests/crowds/crowd-fixture.h
+++ b/tests/crowds/crowd-fixture.h
@@ -50,6 +50,8 @@
     void run(int milliseconds);
     /// Checks that the process lives, stays within the bounds and answers one ordinary request.
     void checkProcess();
+    /// Sends SIGTERM. Returns whether the process then ends within the bounds.
+    bool stopsByItself();
 
     std::string addressOf(port target) const { return m_fleet.addressOf(0, target); }
     site::site_endpoint &model() { return *m_endpoints[1]; }
--- a/tests/crowds/crowd.cpp
+++ b/tests/crowds/crowd.cpp
@@ -23,20 +23,26 @@
 
 void crowd::add(std::size_t count, const std::string &address, transmission sent)
 {
-    const net::socket_address parsed = net::parseAddress(address).value();
-    sockaddr_in target{};
-    target.sin_family = AF_INET;
-    target.sin_addr.s_addr = htonl(parsed.ip);
-    target.sin_port = htons(parsed.port);
+    const net::socket_address target = net::parseAddress(address).value();
     const auto script = std::make_shared<const transmission>(std::move(sent));
     for (std::size_t i = 0; i < count; ++i) {
-        const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-        // Fails with EINPROGRESS; a refused connection shows at the first send.
-        static_cast<void>(::connect(descriptor, reinterpret_cast<const sockaddr *>(&target), sizeof(target)));
-        m_connections.push_back({script, descriptor, 0});
+        m_connections.push_back({script, target});
+        open(m_connections.back());
     }
 }
 
+void crowd::open(connection &target)
+{
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(target.target.ip);
+    address.sin_port = htons(target.target.port);
+    target.sent = 0;
+    target.descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    // Fails with EINPROGRESS; a refused connection shows at the first send.
+    static_cast<void>(::connect(target.descriptor, reinterpret_cast<const sockaddr *>(&address), sizeof(address)));
+}
+
 std::string_view crowd::nextBytes(const connection &target)
 {
     const transmission &script = *target.script;
@@ -77,6 +83,15 @@
         if (item.descriptor >= 0) {
             advance(item);
         }
+        if (!item.script->isReconnecting) {
+            continue;
+        }
+        if (item.descriptor >= 0 && nextBytes(item).empty()) {
+            ::close(std::exchange(item.descriptor, -1));
+        }
+        if (item.descriptor < 0) {
+            open(item);
+        }
     }
 }
 
--- a/tests/crowds/crowd.h
+++ b/tests/crowds/crowd.h
@@ -22,6 +22,8 @@
     std::size_t repeatedBytes = 0;
     /// The last of the repeated bytes that are sent one at a time, one with each advance().
     std::size_t trickledBytes = 0;
+    /// Whether a connection that has sent everything, or was closed, is replaced by a new one.
+    bool isReconnecting = false;
 };
 
 class crowd
@@ -41,10 +43,12 @@
 private:
     struct connection {
         std::shared_ptr<const transmission> script;
+        net::socket_address target;
         int descriptor = -1;
         std::size_t sent = 0;
     };
 
+    static void open(connection &target);
     static std::string_view nextBytes(const connection &target);
     static void advance(connection &target);
 
--- a/tests/crowds/misbehaving-callers-test.cpp
+++ b/tests/crowds/misbehaving-callers-test.cpp
@@ -202,6 +202,29 @@
     crowd.checkProcess();
 }
 
+TEST_CASE("A process survives callers that leave in the middle of a body and return", "[reconnecting]")
+{
+    crowd_fixture crowd;
+    crowd.connect(fewCallers, crowds::port::front,
+                  {.opening = bodyHead("Content-Length: " + std::to_string(bodyLimit)),
+                   .repeated = std::string(65536, 'x'),
+                   .repeatedBytes = bodyLimit / 2,
+                   .isReconnecting = true});
+    crowd.run(crowdMilliseconds);
+    crowd.checkProcess();
+}
+
+TEST_CASE("A process that is told to stop ends although callers stall", "[stopping]")
+{
+    crowd_fixture crowd;
+    crowd.connect(fewCallers, crowds::port::front,
+                  {.opening = bodyHead("Content-Length: " + std::to_string(bodyLimit)),
+                   .repeated = std::string(65536, 'x'),
+                   .repeatedBytes = bodyLimit - 1});
+    crowd.run(crowdMilliseconds / 4);
+    CHECK(crowd.stopsByItself());
+}
+
 TEST_CASE("A process survives large answers that are not read", "[large-answers]")
 {
     crowd_fixture crowd;
--- a/tests/crowds/misbehaving-product-test.cpp
+++ b/tests/crowds/misbehaving-product-test.cpp
@@ -35,6 +35,7 @@
 constexpr std::size_t connections = 140;
 constexpr int crowdMilliseconds = 8000;
 constexpr int sampleIntervalMs = 50;
+const std::string peersAddress = "127.0.0.1:23990";
 
 /// Limits the descriptors of programs that are started during its life.
 class descriptor_limit
@@ -57,7 +58,10 @@
 std::unique_ptr<fleet> startFleet()
 {
     const descriptor_limit lowered;
-    return adviceFleet(1).setting(u"gateway/body_limit_bytes"_s, QString::number(bodyLimit)).start();
+    return adviceFleet(1)
+        .setting(u"peers/address"_s, QString::fromStdString(peersAddress))
+        .setting(u"gateway/body_limit_bytes"_s, QString::number(bodyLimit))
+        .start();
 }
 
 class product_fixture
@@ -67,6 +71,7 @@
 
     std::string callerAddress() const { return m_fleet->daemon(0).address().toStdString(); }
     void connect(std::size_t count, transmission sent) { m_crowd.add(count, callerAddress(), std::move(sent)); }
+    void connectToPeers(std::size_t count, transmission sent) { m_crowd.add(count, peersAddress, std::move(sent)); }
 
     void run(int milliseconds)
     {
@@ -184,3 +189,22 @@
     product.run(2000);
     product.checkProcess();
 }
+
+TEST_CASE("The product survives strangers at the port for other instances", "[product-strangers]")
+{
+    product_fixture product;
+    const std::string block(65536, 'x');
+
+    SECTION("that send without end")
+    {
+        product.connectToPeers(connections, {.repeated = block, .repeatedBytes = 1u << 30, .isReconnecting = true});
+        product.run(crowdMilliseconds / 2);
+        product.checkProcess();
+    }
+    SECTION("that announce a message of legal length and do not complete it")
+    {
+        product.connectToPeers(connections, {.opening = std::string("\0\0\1\0", 4)});
+        product.run(crowdMilliseconds / 4);
+        product.checkProcess();
+    }
+}
