--- a/packages/stages/src/home-messages.cpp
+++ b/packages/stages/src/home-messages.cpp
@@ -59,9 +59,9 @@
     std::int64_t downstreamTime = request.downstreamTime.count();
     std::int32_t priority = request.priority;
     std::vector<std::string> inputs(request.inputs.view().begin(), request.inputs.view().end());
-    archive(message.service, request.job, request.requestId, stage, pieces, request.key, inputs,
-            request.dataCentre, priority, request.resultBytes, request.transferBytes, downstreamTime,
-            message.objectiveLeft, message.deadlineLeft);
+    archive(message.service, request.job, request.requestId, stage, pieces, request.key, inputs, request.dataCentre,
+            priority, request.resultBytes, request.transferBytes, downstreamTime, message.objectiveLeft,
+            message.deadlineLeft);
     request.stage = stage;
     request.inputs = protocol::handle_list(std::move(inputs));
     request.pieces.assign(pieces.begin(), pieces.end());
--- a/tests/crowds/crowd.cpp
+++ b/tests/crowds/crowd.cpp
@@ -62,7 +62,8 @@
 {
     const transmission &script = *target.script;
     const std::size_t trickleFrom = script.opening.size() + script.repeatedBytes - script.trickledBytes;
-    for (std::string_view bytes = nextBytes(target); !bytes.empty(); bytes = nextBytes(target)) {
+    std::size_t left = script.bytesPerTurn;
+    for (std::string_view bytes = nextBytes(target); !bytes.empty() && left > 0; bytes = nextBytes(target)) {
         const ssize_t size = ::send(target.descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL);
         if (size < 0) {
             if (errno != EAGAIN && errno != EINTR && errno != ENOTCONN) {
@@ -71,6 +72,7 @@
             return;
         }
         target.sent += static_cast<std::size_t>(size);
+        left -= std::min(left, static_cast<std::size_t>(size));
         if (script.trickledBytes > 0 && target.sent >= trickleFrom) {
             return;
         }
--- a/tests/crowds/crowd.h
+++ b/tests/crowds/crowd.h
@@ -3,6 +3,7 @@
 #include <masticlever/net/stream-socket.h>
 
 #include <cstddef>
+#include <limits>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -22,6 +23,9 @@
     std::size_t repeatedBytes = 0;
     /// The last of the repeated bytes that are sent one at a time, one with each advance().
     std::size_t trickledBytes = 0;
+    /// Most bytes that a connection sends with each advance(). Without a limit, one whose bytes are discarded as fast
+    /// as they arrive never blocks, and leaves no time for others in its process.
+    std::size_t bytesPerTurn = std::numeric_limits<std::size_t>::max();
     /// Whether a connection that has sent everything, or was closed, is replaced by a new one.
     bool isReconnecting = false;
 };
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -1,4 +1,5 @@
 #include "loopback-proxy.h"
+#include "misbehaving-callers.h"
 #include "soak-fleet.h"
 
 #include "site-caller.h"
@@ -71,6 +72,14 @@
         m_store.saveCopy();
     }
 
+    /// Adds callers that ignore the limits to all daemons.
+    void addMisbehavingCallers()
+    {
+        for (std::size_t i = 0; i < m_fleet.size(); ++i) {
+            soak::addMisbehavingCallers(m_crowd, m_fleet.frontAddressOf(i));
+        }
+    }
+
     /// Returns the number of violated guarantees.
     std::size_t execute(int milliseconds)
     {
@@ -137,6 +146,7 @@
     void processPendingEvents()
     {
         QCoreApplication::processEvents(QEventLoop::AllEvents, 5);
+        m_crowd.advance();
         restartCrashedEndpoints();
     }
 
@@ -442,6 +452,7 @@
     std::vector<observed_request> m_requests;
     std::vector<std::unique_ptr<site_caller>> m_duplicateCallers;
     std::vector<std::pair<qint64, std::function<void()>>> m_pendingReverts;
+    crowds::crowd m_crowd; ///< ignores the limits; empty unless it is asked for
     qint64 m_elapsedMs = 0;
     std::size_t m_probes = 0;
     std::size_t m_served = 0;
@@ -466,11 +477,15 @@
                       QStringLiteral("NAME"), QString()});
     parser.addOption({QStringLiteral("limits"), QStringLiteral("Let endpoints name rate limits.")});
     parser.addOption({QStringLiteral("crashing-parts"), QStringLiteral("Send requests that crash model endpoints.")});
+    parser.addOption({QStringLiteral("misbehaving-callers"), QStringLiteral("Add callers that ignore the limits.")});
     parser.process(application);
     const auto seed = parser.value(QStringLiteral("seed")).toUInt();
     soak_run run(QCoreApplication::applicationDirPath() + QStringLiteral("/masticleverd"), seed,
                  parser.value(QStringLiteral("daemons")).toUInt(), parser.value(QStringLiteral("plant")),
                  parser.isSet(QStringLiteral("limits")), parser.isSet(QStringLiteral("crashing-parts")));
+    if (parser.isSet(QStringLiteral("misbehaving-callers"))) {
+        run.addMisbehavingCallers();
+    }
     const std::size_t violations = run.execute(parser.value(QStringLiteral("seconds")).toInt() * 1000);
     std::printf("seed %u: %zu requests, %zu served, %zu faults, %zu broken\n", seed, run.requests(), run.served(),
                 run.faults(), violations);
