One copy of the descriptor limit; a connection that is closed as it is accepted is deleted

Read in the diff: with too many connections that are all in use, the product's interface closes the new one before the HTTP server knows it, so nobody deleted its socket object. No test shows it; the descriptor was closed.

--- a/packages/frontend/src/caller-limits.cpp
+++ b/packages/frontend/src/caller-limits.cpp
@@ -3,8 +3,6 @@
 #include <masticlever/net/stream-socket.h>
 #include <masticlever/telemetry/events.h>
 
-#include <sys/resource.h>
-
 #include <algorithm>
 
 namespace masticlever::frontend
@@ -16,14 +14,6 @@
 const telemetry::metric_family rejectionsFamily{"masticlever_frontend_rejections_total",
                                                 "Requests rejected and connections closed at callers, by cause."};
 
-std::size_t descriptorLimit()
-{
-    constexpr std::size_t usualLimit = 1024;
-    rlimit files{};
-    const bool isKnown = ::getrlimit(RLIMIT_NOFILE, &files) == 0 && files.rlim_cur != RLIM_INFINITY;
-    return isKnown ? files.rlim_cur : usualLimit;
-}
-
 /// Five eighths of the descriptors for one address, as a load balancer may be the only peer, and three quarters for all
 /// leave an eighth for endpoints and one for the rest. Each connection may also fill its receive buffer.
 net::connection_limits connectionLimits(const frontend_settings &settings, std::size_t memoryBytes, std::size_t files)
@@ -40,7 +30,7 @@
 
 caller_limits::caller_limits(const frontend_settings &settings, std::size_t memoryBytes,
                              telemetry::metric_registry &metrics)
-    : m_descriptors(descriptorLimit()), m_connections(connectionLimits(settings, memoryBytes, m_descriptors)),
+    : m_descriptors(net::descriptorLimit()), m_connections(connectionLimits(settings, memoryBytes, m_descriptors)),
       m_memory({.limit = static_cast<std::size_t>(settings.callerMemoryShare * static_cast<double>(memoryBytes))}),
       m_maximumPieces(settings.maximumPieces), m_metrics(metrics)
 { }
--- a/packages/gateway/src/http-server.cpp
+++ b/packages/gateway/src/http-server.cpp
@@ -16,7 +16,6 @@
 #include <QUrl>
 #include <QUrlQuery>
 
-#include <sys/resource.h>
 #include <sys/socket.h>
 
 #include <optional>
@@ -73,10 +72,7 @@
 /// rest for endpoints, the platform and other instances.
 net::connection_limits connectionLimits()
 {
-    constexpr std::size_t usualLimit = 1024;
-    rlimit files{};
-    const bool isKnown = ::getrlimit(RLIMIT_NOFILE, &files) == 0 && files.rlim_cur != RLIM_INFINITY;
-    const std::size_t descriptors = isKnown ? files.rlim_cur : usualLimit;
+    const std::size_t descriptors = net::descriptorLimit();
     return {descriptors / 2, descriptors / 8 * 5};
 }
 
@@ -134,6 +130,10 @@
         socket->setSocketDescriptor(handle);
         socket->setSocketOption(QAbstractSocket::LowDelayOption, 1);
         m_registry.add(socket, {m_options.bodyLimitBytes, m_options.idleTimeout});
+        if (socket->state() != QAbstractSocket::ConnectedState) {
+            socket->deleteLater(); // there are too many, and all others are in use
+            return;
+        }
         if (m_tlsConfiguration) {
             static_cast<QSslSocket *>(socket)->startServerEncryption();
         }
--- a/packages/net/include/masticlever/net/connection-limit.h
+++ b/packages/net/include/masticlever/net/connection-limit.h
@@ -11,6 +11,9 @@
 namespace masticlever::net
 {
 
+/// Number of file descriptors that the process may open.
+std::size_t descriptorLimit();
+
 struct connection_state {
     std::uint64_t number = 0; ///< greater for newer connections
     std::uint32_t address = 0; ///< of the peer
--- a/packages/net/src/connection-limit.cpp
+++ b/packages/net/src/connection-limit.cpp
@@ -1,10 +1,20 @@
 #include <masticlever/net/connection-limit.h>
 
+#include <sys/resource.h>
+
 #include <algorithm>
 
 namespace masticlever::net
 {
 
+std::size_t descriptorLimit()
+{
+    constexpr std::size_t usualLimit = 1024;
+    rlimit files{};
+    const bool isKnown = ::getrlimit(RLIMIT_NOFILE, &files) == 0 && files.rlim_cur != RLIM_INFINITY;
+    return isKnown ? files.rlim_cur : usualLimit;
+}
+
 std::optional<std::uint64_t> connectionToClose(std::span<const connection_state> connections,
                                                const connection_limits &limits)
 {
