--- a/tests/crowds/crowd-fixture.cpp
+++ b/tests/crowds/crowd-fixture.cpp
@@ -1,11 +1,11 @@
 #include "crowd-fixture.h"
 
 #include "site-configuration.h"
+#include "watched-run.h"
 
 #include <catch2/catch.hpp>
 
 #include <QElapsedTimer>
-#include <QEventLoop>
 
 #include <csignal>
 #include <cstdio>
@@ -18,7 +18,6 @@
 {
 
 constexpr int answerTimeoutMs = 30000;
-constexpr int sampleIntervalMs = 50;
 
 void replaceAll(std::string &text, const std::string &before, const std::string &after)
 {
@@ -84,17 +83,7 @@
 
 void crowd_fixture::run(int milliseconds)
 {
-    QElapsedTimer timer;
-    timer.start();
-    qint64 sampledAt = -sampleIntervalMs;
-    while (timer.elapsed() < milliseconds) {
-        QCoreApplication::processEvents(QEventLoop::AllEvents, 5);
-        m_crowd.advance();
-        if (timer.elapsed() - sampledAt >= sampleIntervalMs) {
-            sampledAt = timer.elapsed();
-            m_usage.sample();
-        }
-    }
+    runWatched(m_crowd, m_usage, milliseconds);
 }
 
 void crowd_fixture::checkProcess()
--- a/tests/crowds/misbehaving-product-test.cpp
+++ b/tests/crowds/misbehaving-product-test.cpp
@@ -1,13 +1,11 @@
 #include "crowd.h"
 #include "fleet.h"
-#include "process-usage.h"
 #include "scenario.h"
+#include "watched-run.h"
 
 #include <catch2/catch.hpp>
 
-#include <QCoreApplication>
 #include <QElapsedTimer>
-#include <QEventLoop>
 
 #include <sys/resource.h>
 
@@ -34,7 +32,6 @@
 constexpr std::size_t bodyLimit = 4194304;
 constexpr std::size_t connections = 140;
 constexpr int crowdMilliseconds = 8000;
-constexpr int sampleIntervalMs = 50;
 const std::string peersAddress = "127.0.0.1:23990";
 
 /// Limits the descriptors of programs that are started during its life.
@@ -73,20 +70,7 @@
     void connect(std::size_t count, transmission sent) { m_crowd.add(count, callerAddress(), std::move(sent)); }
     void connectToPeers(std::size_t count, transmission sent) { m_crowd.add(count, peersAddress, std::move(sent)); }
 
-    void run(int milliseconds)
-    {
-        QElapsedTimer timer;
-        timer.start();
-        qint64 sampledAt = -sampleIntervalMs;
-        while (timer.elapsed() < milliseconds) {
-            QCoreApplication::processEvents(QEventLoop::AllEvents, 5);
-            m_crowd.advance();
-            if (timer.elapsed() - sampledAt >= sampleIntervalMs) {
-                sampledAt = timer.elapsed();
-                m_usage.sample();
-            }
-        }
-    }
+    void run(int milliseconds) { crowds::runWatched(m_crowd, m_usage, milliseconds); }
 
     void checkProcess()
     {
