--- a/tests/crowds/misbehaving-product-test.cpp
+++ b/tests/crowds/misbehaving-product-test.cpp
@@ -26,7 +26,7 @@
 namespace
 {
 
-constexpr std::size_t memoryBound = 112 * 1000 * 1000; ///< resident and received but not yet read
+constexpr std::size_t memoryBound = std::size_t{112} * 1000 * 1000; ///< resident and received but not yet read
 constexpr std::size_t descriptorLimit = 256;
 constexpr std::size_t descriptorBound = 224; ///< the rest is for endpoints and other instances
 constexpr std::size_t bodyLimit = 4194304;
