Crowds wait for answers in place of a fixed time

usual-pieces and status-idle gave an answer 2 to 8 s, so a slow machine could fail them; the bound of other crowds, 30 s, now holds for them too. A comment is shorter.

--- a/packages/protocol/include/masticlever/protocol/handle-list.h
+++ b/packages/protocol/include/masticlever/protocol/handle-list.h
@@ -9,8 +9,8 @@
 #include <vector>
 
 /// \file
-/// Handles of stage results. Each of many pieces reads all results of an earlier stage, so copies share one list: its
-/// memory grows with the number of results, not with its product with the number of pieces.
+/// Handles of stage results. Copies share one list, because every piece of a stage reads all results of the stages
+/// before it.
 
 namespace masticlever::protocol
 {
--- a/tests/crowds/crowd-fixture.h
+++ b/tests/crowds/crowd-fixture.h
@@ -10,6 +10,7 @@
 #include <QCoreApplication>
 
 #include <cstddef>
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -48,6 +49,8 @@
     /// Connects a crowd that does not.
     void connect(std::size_t count, port target, transmission sent);
     void run(int milliseconds);
+    /// Runs until the condition holds; returns false when it does not within the time for an answer.
+    bool runUntil(const std::function<bool()> &condition);
     /// Checks that the process lives, stays within the bounds and answers one ordinary request.
     void checkProcess();
     /// Sends SIGTERM. Returns whether the process then ends within the bounds.
