A configuration with an empty list of teams lets nobody in

Cause: needsKeys() was true only if there was a team, and the decoder did not keep whether the field was there, so an empty list and an absent one were the same. Ruled out: the store and the peers (in the log of keys-test on the old code both daemons followed the version with the empty list within 0.2 s, and the wrong answers name it: team="" status=200 configuration=3), kept connections (each request is decided on by itself) and the catch-up of a new instance (it depends on versions only).

Why it works: whether keys are required is kept apart from the teams and set by the field alone; one function decides.

--- a/packages/catalog/include/masticlever/catalog/service-configuration.h
+++ b/packages/catalog/include/masticlever/catalog/service-configuration.h
@@ -95,6 +95,12 @@
     common::duration idleTimeout = std::chrono::seconds(15);
 };
 
+/// Whether a request may use a route, and for which team.
+struct authorization {
+    bool isGranted = false;
+    const team *grantee = nullptr; ///< nullptr if the request needs no API key
+};
+
 /// Immutable after it is built.
 class service_configuration
 {
@@ -104,14 +110,13 @@
     std::uint64_t version() const { return m_version; }
     const caller_limits &limits() const { return m_limits; }
     const std::vector<route> &routes() const { return m_routes; }
-    bool needsKeys() const { return !m_teams.empty(); }
 
     /// The route of \p host with the longest path prefix that matches \p path; nullptr if there is none.
     const route *findRoute(std::string_view host, std::string_view path) const;
     /// nullptr for an unknown service.
     const service *findService(std::string_view name) const;
-    /// The team that the API key \p key belongs to; nullptr for an unknown key.
-    const team *findTeam(std::string_view key) const;
+    /// Decides whether a request with the API key \p key, which is empty if it has none, may use \p route.
+    authorization authorize(const route &route, std::string_view key) const;
 
 private:
     service_configuration() = default;
@@ -121,6 +126,7 @@
     std::vector<route> m_routes;
     std::map<std::string, std::vector<std::size_t>, std::less<>> m_byHost; ///< route indices, longest prefix first
     std::map<std::string, service, std::less<>> m_services;
+    bool m_needsKeys = false; ///< also true without any team: then no key is valid
     std::vector<team> m_teams;
     std::map<std::string, std::size_t, std::less<>> m_byKey; ///< team indices
 };
@@ -132,6 +138,9 @@
     builder &limits(const caller_limits &limits);
     builder &add(route added);
     builder &add(service added);
+    /// Closes all routes that are not public to requests without the API key of a team that is added.
+    builder &requireKeys();
+    /// Also requires keys.
     builder &add(team added);
     service_configuration build();
 
--- a/packages/catalog/src/service-configuration.cpp
+++ b/packages/catalog/src/service-configuration.cpp
@@ -48,10 +48,13 @@
     return found == m_services.end() ? nullptr : &found->second;
 }
 
-const team *service_configuration::findTeam(std::string_view key) const
+authorization service_configuration::authorize(const route &route, std::string_view key) const
 {
+    if (!m_needsKeys || route.isPublic) {
+        return {.isGranted = true};
+    }
     const auto found = m_byKey.find(key);
-    return found == m_byKey.end() ? nullptr : &m_teams[found->second];
+    return found == m_byKey.end() ? authorization{} : authorization{true, &m_teams[found->second]};
 }
 
 service_configuration::builder &service_configuration::builder::version(std::uint64_t number)
@@ -80,8 +83,15 @@
     return *this;
 }
 
+service_configuration::builder &service_configuration::builder::requireKeys()
+{
+    m_built.m_needsKeys = true;
+    return *this;
+}
+
 service_configuration::builder &service_configuration::builder::add(team added)
 {
+    requireKeys();
     for (const std::string &key : added.keys) {
         m_built.m_byKey[key] = m_built.m_teams.size();
     }
--- a/packages/frontend/src/daemon-core.cpp
+++ b/packages/frontend/src/daemon-core.cpp
@@ -342,14 +342,14 @@
         return m_hasCaughtUp ? notFound : unavailable; // a newer configuration may have the route
     }
     request.priority = request.route->priority;
-    if (m_configuration->needsKeys() && !request.route->isPublic) {
-        const catalog::team *team = m_configuration->findTeam(request.attributes.apiKey);
-        if (team == nullptr) {
-            reason = "unknown_key";
-            return m_hasCaughtUp ? unauthorized : unavailable;
-        }
-        request.team = team->name;
-        request.priority = team->priority.value_or(request.priority);
+    const catalog::authorization access = m_configuration->authorize(*request.route, request.attributes.apiKey);
+    if (!access.isGranted) {
+        reason = "unknown_key";
+        return m_hasCaughtUp ? unauthorized : unavailable;
+    }
+    if (access.grantee != nullptr) {
+        request.team = access.grantee->name;
+        request.priority = access.grantee->priority.value_or(request.priority);
     }
     const instant now = monotonicNow();
     if (m_stoppingSince && (now - *m_stoppingSince > drainPeriod || now >= m_answerBy)) {
--- a/tests/site/site-fixture.h
+++ b/tests/site/site-fixture.h
@@ -66,6 +66,8 @@
     void killDaemon(std::size_t index) { m_daemons[index].reset(); }
     /// Limit of request bodies in configurations written later.
     std::size_t maximumBodyBytes = 65536;
+    /// Field of the teams, with a comma before it, in configurations written later.
+    std::string teams = R"(,"tenants":[{"name":"team-1","api_keys":["key-1"]}])";
     /// Memory setting of daemons started later; 0: not set.
     std::size_t memoryBytes = 0;
     /// Processor cores in the settings of daemons started later; 0: not set.
