--- a/packages/catalog/include/masticlever/catalog/service-configuration.h
+++ b/packages/catalog/include/masticlever/catalog/service-configuration.h
@@ -140,7 +140,7 @@
     builder &add(service added);
     /// Closes all routes that are not public to requests without the API key of a team that is added.
     builder &requireKeys();
-    /// Also requires keys.
+    /// Also requires keys. Empty keys are left out, as they would let in requests without a key.
     builder &add(team added);
     service_configuration build();
 
--- a/packages/catalog/src/service-configuration.cpp
+++ b/packages/catalog/src/service-configuration.cpp
@@ -93,7 +93,9 @@
 {
     requireKeys();
     for (const std::string &key : added.keys) {
-        m_built.m_byKey[key] = m_built.m_teams.size();
+        if (!key.empty()) {
+            m_built.m_byKey[key] = m_built.m_teams.size();
+        }
     }
     m_built.m_teams.push_back(std::move(added));
     return *this;
--- a/packages/catalog/test/service-configuration-test.cpp
+++ b/packages/catalog/test/service-configuration-test.cpp
@@ -81,12 +81,12 @@
             CHECK(configuration.authorize(open, key).isGranted);
         }
     }
-    SECTION("without any key nobody gets in, except to public routes")
+    SECTION("without any valid key nobody gets in, except to public routes")
     {
         const bool hasTeam = GENERATE(false, true);
         builder.requireKeys();
         if (hasTeam) {
-            builder.add(team{"first", {}, {}});
+            builder.add(team{"first", {}, {""}});
         }
         const service_configuration configuration = builder.build();
         const std::string key = GENERATE("", "key-1");
