A route whose services have no share sends its requests to none of them

Found while looking for the cause of the empty list of teams on related paths; no caller has seen it.

Cause: the sum of the shares was zero, which no share contains, and the last service stood for the rest that rounding leaves.

The choice moves to catalog::route, where it has a test without sockets; it draws as many random numbers as before.

--- a/packages/catalog/include/masticlever/catalog/service-configuration.h
+++ b/packages/catalog/include/masticlever/catalog/service-configuration.h
@@ -54,6 +54,8 @@
 
     /// Indices of the stages that no other stage depends on; the request itself reads their results.
     std::vector<std::size_t> finalStages() const;
+    /// The service whose share of the requests contains \p point, from 0 to below 1; empty if no service has a share.
+    std::string_view serviceAt(double point) const;
     bool allowsRetry() const { return kind == request_kind::idempotent || isResumable; }
 };
 
--- a/packages/catalog/src/service-configuration.cpp
+++ b/packages/catalog/src/service-configuration.cpp
@@ -19,6 +19,27 @@
     return finalIndices;
 }
 
+std::string_view route::serviceAt(double point) const
+{
+    double total = 0;
+    for (const weighted_service &share : services) {
+        total += std::max(share.weight, 0.0);
+    }
+    double left = total * point;
+    std::string_view found;
+    for (const weighted_service &share : services) {
+        if (share.weight <= 0) {
+            continue;
+        }
+        found = share.service; // rounding can leave a rest behind the last share
+        left -= share.weight;
+        if (left < 0) {
+            break;
+        }
+    }
+    return found;
+}
+
 std::string normalizedHost(std::string_view host)
 {
     std::string name(host.substr(0, host.rfind(':')));
--- a/packages/catalog/test/service-configuration-test.cpp
+++ b/packages/catalog/test/service-configuration-test.cpp
@@ -102,6 +102,28 @@
     CHECK(subject.finalStages() == std::vector<std::size_t>{0, 3});
 }
 
+// Guards against a split without any share being taken for a choice of the last service.
+TEST_CASE("Requests are split by the shares of the services")
+{
+    route subject;
+    subject.services = {{"idle", 0}, {"most", 3}, {"least", 1}, {"negative", -2}};
+
+    SECTION("in proportion to the positive ones")
+    {
+        CHECK(subject.serviceAt(0) == "most");
+        CHECK(subject.serviceAt(0.74) == "most");
+        CHECK(subject.serviceAt(0.76) == "least");
+        CHECK(subject.serviceAt(1) == "least");
+    }
+    SECTION("to none if there is no share")
+    {
+        subject.services = GENERATE(std::vector<weighted_service>{}, std::vector<weighted_service>{{"a", 0}, {"b", 0}},
+                                    std::vector<weighted_service>{{"a", 0}, {"b", -1}});
+        CHECK(subject.serviceAt(0).empty());
+        CHECK(subject.serviceAt(0.5).empty());
+    }
+}
+
 TEST_CASE("Idempotent requests and resumable streams may be retried")
 {
     route subject;
--- a/packages/frontend/src/request-session-endpoints.cpp
+++ b/packages/frontend/src/request-session-endpoints.cpp
@@ -28,20 +28,9 @@
 
 std::string request_session::chooseService()
 {
-    const auto &services = m_request.route->services;
-    double total = 0;
-    for (const auto &share : services) {
-        total += share.weight;
-    }
     constexpr std::uint64_t steps = 1u << 30;
-    double point = total * static_cast<double>(m_context.random.next() % steps) / static_cast<double>(steps);
-    for (const auto &share : services) {
-        point -= share.weight;
-        if (point < 0 && share.weight > 0) {
-            return share.service;
-        }
-    }
-    return services.back().service;
+    const double point = static_cast<double>(m_context.random.next() % steps) / static_cast<double>(steps);
+    return std::string(m_request.route->serviceAt(point));
 }
 
 result_locator request_session::locator() const
--- a/tests/site/forwarding-test.cpp
+++ b/tests/site/forwarding-test.cpp
@@ -96,6 +96,24 @@
     CHECK(site.desk().runs.size() == 1);
 }
 
+// Guards against a route that allows no service being served by the one that it names last.
+TEST_CASE("Requests on a route whose services have no share are refused at once", "[site]")
+{
+    desk_site site;
+    const auto route = [](const std::string &name, const std::string &weight) {
+        return R"(,{"name":")" + name + R"(","host":"site.example","path_prefix":"/)" + name
+            + R"(/","kind":"safe","timeout_ms":4000,"traffic_split":[{"service":"model","weight":0},)"
+              R"({"service":"desk","weight":)"
+            + weight + "}]}";
+    };
+    site.configure(2, route("closed", "0") + route("split", "10"));
+    REQUIRE(waitFor([&] { return site.sendRequest(0, site.request("GET", "/split/", "s1")).status == 200; }));
+    const auto answer = site.sendRequest(0, site.request("GET", "/closed/", "c1"));
+    CHECK(answer.status == 503);
+    CHECK(answer.head.find("Retry-After") != nullptr);
+    CHECK(site.desk().runs.count("c1") == 0);
+}
+
 TEST_CASE("A request that is not repeatable runs at most once", "[site]")
 {
     desk_site site;
