Buffers of connections are released after large reads

Callers saw nothing of it alone; it adds up to 64 KiB a connection to what a crowd makes the process hold.

Cause: a reader released its buffer only when nothing was left in it, but a chunked body mostly ends a read within a chunk header. Where buffers were meant to be released, assigning {} to a std::string keeps its memory (libstdc++ copies a short text into the buffer).

Evidence: message-reader-test, 65,605 bytes allocated for 5 bytes after a chunk of 64 KiB, with the former code and with a copy that was moved into the buffer; up to 16,384 now. The send buffer of a socket keeps 4 KiB in place of 64 KiB.

--- a/packages/http1/include/masticlever/http1/message-reader.h
+++ b/packages/http1/include/masticlever/http1/message-reader.h
@@ -61,6 +61,7 @@
     const std::string &invalidStatusLine() const { return m_invalidStatusLine; }
     bool isBodyTooLarge() const { return m_isBodyTooLarge; } ///< after error::too_large
     std::size_t pendingBytes() const { return m_pending.size() - m_parsed; } ///< read but not parsed
+    std::size_t allocatedBytes() const { return m_pending.capacity(); } ///< for bytes that are read but not parsed
 
 private:
     class parser;
--- a/packages/http1/src/message-reader.cpp
+++ b/packages/http1/src/message-reader.cpp
@@ -21,7 +21,7 @@
 constexpr int lastStatus = 599; // RFC 9110, 15: others are invalid
 constexpr std::size_t maximumReasonBytes = 64; ///< kept of an invalid status line, for logs
 constexpr std::size_t maximumInterimResponses = 16; ///< before one final response
-constexpr std::size_t keptCapacityBytes = 16384; ///< of the buffer, once all its bytes are parsed
+constexpr std::size_t keptCapacityBytes = 16384; ///< of the buffer, once no more bytes than these are left in it
 constexpr std::size_t unparsedAllowance = 4096; ///< beyond the head limit: a chunk header and its line ends
 
 bool isControl(char c)
@@ -246,8 +246,10 @@
     }
     m_pending.erase(0, m_parsed);
     m_parsed = 0;
-    if (m_pending.empty() && m_pending.capacity() > keptCapacityBytes) {
-        m_pending = {}; // every idle connection would keep the memory of its largest read
+    if (m_pending.size() <= keptCapacityBytes && m_pending.capacity() > keptCapacityBytes) {
+        // Each connection would keep the memory of its largest read, also one that waits for the rest of a chunk
+        // header.
+        m_pending.shrink_to_fit();
     }
 }
 
--- a/packages/http1/test/message-reader-test.cpp
+++ b/packages/http1/test/message-reader-test.cpp
@@ -51,6 +51,17 @@
         CHECK(received.heads[0].framing == body_framing::chunked);
         CHECK(received.heads[0].find("X") == nullptr);
     }
+    SECTION("in chunks, without the memory of a large read while the rest of a chunk header is awaited")
+    {
+        REQUIRE_FALSE(reader.feed(plainHead + "Transfer-Encoding: chunked\r\n\r\n10000\r\n" + std::string(65536, 'x')
+                                  + "\r\n100"));
+        CHECK(received.body.size() == 65536);
+        CHECK(reader.pendingBytes() > 0);
+        CHECK(reader.allocatedBytes() <= 16384);
+        REQUIRE_FALSE(reader.feed("\r\n" + std::string(256, 'y') + "\r\n0\r\n\r\n"));
+        CHECK(received.body.size() == 65792);
+        CHECK(received.ends == 1);
+    }
     SECTION("one after the other, keeping the bytes after a message for the next one")
     {
         REQUIRE_FALSE(reader.feed("GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n"));
--- a/packages/net/include/masticlever/net/stream-socket.h
+++ b/packages/net/include/masticlever/net/stream-socket.h
@@ -92,6 +92,7 @@
     /// Returns whether the peer has closed or reset the connection and no unread bytes remain.
     bool hasPeerClosed() const;
     std::size_t unsentBytes() const { return m_sendBuffer.size() - m_sendOffset; }
+    std::size_t allocatedBytes() const { return m_sendBuffer.capacity(); } ///< for bytes that are not sent
     /// A write failed; the bytes that were not sent are lost, although the connection may not have been closed yet.
     bool hasSendFailed() const { return m_sendError != 0; }
     /// After an orderly close: whether the peer had received all written bytes by then.
--- a/packages/net/src/stream-socket.cpp
+++ b/packages/net/src/stream-socket.cpp
@@ -26,6 +26,7 @@
 {
 
 constexpr std::size_t readBufferBytes = 65536; ///< read per wake-up; the rest waits for the next one
+constexpr std::size_t keptCapacityBytes = 4096; ///< of the send buffer, once all its bytes are sent
 constexpr std::size_t compactThresholdBytes = 65536; ///< sent bytes that stay in the buffer before it is compacted
 constexpr std::chrono::seconds discardTimeout{1}; ///< time for the peer to close after the last message
 constexpr int probeIntervalSeconds = 1; ///< between keep-alive probes; the smallest value that the kernel supports
@@ -283,8 +284,8 @@
     if (unsentBytes() == 0) {
         m_sendBuffer.clear();
         m_sendOffset = 0;
-        if (m_sendBuffer.capacity() > compactThresholdBytes) {
-            m_sendBuffer = {}; // an idle connection would keep the memory of its largest message
+        if (m_sendBuffer.capacity() > keptCapacityBytes) {
+            m_sendBuffer.shrink_to_fit(); // an idle connection would keep the memory of its largest message
         }
     } else if (m_sendOffset > compactThresholdBytes) {
         m_sendBuffer.erase(0, m_sendOffset);
