Receive buffers of callers count until their connections are closed

Cause: a body above 32 KiB got a receive buffer of up to 256 KiB in the kernel without asking whether there was room, and a connection that was shed left the account although its bytes stay in the kernel until its caller closes, or for a second.

Why it works: the large buffer is given only while the account has room for it, the account counts it until the close, and connections that only discard are aborted first when memory is needed. Buffers allocated beyond their bytes count too.

--- a/packages/frontend/src/caller-connection.cpp
+++ b/packages/frontend/src/caller-connection.cpp
@@ -62,11 +62,19 @@
     }
 }
 
-void caller_connection::setLargeReceiveBuffer(bool isLarge)
+void caller_connection::enlargeReceiveBuffer()
 {
-    if (m_hasLargeReceiveBuffer != isLarge) {
-        m_hasLargeReceiveBuffer = isLarge;
-        m_socket->setReceiveBuffer(isLarge ? largeReceiveBuffer : idleReceiveBuffer);
+    if (!m_hasLargeReceiveBuffer && m_handler.mayReceiveAhead(kernelFactor * largeReceiveBuffer)) {
+        m_hasLargeReceiveBuffer = true;
+        m_socket->setReceiveBuffer(largeReceiveBuffer);
+    }
+}
+
+/// Until the caller has read the answer and closes, the kernel may hold as much as before.
+void caller_connection::restoreReceiveBuffer()
+{
+    if (m_hasLargeReceiveBuffer) {
+        m_socket->setReceiveBuffer(idleReceiveBuffer);
     }
 }
 
@@ -83,15 +91,23 @@
     if (m_isGone) {
         return {};
     }
+    const std::size_t receiveBuffer = m_hasLargeReceiveBuffer ? kernelFactor * largeReceiveBuffer : 0;
+    const std::size_t spare
+        = m_reader.allocatedBytes() - m_reader.pendingBytes() + m_socket->allocatedBytes() - unsentBytes();
     if (m_isFinished) {
-        return {.unsent = unsentBytes()};
+        return {.receiveBuffer = receiveBuffer,
+                .readAhead = m_reader.pendingBytes(),
+                .unsent = unsentBytes(),
+                .spare = spare,
+                .isClosing = unsentBytes() == 0};
     }
     const bool isReadingBody = m_reader.hasHead() && !m_reader.isEnded();
     return {.declaredBody = m_declaredBody,
             .receivedBody = m_receivedBody,
-            .receiveBuffer = m_hasLargeReceiveBuffer ? kernelFactor * largeReceiveBuffer : 0,
+            .receiveBuffer = receiveBuffer,
             .readAhead = m_reader.pendingBytes(),
             .unsent = unsentBytes(),
+            .spare = spare,
             .isReadingBody = isReadingBody};
 }
 
@@ -126,7 +142,7 @@
 {
     m_handler.onBadRequest(status);
     m_isFinished = true;
-    setLargeReceiveBuffer(false);
+    restoreReceiveBuffer();
     if (m_progress == answer_progress::begun) {
         dropRequest();
         return;
@@ -160,7 +176,9 @@
     if (expectation != nullptr && http1::equalNames(*expectation, "100-continue")) {
         m_socket->write("HTTP/1.1 100 Continue\r\n\r\n");
     }
-    setLargeReceiveBuffer(m_declaredBody > largeBody);
+    if (m_declaredBody > largeBody) {
+        enlargeReceiveBuffer();
+    }
     m_handler.onRequestHead(*this, std::move(head));
 }
 
@@ -168,7 +186,7 @@
 {
     m_receivedBody += bytes.size();
     if (m_receivedBody > largeBody) {
-        setLargeReceiveBuffer(true);
+        enlargeReceiveBuffer();
     }
     m_handler.onRequestBody(*this, bytes);
 }
@@ -235,13 +253,15 @@
     }
     if (!m_keepsAlive || m_isClosing) {
         m_isFinished = true;
+        restoreReceiveBuffer();
         m_socket->setReading(true);
         m_socket->closeWhenSent();
         return;
     }
     m_declaredBody = 0;
     m_receivedBody = 0;
-    setLargeReceiveBuffer(false);
+    restoreReceiveBuffer();
+    m_hasLargeReceiveBuffer = false;
     if (m_isAdvancing) {
         return; // continued by the loop below; a recursion for each request read ahead would exhaust the stack
     }
--- a/packages/frontend/src/caller-connection.h
+++ b/packages/frontend/src/caller-connection.h
@@ -34,6 +34,8 @@
     virtual void onBadRequest(int status) = 0;
     /// Bytes were read, so that the connection may hold more than before.
     virtual void onCallerRead(caller_connection & /*caller*/) { }
+    /// Whether the kernel may receive \p bytes more ahead of the body that the caller is sending.
+    virtual bool mayReceiveAhead(std::size_t /*bytes*/) { return true; }
     /// The connection was aborted because the caller did not read its answers.
     virtual void onUnreadAnswers(const caller_connection & /*caller*/) { }
 };
@@ -65,7 +67,7 @@
     void closeIfIdle();
     void onTick(common::instant now);
     /// Ends the request in flight and the connection: with 503 if the body has not been read in full, so that the
-    /// request has not been executed, and by an abort otherwise.
+    /// request has not been executed, and by an abort otherwise. A connection that is being closed is aborted.
     void shed();
     net::memory_use memoryUse() const;
 
@@ -98,7 +100,8 @@
     void finishExchange();
     bool isNextReady() const;
     void limitReading();
-    void setLargeReceiveBuffer(bool isLarge);
+    void enlargeReceiveBuffer();
+    void restoreReceiveBuffer();
     void checkUnread(common::instant now);
 
     net::stream_socket::pointer m_socket;
--- a/packages/frontend/src/caller-limits.h
+++ b/packages/frontend/src/caller-limits.h
@@ -33,6 +33,7 @@
     /// to be shed.
     bool updateMemory(const caller_map &callers, const caller_connection &caller, const net::memory_use &use,
                       common::instant now);
+    bool hasMemory(std::size_t bytes) const { return m_memory.hasRoom(bytes); }
     void forgetGone(const caller_map &callers);
     /// Connections to endpoints that may be open beside \p callers connections of callers.
     std::size_t endpointConnections(std::size_t callers) const;
--- a/packages/frontend/src/daemon-core.h
+++ b/packages/frontend/src/daemon-core.h
@@ -58,6 +58,7 @@
     void onCallerDrained(caller_connection &caller) override;
     void onBadRequest(int status) override;
     void onCallerRead(caller_connection &caller) override;
+    bool mayReceiveAhead(std::size_t bytes) override { return m_callerLimits.hasMemory(bytes); }
     void onUnreadAnswers(const caller_connection &caller) override;
 
     void onCaller(int descriptor);
--- a/packages/frontend/test/caller-connection-test.cpp
+++ b/packages/frontend/test/caller-connection-test.cpp
@@ -33,8 +33,10 @@
     void onCallerGone(caller_connection & /*caller*/) override { ++callersGone; }
     void onCallerDrained(caller_connection & /*caller*/) override { }
     void onBadRequest(int /*status*/) override { }
+    bool mayReceiveAhead(std::size_t /*bytes*/) override { return hasMemory; }
 
     int callersGone = 0;
+    bool hasMemory = true;
 
 private:
     std::function<void(caller_connection &caller)> m_onRequest;
@@ -173,3 +175,46 @@
     }));
     ::close(sockets[1]);
 }
+
+// Guards against receive buffers that no account knows: those of hundreds of callers together exceed the memory.
+TEST_CASE("The receive buffer of a caller with a large body is within the memory")
+{
+    runUntil([] { return true; }); // creates the application before the first socket
+    std::array<int, 2> sockets{};
+    REQUIRE(::socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, sockets.data()) == 0);
+    answering_handler handler([](caller_connection &) {});
+    caller_connection caller(sockets[0], {}, handler, {});
+    const auto send = [&](const std::string &text) {
+        REQUIRE(::write(sockets[1], text.data(), text.size()) == static_cast<ssize_t>(text.size()));
+        const std::size_t expected = caller.memoryUse().receivedBody + 1;
+        static_cast<void>(runUntil([&] { return caller.isGone() || caller.memoryUse().receivedBody >= expected; }));
+    };
+    const std::string head = "POST / HTTP/1.1\r\nHost: site.example\r\nContent-Length: 100000\r\n\r\nx";
+
+    SECTION("it is enlarged while there is room, and counts until the connection is closed")
+    {
+        send(head);
+        CHECK(caller.memoryUse().receiveBuffer > 0);
+        caller.shed();
+        CHECK_FALSE(caller.isGone());
+        CHECK(caller.memoryUse().isClosing);
+        CHECK(caller.memoryUse().receiveBuffer > 0);
+
+        SECTION("which is at once if the memory is needed")
+        {
+            caller.shed();
+            CHECK(caller.isGone());
+            CHECK(caller.memoryUse().total() == 0);
+        }
+    }
+    SECTION("it stays small without room, until there is some")
+    {
+        handler.hasMemory = false;
+        send(head);
+        CHECK(caller.memoryUse().receiveBuffer == 0);
+        handler.hasMemory = true;
+        send(std::string(40000, 'x'));
+        CHECK(caller.memoryUse().receiveBuffer > 0);
+    }
+    ::close(sockets[1]);
+}
--- a/packages/net/include/masticlever/net/memory-account.h
+++ b/packages/net/include/masticlever/net/memory-account.h
@@ -24,7 +24,9 @@
     std::size_t copies = 0; ///< of the body, while it is sent to an endpoint
     std::size_t readAhead = 0; ///< received after the request in flight
     std::size_t unsent = 0; ///< responses that the caller has not read
+    std::size_t spare = 0; ///< allocated for these two beyond their size
     bool isReadingBody = false; ///< the body is not complete
+    bool isClosing = false; ///< answered for the last time; what still arrives is discarded
 
     /// Counts the declared, received or allocated size of the body, whichever is largest.
     std::size_t total() const;
@@ -39,6 +41,7 @@
 };
 
 enum class shed_cause {
+    closing, ///< it is being closed and its caller goes on sending
     stalled_body, ///< its body made no progress
     largest, ///< it held most
     newest, ///< the latest of several that held most
@@ -64,6 +67,8 @@
     void remove(std::uint64_t connection);
 
     std::size_t heldBytes() const { return m_held; }
+    /// Whether \p bytes more are within the limit without shedding a connection.
+    bool hasRoom(std::size_t bytes) const { return m_held + bytes <= m_options.limit; }
 
 private:
     struct entry {
--- a/packages/net/src/memory-account.cpp
+++ b/packages/net/src/memory-account.cpp
@@ -8,6 +8,8 @@
 std::string_view nameOf(shed_cause cause)
 {
     switch (cause) {
+    case shed_cause::closing:
+        return "memory_closing";
     case shed_cause::stalled_body:
         return "memory_stalled_body";
     case shed_cause::largest:
@@ -20,7 +22,7 @@
 
 std::size_t memory_use::total() const
 {
-    return std::max({declaredBody, receivedBody, allocatedBody}) + receiveBuffer + copies + readAhead + unsent;
+    return std::max({declaredBody, receivedBody, allocatedBody}) + receiveBuffer + copies + readAhead + unsent + spare;
 }
 
 std::vector<shed_decision> memory_account::update(std::uint64_t connection, const memory_use &use, common::instant now)
@@ -67,6 +69,9 @@
     shed_decision largest;
     for (const auto &[connection, held] : m_entries) {
         const std::size_t bytes = held.use.total();
+        if (held.use.isClosing && bytes > m_options.smallUse) {
+            return {connection, shed_cause::closing, bytes};
+        }
         if (held.use.isReadingBody && bytes > m_options.smallUse && held.grownAt <= stalledSince) {
             stalledSince = held.grownAt;
             stalled = {connection, shed_cause::stalled_body, bytes};
--- a/packages/net/test/memory-account-test.cpp
+++ b/packages/net/test/memory-account-test.cpp
@@ -53,6 +53,22 @@
         CHECK(shed[0].cause == shed_cause::largest);
         CHECK(shed[0].bytes == 700);
     }
+    SECTION("a connection that is being closed while its caller goes on sending is shed before all others")
+    {
+        account.update(1, {.receiveBuffer = 300, .isClosing = true}, start);
+        account.update(2, reading(700, 10), start);
+        const auto shed = account.update(3, reading(300, 0), start);
+        REQUIRE(shed.size() == 1);
+        CHECK(shed[0].connection == 1);
+        CHECK(shed[0].cause == shed_cause::closing);
+        CHECK(account.heldBytes() == 1000);
+    }
+    SECTION("room for a larger receive buffer does not include the reserve")
+    {
+        account.update(1, reading(700, 0), start);
+        CHECK(account.hasRoom(300));
+        CHECK_FALSE(account.hasRoom(301));
+    }
     SECTION("a body that makes no progress is shed before one that holds more")
     {
         account.update(1, reading(300, 10), start);
