Callers that keep their connections do not keep others out

Cause: at the limit, only a connection without any request made room for a new one.

Why it works: idle and stalled connections make room too, the longest first; if all are active, the oldest one is closed after its answer for each caller that is turned away, so places become free as answers end. Closing between two requests promises nothing that was run: the next request has not been read.

--- a/packages/frontend/src/caller-connection.cpp
+++ b/packages/frontend/src/caller-connection.cpp
@@ -19,6 +19,7 @@
 constexpr int contentTooLarge = 413;
 constexpr int headTooLarge = 431;
 constexpr int unavailable = 503;
+constexpr common::duration stallTime = std::chrono::seconds(2); ///< as for bodies in net::memory_account_options
 constexpr std::size_t unreadLimit = 262144; ///< bytes of answers that a caller may leave unread before its next request
 constexpr std::size_t largeBody = 32768; ///< bytes from which a body gets the large receive buffer
 constexpr std::size_t largeReceiveBuffer = 131072; ///< lets a body arrive in fewer round trips
@@ -111,6 +112,34 @@
             .isReadingBody = isReadingBody};
 }
 
+net::connection_activity caller_connection::activity(common::instant now) const
+{
+    if (!m_hasRequested) {
+        return net::connection_activity::unused;
+    }
+    if (!m_isBusy && !m_isFinished) {
+        return net::connection_activity::idle;
+    }
+    const bool isRequestIncomplete = !m_isFinished && m_progress != answer_progress::ended && !m_reader.isEnded();
+    const bool isAnswerUnread = unsentBytes() > 0 && unsentBytes() == m_lastUnsent;
+    const bool isStalled = (isRequestIncomplete || isAnswerUnread) && now - m_lastProgressAt > stallTime;
+    return isStalled ? net::connection_activity::stalled : net::connection_activity::active;
+}
+
+void caller_connection::closeNow()
+{
+    if (m_isGone) {
+        return;
+    }
+    if (m_isBusy) {
+        dropRequest();
+        return;
+    }
+    m_isFinished = true;
+    m_isGone = true;
+    m_socket->closeNow();
+}
+
 void caller_connection::shed()
 {
     if (m_isGone) {
@@ -329,11 +358,11 @@
 void caller_connection::onTick(common::instant now)
 {
     m_now = now;
-    if (m_isFinished || m_isGone) {
+    if (m_isGone) {
         return;
     }
     checkUnread(now);
-    if (m_isGone) {
+    if (m_isFinished || m_isGone) {
         return;
     }
     if (isIdle()) {
--- a/packages/frontend/src/caller-connection.h
+++ b/packages/frontend/src/caller-connection.h
@@ -3,6 +3,7 @@
 #include <masticlever/catalog/service-configuration.h>
 #include <masticlever/common/time.h>
 #include <masticlever/http1/message-reader.h>
+#include <masticlever/net/connection-limit.h>
 #include <masticlever/net/memory-account.h>
 #include <masticlever/net/stream-socket.h>
 
@@ -61,6 +62,8 @@
     /// Aborts the connection in the middle of the answer, so that it cannot be taken for a complete one.
     void abortAnswer();
 
+    /// Closes the connection at once, with an abort if a request is in flight.
+    void closeNow();
     /// Closes the connection after the next answer.
     void closeAfterAnswer() { m_isClosing = true; }
     /// Closes the connection if no request is in flight.
@@ -76,9 +79,10 @@
     /// yet, as on an overloaded instance.
     bool hasCallerDisconnected() const { return m_isGone || m_socket->hasPeerClosed(); }
     bool isIdle() const { return !m_isBusy && m_reader.isUntouched(); }
+    net::connection_activity activity(common::instant now) const;
+    common::instant lastProgressAt() const { return m_lastProgressAt; }
+    bool isClosingAfterAnswer() const { return m_isClosing; }
     std::size_t unsentBytes() const { return m_socket->unsentBytes(); }
-    /// Whether no request has been received on the connection.
-    bool isUnused() const { return !m_hasRequested; }
     std::uint64_t number = 0; ///< greater for newer connections
     std::uint32_t address = 0; ///< of the caller
     std::uint64_t session = 0; ///< number of the request in flight; 0: none
--- a/packages/frontend/src/caller-limits.cpp
+++ b/packages/frontend/src/caller-limits.cpp
@@ -4,6 +4,7 @@
 #include <masticlever/telemetry/events.h>
 
 #include <algorithm>
+#include <optional>
 
 namespace masticlever::frontend
 {
@@ -15,7 +16,8 @@
                                                 "Requests rejected and connections closed at callers, by cause."};
 
 /// Five eighths of the descriptors for one address, as a load balancer may be the only peer, and three quarters for all
-/// leave an eighth for endpoints and one for the rest. Each connection may also fill its receive buffer.
+/// leave an eighth for endpoints and one for the rest. Each connection may also fill its receive buffer. An eighth of
+/// the connections is for other addresses.
 net::connection_limits connectionLimits(const frontend_settings &settings, std::size_t memoryBytes, std::size_t files)
 {
     constexpr std::size_t bytesEach = 2 * caller_connection::idleReceiveBuffer; // the kernel takes twice its size
@@ -23,7 +25,14 @@
         = static_cast<std::size_t>(settings.connectionMemoryShare * static_cast<double>(memoryBytes)) / bytesEach;
     const std::size_t total = std::min(files / 4 * 3, fitting);
     const std::size_t perAddress = settings.connectionsPerAddress > 0 ? settings.connectionsPerAddress : files / 8 * 5;
-    return {std::min(perAddress, total), total};
+    return {std::min(perAddress, total / 8 * 7), total};
+}
+
+caller_connection *findCaller(const caller_map &callers, std::optional<std::uint64_t> number)
+{
+    const auto found
+        = std::ranges::find_if(callers, [&](const auto &item) { return number && item.first->number == *number; });
+    return found == callers.end() ? nullptr : found->first;
 }
 
 } // namespace
@@ -35,25 +44,30 @@
       m_maximumPieces(settings.maximumPieces), m_metrics(metrics)
 { }
 
-void caller_limits::limitConnections(const caller_map &callers, caller_connection &added)
+void caller_limits::limitConnections(const caller_map &callers, const caller_connection &added, common::instant now)
 {
     if (callers.size() <= m_connections.perAddress) {
         return;
     }
+    const auto stateOf = [now](const caller_connection &caller) {
+        return net::connection_state{caller.number, caller.address, caller.activity(now), caller.lastProgressAt(),
+                                     caller.isClosingAfterAnswer()};
+    };
     std::vector<net::connection_state> connections;
     connections.reserve(callers.size());
     for (const auto &[raw, caller] : callers) {
         if (!raw->isGone() && raw != &added) {
-            connections.push_back({raw->number, raw->address, raw->isUnused()});
+            connections.push_back(stateOf(*raw));
         }
     }
-    connections.push_back({added.number, added.address, true});
-    const auto number = net::connectionToClose(connections, m_connections);
-    const auto found
-        = std::ranges::find_if(callers, [&](const auto &item) { return number && item.first->number == *number; });
-    if (found != callers.end()) {
-        report("connections", found->first->address, found->first->memoryUse().total());
-        found->first->abortAnswer();
+    connections.push_back(stateOf(added));
+    const net::connection_decision decision = net::onConnectionAdded(connections, m_connections);
+    if (caller_connection *last = findCaller(callers, decision.last)) {
+        last->closeAfterAnswer();
+    }
+    if (caller_connection *closed = findCaller(callers, decision.closed)) {
+        report("connections", closed->address, closed->memoryUse().total());
+        closed->closeNow();
     }
 }
 
@@ -62,16 +76,15 @@
 {
     bool isKept = true;
     for (const net::shed_decision &shed : m_memory.update(caller.number, use, now)) {
-        const auto found
-            = std::ranges::find_if(callers, [&](const auto &item) { return item.first->number == shed.connection; });
-        if (found == callers.end()) {
+        caller_connection *found = findCaller(callers, shed.connection);
+        if (found == nullptr) {
             continue;
         }
-        report(net::nameOf(shed.cause), found->first->address, shed.bytes);
-        if (found->first == &caller) {
+        report(net::nameOf(shed.cause), found->address, shed.bytes);
+        if (found == &caller) {
             isKept = false;
         } else {
-            found->first->shed();
+            found->shed();
         }
     }
     return isKept;
--- a/packages/frontend/src/caller-limits.h
+++ b/packages/frontend/src/caller-limits.h
@@ -28,7 +28,7 @@
     caller_limits(const frontend_settings &settings, std::size_t memoryBytes, telemetry::metric_registry &metrics);
 
     /// Closes a connection if there are too many after \p added.
-    void limitConnections(const caller_map &callers, caller_connection &added);
+    void limitConnections(const caller_map &callers, const caller_connection &added, common::instant now);
     /// Accounts for what \p caller holds and sheds other connections if needed. Returns false when \p caller itself is
     /// to be shed.
     bool updateMemory(const caller_map &callers, const caller_connection &caller, const net::memory_use &use,
--- a/packages/frontend/src/daemon-core.cpp
+++ b/packages/frontend/src/daemon-core.cpp
@@ -295,7 +295,7 @@
     raw->number = ++m_lastCaller;
     raw->address = address;
     m_callers.emplace(raw, std::move(caller));
-    m_callerLimits.limitConnections(m_callers, *raw);
+    m_callerLimits.limitConnections(m_callers, *raw, monotonicNow());
     m_pool.setLimit(m_callerLimits.endpointConnections(m_callers.size()));
 }
 
--- a/packages/gateway/src/detail/caller-registry.cpp
+++ b/packages/gateway/src/detail/caller-registry.cpp
@@ -18,11 +18,6 @@
 
 constexpr std::chrono::milliseconds updateInterval{100};
 
-common::instant now()
-{
-    return std::chrono::time_point_cast<common::duration>(std::chrono::steady_clock::now());
-}
-
 void report(std::string_view cause, const connection_guard &guard, std::size_t bytes)
 {
     const std::string address = QHostAddress(guard.address).toString().toStdString();
@@ -82,15 +77,22 @@
     if (m_guards.size() <= m_limits.perAddress) {
         return;
     }
+    const auto stateOf = [now = steadyNow()](const connection_guard &guard) {
+        return net::connection_state{guard.number, guard.address, guard.activity(now), guard.lastProgressAt(),
+                                     guard.isClosingAfterAnswer()};
+    };
     std::vector<net::connection_state> connections;
     for (const auto &[socket, guard] : m_guards) {
         if (guard != &added) {
-            connections.push_back({guard->number, guard->address, guard->isUnused()});
+            connections.push_back(stateOf(*guard));
         }
     }
-    connections.push_back({added.number, added.address, true});
-    const auto number = net::connectionToClose(connections, m_limits);
-    if (connection_guard *guard = number ? findGuard(*number) : nullptr) {
+    connections.push_back(stateOf(added));
+    const net::connection_decision decision = net::onConnectionAdded(connections, m_limits);
+    if (connection_guard *guard = decision.last ? findGuard(*decision.last) : nullptr) {
+        guard->closeAfterAnswer();
+    }
+    if (connection_guard *guard = decision.closed ? findGuard(*decision.closed) : nullptr) {
         report("connections", *guard, guard->memoryUse().total());
         guard->close();
     }
@@ -101,7 +103,7 @@
     if (findGuard(guard.number) == nullptr) {
         return; // closed meanwhile
     }
-    for (const net::shed_decision &shed : m_memory.update(guard.number, guard.memoryUse(), now())) {
+    for (const net::shed_decision &shed : m_memory.update(guard.number, guard.memoryUse(), steadyNow())) {
         if (connection_guard *target = findGuard(shed.connection)) {
             report(net::nameOf(shed.cause), *target, shed.bytes);
             target->shed();
--- a/packages/gateway/src/detail/connection-guard.cpp
+++ b/packages/gateway/src/detail/connection-guard.cpp
@@ -14,6 +14,7 @@
 
 constexpr qsizetype maxHeadBytes = 16384;
 constexpr std::chrono::seconds requestTimeout{15};
+constexpr std::chrono::seconds stallTime{2};
 
 constexpr const char *lengthRequired = "HTTP/1.1 411 Length Required\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
 constexpr const char *tooLarge = "HTTP/1.1 413 Content Too Large\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
@@ -23,17 +24,25 @@
 
 } // namespace
 
+common::instant steadyNow()
+{
+    return std::chrono::time_point_cast<common::duration>(std::chrono::steady_clock::now());
+}
+
 connection_guard::connection_guard(QTcpSocket *socket, const guard_limits &limits, use_handler onUse)
     : QObject(socket), m_socket(socket), m_limits(limits), m_onUse(std::move(onUse))
 {
+    m_lastProgressAt = steadyNow();
     m_timeout.setSingleShot(true);
     updateTimeout();
     connect(socket, &QTcpSocket::readyRead, this, &connection_guard::onReadyRead);
+    connect(socket, &QTcpSocket::bytesWritten, this, [this] { m_lastProgressAt = steadyNow(); });
     connect(&m_timeout, &QTimer::timeout, socket, &QTcpSocket::abort);
 }
 
 void connection_guard::onReadyRead()
 {
+    m_lastProgressAt = steadyNow();
     if (m_rejected) {
         m_socket->readAll();
         return;
@@ -60,7 +69,25 @@
 {
     m_isAnswering = false;
     m_body = 0;
+    m_lastProgressAt = steadyNow();
     updateTimeout();
+    if (m_isClosing) {
+        QMetaObject::invokeMethod(m_socket, &QTcpSocket::disconnectFromHost, Qt::QueuedConnection);
+    }
+}
+
+net::connection_activity connection_guard::activity(common::instant now) const
+{
+    if (!m_hasRequested) {
+        return net::connection_activity::unused;
+    }
+    const bool isAnswerUnread = m_socket->bytesToWrite() > 0;
+    const bool isRequestIncomplete = m_bodyLeft > 0;
+    if (!m_isAnswering && !m_rejected && !isRequestIncomplete && !isAnswerUnread) {
+        return net::connection_activity::idle;
+    }
+    const bool isStalled = (isRequestIncomplete || isAnswerUnread) && now - m_lastProgressAt > stallTime;
+    return isStalled ? net::connection_activity::stalled : net::connection_activity::active;
 }
 
 net::memory_use connection_guard::memoryUse() const
--- a/packages/gateway/src/detail/connection-guard.h
+++ b/packages/gateway/src/detail/connection-guard.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <masticlever/common/time.h>
+#include <masticlever/net/connection-limit.h>
 #include <masticlever/net/memory-account.h>
 
 #include <QByteArray>
@@ -23,6 +25,8 @@
     std::chrono::milliseconds idleTimeout{}; ///< of a connection without a request
 };
 
+common::instant steadyNow();
+
 /// QAbstractHttpServer buffers the whole head and body of a request, whatever their size. The guard peeks at the
 /// incoming data and rejects a request with 400, 411, 413 or 503 before it is buffered. It must connect to the socket
 /// before the server does, so that it sees the data first.
@@ -43,9 +47,12 @@
     void shed();
     /// Aborts the connection.
     void close() { m_socket->abort(); }
+    /// Closes the connection after the answer to the request in flight.
+    void closeAfterAnswer() { m_isClosing = true; }
+    bool isClosingAfterAnswer() const { return m_isClosing; }
     net::memory_use memoryUse() const;
-    /// Whether no request has been received on the connection.
-    bool isUnused() const { return !m_hasRequested; }
+    net::connection_activity activity(common::instant now) const;
+    common::instant lastProgressAt() const { return m_lastProgressAt; }
 
     std::uint64_t number = 0; ///< greater for newer connections
     std::uint32_t address = 0; ///< of the caller
@@ -67,6 +74,8 @@
     bool m_isAnswering = false; ///< a request has been read and not been answered
     bool m_hasRequested = false;
     bool m_rejected = false;
+    bool m_isClosing = false; ///< after the answer to the request in flight
+    common::instant m_lastProgressAt; ///< last byte from the caller or answer to it
     QTimer m_timeout; ///< ends the connection: an idle one, one with an incomplete request, and one after a rejection
 };
 
--- a/packages/net/include/masticlever/net/stream-socket.h
+++ b/packages/net/include/masticlever/net/stream-socket.h
@@ -84,6 +84,8 @@
     void closeWhenSent();
     /// Resets the connection, so that the peer cannot mistake a partial message for a complete one.
     void abort();
+    /// Closes the connection at once. The peer sees an orderly close if it has read everything and sends nothing more.
+    void closeNow();
     void setReading(bool isReading);
     /// Limits the bytes that the kernel receives before they are read. It takes up to twice as much memory.
     void setReceiveBuffer(std::size_t bytes);
--- a/packages/net/src/connection-limit.cpp
+++ b/packages/net/src/connection-limit.cpp
@@ -3,6 +3,7 @@
 #include <sys/resource.h>
 
 #include <algorithm>
+#include <tuple>
 
 namespace masticlever::net
 {
@@ -15,8 +16,7 @@
     return isKnown ? files.rlim_cur : usualLimit;
 }
 
-std::optional<std::uint64_t> connectionToClose(std::span<const connection_state> connections,
-                                               const connection_limits &limits)
+connection_decision onConnectionAdded(std::span<const connection_state> connections, const connection_limits &limits)
 {
     if (connections.empty()) {
         return {};
@@ -28,14 +28,28 @@
     if (!isAddressFull && connections.size() <= limits.total) {
         return {};
     }
-    std::uint64_t oldest = added.number;
-    for (const connection_state &connection : connections) {
-        const bool isCandidate = connection.isUnused && (!isAddressFull || connection.address == added.address);
-        if (isCandidate && connection.number < oldest) {
-            oldest = connection.number;
+    const auto rank = [](const connection_state &connection) {
+        // An unused connection gets no younger by sending its head byte by byte.
+        const bool isUnused = connection.activity == connection_activity::unused;
+        return std::tuple(connection.activity, isUnused ? common::instant{} : connection.since, connection.number);
+    };
+    const connection_state *first = nullptr;
+    const connection_state *oldestActive = nullptr;
+    for (const connection_state &connection : connections.first(connections.size() - 1)) {
+        if (isAddressFull && connection.address != added.address) {
+            continue;
         }
+        if (connection.activity != connection_activity::active) {
+            first = first == nullptr || rank(connection) < rank(*first) ? &connection : first;
+        } else if (!connection.isLast && (oldestActive == nullptr || connection.number < oldestActive->number)) {
+            oldestActive = &connection;
+        }
+    }
+    if (first != nullptr) {
+        return {.closed = first->number, .last = {}};
     }
-    return oldest;
+    return {.closed = added.number,
+            .last = oldestActive == nullptr ? std::nullopt : std::optional(oldestActive->number)};
 }
 
 } // namespace masticlever::net
--- a/packages/net/src/stream-socket.cpp
+++ b/packages/net/src/stream-socket.cpp
@@ -203,6 +203,12 @@
     closeDescriptor();
 }
 
+void stream_socket::closeNow()
+{
+    m_handler = nullptr;
+    closeDescriptor();
+}
+
 void stream_socket::setReading(bool isReading)
 {
     if (m_descriptor >= 0 && m_isConnected) {
--- a/tests/crowds/misbehaving-callers-test.cpp
+++ b/tests/crowds/misbehaving-callers-test.cpp
@@ -23,6 +23,7 @@
 constexpr std::size_t idleCallers = 400;
 constexpr std::size_t manyCallers = 800;
 constexpr std::size_t fewCallers = 140;
+constexpr std::size_t keptRequests = 1000; ///< that a connection sends byte by byte, more than it can within a test
 constexpr int crowdMilliseconds = 8000;
 
 std::string bodyHead(const std::string &framing)
@@ -177,6 +178,16 @@
         crowd.run(crowdMilliseconds);
         crowd.checkProcess();
     }
+    SECTION("with bodies on hundreds of connections")
+    {
+        crowd_fixture crowd({.descriptorLimit = crowds::machineDescriptors});
+        constexpr std::size_t requests = 400;
+        const std::string request = bodyHead("Content-Length: 65536") + std::string(65536, 'x');
+        crowd.connect(manyCallers, crowds::port::front,
+                      {.repeated = request, .repeatedBytes = requests * request.size()});
+        crowd.run(crowdMilliseconds);
+        crowd.checkProcess();
+    }
     SECTION("to no route")
     {
         crowd_fixture crowd;
@@ -202,6 +213,54 @@
     crowd.checkProcess();
 }
 
+// Guards against callers that hold all connections and so keep everybody else out.
+TEST_CASE("Ordinary callers are answered while hundreds of callers leave streams unread", "[many-streams]")
+{
+    crowd_fixture crowd({.descriptorLimit = crowds::machineDescriptors});
+    crowd.model().behaviour.events = 400;
+    crowd.model().behaviour.eventInterval = std::chrono::milliseconds(20);
+    constexpr std::size_t requestsAhead = 60;
+    const std::string request
+        = "POST /chat/ HTTP/1.1\r\nRequest-Id: crowd\r\n" + requestFields + "Content-Length: 0\r\n\r\n";
+    std::string opening;
+    for (std::size_t i = 0; i < requestsAhead; ++i) {
+        opening += request;
+    }
+    crowd.connect(manyCallers, crowds::port::front,
+                  {.opening = opening,
+                   .repeated = request,
+                   .repeatedBytes = keptRequests * request.size(),
+                   .trickledBytes = keptRequests * request.size(),
+                   .isReconnecting = true});
+    crowd.run(crowdMilliseconds);
+    crowd.checkProcess();
+}
+
+// Guards against the same by callers whose requests are sound.
+TEST_CASE("Ordinary callers are answered while hundreds of callers keep their connections", "[kept]")
+{
+    crowd_fixture crowd({.descriptorLimit = crowds::machineDescriptors});
+    const std::string request = bodyHead("Content-Length: 2") + "hi";
+    crowds::transmission sent{.opening = request,
+                              .repeated = request,
+                              .repeatedBytes = keptRequests * request.size(),
+                              .trickledBytes = keptRequests * request.size()};
+
+    SECTION("and send one request after the other, byte by byte")
+    {
+        crowd.connect(manyCallers, crowds::port::front, sent);
+        crowd.run(crowdMilliseconds);
+        crowd.checkProcess();
+    }
+    SECTION("and return when they are closed")
+    {
+        sent.isReconnecting = true;
+        crowd.connect(manyCallers, crowds::port::front, sent);
+        crowd.run(crowdMilliseconds);
+        crowd.checkProcess();
+    }
+}
+
 TEST_CASE("A process survives callers that leave in the middle of a body and return", "[reconnecting]")
 {
     crowd_fixture crowd;
