--- a/tests/crowds/crowd-fixture.cpp
+++ b/tests/crowds/crowd-fixture.cpp
@@ -26,10 +26,12 @@
     }
 }
 
-std::string configuration(const crowd_options &options)
+std::string configuration(int version, const crowd_options &options)
 {
     std::string text = site::demoConfiguration();
-    replaceAll(text, "\"max_body_bytes\":65536", "\"max_body_bytes\":" + std::to_string(bodyLimit));
+    replaceAll(text, "\"version\":1", "\"version\":" + std::to_string(version));
+    replaceAll(text, "\"max_body_bytes\":65536", "\"max_body_bytes\":" + std::to_string(options.bodyLimit));
+    replaceAll(text, "\"max_conns\":64", "\"max_conns\":" + std::to_string(options.endpointConnections));
     replaceAll(text, "\"slots\":1,", "\"slots\":" + std::to_string(options.parallelCalls) + ",");
     replaceAll(text, "\"batch\":4", "\"batch\":" + std::to_string(options.batchSize));
     return text;
@@ -44,7 +46,7 @@
       m_descriptorBound(options.descriptorLimit / 8 * 7), // the rest is for endpoints and other instances
       m_usage(m_fleet.processId(0))
 {
-    m_store.put("keyed.op", "config", configuration(options));
+    changeConfiguration(options);
     addEndpoint("desk-1", site::site_endpoint::kind::plain, "desk");
     addEndpoint("model-1", site::site_endpoint::kind::model, "model");
     for (std::size_t i = 1; i <= options.stageEndpoints; ++i) {
@@ -61,6 +63,11 @@
     m_store.put("keyed.servers", id, m_endpoints.back()->registration());
 }
 
+void crowd_fixture::changeConfiguration(const crowd_options &options)
+{
+    m_store.put("keyed.op", "config", configuration(++m_version, options));
+}
+
 void crowd_fixture::failPieces(const std::string &service)
 {
     for (const auto &endpoint : m_endpoints) {
--- a/tests/crowds/crowd-fixture.h
+++ b/tests/crowds/crowd-fixture.h
@@ -37,6 +37,8 @@
     std::size_t stageEndpoints = 1; ///< of each stage service
     std::size_t batchSize = 4; ///< pieces in one call to an endpoint of a stage
     std::size_t parallelCalls = 1; ///< at one endpoint of a stage
+    std::size_t endpointConnections = 64; ///< that an endpoint accepts
+    std::size_t bodyLimit = crowds::bodyLimit;
 };
 
 class crowd_fixture
@@ -58,6 +60,8 @@
 
     std::string addressOf(port target) const { return m_fleet.addressOf(0, target); }
     site::site_endpoint &model() { return *m_endpoints[1]; }
+    /// Writes a version of the configuration that differs in these options.
+    void changeConfiguration(const crowd_options &options);
     /// From now on, the endpoints of the stage service answer each piece of a call with an error.
     void failPieces(const std::string &service);
 
@@ -70,6 +74,7 @@
     char *m_arguments[2] = {m_name, nullptr};
     QCoreApplication m_application{m_argumentCount, m_arguments};
     site::site_store m_store;
+    int m_version = 0; ///< of the configuration
     std::vector<std::unique_ptr<site::site_endpoint>> m_endpoints; ///< a plain one, a model, and those of stages
     std::string m_storeAddress;
     soak::soak_fleet m_fleet;
--- a/tests/crowds/misbehaving-callers-test.cpp
+++ b/tests/crowds/misbehaving-callers-test.cpp
@@ -294,3 +294,31 @@
     crowd.run(crowdMilliseconds);
     crowd.checkProcess();
 }
+
+TEST_CASE("A process survives large answers that hundreds of callers do not read", "[many-large-answers]")
+{
+    crowd_fixture crowd({.descriptorLimit = crowds::machineDescriptors, .endpointConnections = 832});
+    crowd.model().behaviour.kind = site::endpoint_behaviour::fault::endless_events;
+    const std::string request
+        = "POST /chat/ HTTP/1.1\r\nRequest-Id: crowd\r\n" + requestFields + "Content-Length: 0\r\n\r\n";
+    crowd.connect(manyCallers, crowds::port::front, {.opening = request});
+    crowd.run(crowdMilliseconds);
+    crowd.checkProcess();
+}
+
+TEST_CASE("A process survives a crowd while the limits change", "[changing]")
+{
+    crowd_fixture crowd({.descriptorLimit = crowds::machineDescriptors});
+    crowd.connect(manyCallers, crowds::port::front,
+                  {.opening = bodyHead("Content-Length: " + std::to_string(bodyLimit)),
+                   .repeated = std::string(65536, 'x'),
+                   .repeatedBytes = bodyLimit - 1,
+                   .isReconnecting = true});
+    constexpr int changes = 8;
+    for (int i = 0; i < changes; ++i) {
+        const std::size_t limit = i % 2 == 0 ? bodyLimit / 64 : bodyLimit;
+        crowd.changeConfiguration({.bodyLimit = limit});
+        crowd.run(crowdMilliseconds / changes);
+    }
+    crowd.checkProcess();
+}
