The answer to a request that was read whole is not given up for its receive buffer

Read in the diff: a caller that sent a body above 32 KiB and whose connection closes after the answer was the first to be aborted when memory was needed, although nothing of it arrives any more, and its answer may have been in transit.

--- a/packages/frontend/src/caller-connection.cpp
+++ b/packages/frontend/src/caller-connection.cpp
@@ -96,7 +96,8 @@
     const std::size_t spare
         = m_reader.allocatedBytes() - m_reader.pendingBytes() + m_socket->allocatedBytes() - unsentBytes();
     if (m_isFinished) {
-        return {.receiveBuffer = receiveBuffer,
+        // Nothing more arrives of a request that has been read whole.
+        return {.receiveBuffer = m_reader.isEnded() ? 0 : receiveBuffer,
                 .readAhead = m_reader.pendingBytes(),
                 .unsent = unsentBytes(),
                 .spare = spare,
--- a/packages/frontend/src/caller-connection.h
+++ b/packages/frontend/src/caller-connection.h
@@ -79,7 +79,9 @@
     /// yet, as on an overloaded instance.
     bool hasCallerDisconnected() const { return m_isGone || m_socket->hasPeerClosed(); }
     bool isIdle() const { return !m_isBusy && m_reader.isUntouched(); }
+    /// What the connection waits for, for the choice of the one to close when there are too many.
     net::connection_activity activity(common::instant now) const;
+    /// When the caller last sent something or read of what is unsent, to the accuracy of a tick.
     common::instant lastProgressAt() const { return m_lastProgressAt; }
     bool isClosingAfterAnswer() const { return m_isClosing; }
     std::size_t unsentBytes() const { return m_socket->unsentBytes(); }
--- a/packages/frontend/src/caller-limits.h
+++ b/packages/frontend/src/caller-limits.h
@@ -33,6 +33,7 @@
     /// to be shed.
     bool updateMemory(const caller_map &callers, const caller_connection &caller, const net::memory_use &use,
                       common::instant now);
+    /// Whether callers may hold \p bytes more without any of them being shed.
     bool hasMemory(std::size_t bytes) const { return m_memory.hasRoom(bytes); }
     void forgetGone(const caller_map &callers);
     /// Connections to endpoints that may be open beside \p callers connections of callers.
--- a/packages/frontend/test/caller-connection-test.cpp
+++ b/packages/frontend/test/caller-connection-test.cpp
@@ -207,6 +207,17 @@
             CHECK(caller.memoryUse().total() == 0);
         }
     }
+    SECTION("it no longer counts when the request has been read whole, so that the answer is not lost")
+    {
+        caller.closeAfterAnswer();
+        send(head);
+        send(std::string(99999, 'x'));
+        REQUIRE(runUntil([&] { return caller.memoryUse().receivedBody == 100000; }));
+        caller.beginAnswer(answerHead(200), 0);
+        caller.endAnswer();
+        CHECK(caller.memoryUse().isClosing);
+        CHECK(caller.memoryUse().receiveBuffer == 0);
+    }
     SECTION("it stays small without room, until there is some")
     {
         handler.hasMemory = false;
--- a/packages/gateway/src/detail/connection-guard.h
+++ b/packages/gateway/src/detail/connection-guard.h
@@ -25,6 +25,7 @@
     std::chrono::milliseconds idleTimeout{}; ///< of a connection without a request
 };
 
+/// The time that connections are compared by.
 common::instant steadyNow();
 
 /// QAbstractHttpServer buffers the whole head and body of a request, whatever their size. The guard peeks at the
@@ -51,6 +52,7 @@
     void closeAfterAnswer() { m_isClosing = true; }
     bool isClosingAfterAnswer() const { return m_isClosing; }
     net::memory_use memoryUse() const;
+    /// What the connection waits for, for the choice of the one to close when there are too many.
     net::connection_activity activity(common::instant now) const;
     common::instant lastProgressAt() const { return m_lastProgressAt; }
 
