--- a/review/stand-3/deployment.cpp
+++ b/review/stand-3/deployment.cpp
@@ -149,6 +149,17 @@
     return target.process && target.process->state() != QProcess::NotRunning;
 }
 
+std::string deployment::peakMemory(std::size_t index) const
+{
+    std::ifstream status("/proc/" + std::to_string(processId(index)) + "/status");
+    for (std::string line; std::getline(status, line);) {
+        if (line.starts_with("VmHWM:")) {
+            return line.substr(line.find_first_of("0123456789"));
+        }
+    }
+    return "unknown";
+}
+
 void deployment::start(std::size_t index)
 {
     daemon &target = m_daemons[index];
--- a/review/stand-3/deployment.h
+++ b/review/stand-3/deployment.h
@@ -42,6 +42,8 @@
     const std::string &front(std::size_t daemon) const { return m_daemons[daemon].front; }
     qint64 processId(std::size_t daemon) const { return m_daemons[daemon].process->processId(); }
     bool isRunning(std::size_t daemon) const;
+    /// The most memory that the process has had resident, as the kernel states it.
+    std::string peakMemory(std::size_t daemon) const;
     void start(std::size_t daemon);
     void signal(std::size_t daemon, int number);
     /// Waits until all daemons answer that they are ready.
--- a/review/stand-3/engine.cpp
+++ b/review/stand-3/engine.cpp
@@ -229,8 +229,8 @@
         }
     }
     m_log.add(m_id + " runs " + requestId + (inputs.empty() ? "" : " with inputs " + joined(inputs)));
-    runs.push_back(
-        {requestId, exchange->head().target, exchange->field("Tenant"), inputs, exchange->body(), m_log.elapsed()});
+    runs.push_back({requestId, exchange->head().target, exchange->field("Tenant"), inputs, exchange->body().size(),
+                    m_log.elapsed()});
     const auto time = workTimeOf ? workTimeOf(requestId) : workTime;
     QTimer::singleShot(time, &m_timers, [this, exchange, inputs] {
         if (!exchange->isOpen()) {
--- a/review/stand-3/engine.h
+++ b/review/stand-3/engine.h
@@ -56,7 +56,7 @@
     std::string target;
     std::string tenant;
     std::vector<std::string> inputs;
-    std::string body;
+    std::size_t bodyBytes = 0;
     std::chrono::milliseconds at{}; ///< since the start of the record
 };
 
