--- a/review/stand-3/deployment.cpp
+++ b/review/stand-3/deployment.cpp
@@ -160,6 +160,18 @@
     return "unknown";
 }
 
+std::size_t deployment::residentBytes(std::size_t index) const
+{
+    if (!isRunning(index)) {
+        return 0;
+    }
+    std::ifstream file("/proc/" + std::to_string(processId(index)) + "/statm");
+    std::size_t total = 0;
+    std::size_t resident = 0;
+    file >> total >> resident;
+    return resident * static_cast<std::size_t>(::sysconf(_SC_PAGESIZE));
+}
+
 void deployment::start(std::size_t index)
 {
     daemon &target = m_daemons[index];
--- a/review/stand-3/deployment.h
+++ b/review/stand-3/deployment.h
@@ -44,6 +44,8 @@
     bool isRunning(std::size_t daemon) const;
     /// The most memory that the process has had resident, as the kernel states it.
     std::string peakMemory(std::size_t daemon) const;
+    /// Memory that the process has resident now, in bytes; 0 if it is not running.
+    std::size_t residentBytes(std::size_t daemon) const;
     void start(std::size_t daemon);
     void signal(std::size_t daemon, int number);
     /// Waits until all daemons answer that they are ready.
