--- a/review/15/case.cpp
+++ b/review/15/case.cpp
@@ -5,124 +5,107 @@
 #include <QCoreApplication>
 #include <QTimer>
 
+#include <algorithm>
 #include <cstdlib>
 #include <exception>
 #include <memory>
+#include <set>
 #include <string>
-#include <utility>
 #include <vector>
 
 /// \file
-/// A version of the configuration raises `max_body_bytes`. Clients that keep their channels then send orders within the
-/// new limit.
+/// The maker of a stage's inputs crashes while the next engine fetches them for two pieces: the first piece fails, and
+/// the input of the second one is gone. No piece may be ordered again with only a part of its inputs.
 
 using namespace review;
-using masticlever::site::site_caller;
 using std::chrono::milliseconds;
 
 namespace
 {
 
 constexpr std::size_t daemons = 3;
-constexpr std::size_t channelsPerDaemon = 8;
-constexpr std::size_t smallLimit = 65536;
-constexpr std::size_t largeLimit = 4194304;
-constexpr std::size_t smallBody = 600;
-constexpr std::size_t largeBody = 100000;
-constexpr std::size_t allowedDenials = 5; ///< of DENIED; besides, one in 500 of all requests
-constexpr std::size_t requestsPerDenial = 500;
+constexpr std::size_t retrievers = 6; ///< one of them, a sixth, crashes
+constexpr int secondStage = 1;
+constexpr std::size_t firstPieces = 2; ///< inputs of each piece of the second stage
 constexpr milliseconds checkIn{1200};
 constexpr milliseconds propagation{1400}; ///< until all daemons use the entries
-constexpr milliseconds configApply{2000}; ///< config_apply_ms
-constexpr milliseconds timeLimit{4000};
 
-std::string configuration(int version, std::size_t bodyLimit)
+std::string stageService(const std::string &name)
 {
-    return R"({"version":)" + std::to_string(version)
-        + R"(,"routes":[{"name":"order","host":"site.example","path_prefix":"/order/","kind":"unsafe",)"
-          R"("timeout_ms":4000,"target_latency_ms":300,"priority":2,"service":"desk","max_attempts":1}],)"
-          R"("services":[{"name":"desk","health_path":"/healthz","max_conns":96}],)"
-          R"("limits":{"max_header_bytes":16384,"max_body_bytes":)"
-        + std::to_string(bodyLimit)
-        + R"(,"header_timeout_ms":3000,"idle_timeout_ms":15000},)"
-          R"("tenants":[{"name":"tenant-1","api_keys":["key-1"]}]})";
+    return R"({"name":")" + name
+        + R"(","health_path":"/healthz","max_conns":540,"pieces":{"slots":1,"queue":2,"batch":8,"call_ms":30,)"
+          R"("item_ms":5,"headroom_mb":18,"handle_s":4,"link_mbps":10000}})";
 }
 
-/// A channel that a client keeps for several orders.
-struct kept_channel {
-    kept_channel(const std::string &front, std::string channelName) : caller(front), name(std::move(channelName)) { }
-
-    site_caller caller;
-    std::string name;
-    std::size_t sent = 0;
-};
-
-std::string order(const std::string &id, std::size_t bodyBytes)
+std::string configuration()
 {
-    return "POST /order/1 HTTP/1.1\r\nHost: site.example\r\nRequest-Id: " + id + "\r\nDeadline-Ms: "
-        + std::to_string(timeLimit.count()) + "\r\nAuthorization: Bearer key-1\r\nContent-Length: "
-        + std::to_string(bodyBytes) + "\r\n\r\n" + std::string(bodyBytes, 'x');
+    return R"({"version":1,"routes":[{"name":"chat","host":"site.example","path_prefix":"/chat/","kind":"streaming",)"
+           R"("timeout_ms":8000,"target_latency_ms":2300,"priority":1,"service":"model","max_attempts":2,)"
+           R"("sticky":true,"stages":[{"service":"retrieve","after":[],"bytes":8000},)"
+           R"({"service":"rank","after":[0],"bytes":8000}],"resumable":false,"target_gap_ms":300}],)"
+           R"("services":[{"name":"model","health_path":"/healthz","max_conns":540,"engine":{"slots":64,)"
+           R"("kv_capacity":232000,"stride":3}},)"
+        + stageService("retrieve") + "," + stageService("rank")
+        + R"(],"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,)"
+          R"("idle_timeout_ms":15000},"tenants":[{"name":"tenant-1","api_keys":["key-1"]}]})";
 }
 
-/// Sends one order on each channel and returns the number of answers with each status of interest.
-struct order_results {
-    std::size_t served = 0;
-    std::size_t denied = 0; ///< a 4xx other than 408, 421 and 429
-};
-
-order_results sendOrders(std::vector<std::unique_ptr<kept_channel>> &channels, std::size_t bodyBytes, record &log)
+client_request chat(const std::string &id)
 {
-    for (const auto &channel : channels) {
-        const std::string id = channel->name + std::to_string(++channel->sent);
-        log.add("client sends " + id + " with a body of " + std::to_string(bodyBytes) + " bytes");
-        channel->caller.send(order(id, bodyBytes));
-    }
-    waitFor(
-        [&] {
-            std::size_t done = 0;
-            for (const auto &channel : channels) {
-                done += channel->caller.completeAnswers >= channel->sent || channel->caller.isClosed ? 1 : 0;
-            }
-            return done == channels.size();
-        },
-        timeLimit);
-    order_results results;
-    for (const auto &channel : channels) {
-        const bool isAnswered = channel->caller.completeAnswers == channel->sent;
-        const int status = isAnswered ? channel->caller.heads.back().status : 0;
-        const bool isFromEngine = isAnswered && channel->caller.heads.back().find("Server-Signature") != nullptr;
-        log.add("answer to " + channel->name + std::to_string(channel->sent) + ": " + std::to_string(status));
-        results.served += status == 200 ? 1 : 0;
-        const bool isExcepted = status == 408 || status == 421 || status == 429;
-        results.denied += status >= 300 && status < 500 && !isExcepted && !isFromEngine ? 1 : 0;
-    }
-    return results;
+    client_request request;
+    request.path = "/chat/1";
+    request.id = id;
+    request.fields = "Pieces: 2,2\r\nPiece-Key: 7c1e07a291bd\r\nModel: m\r\nToken-Counts: 1460,80\r\n"
+                     "Prompt-Prefix: 5c1e07a2:800,91bd3f06:660\r\n";
+    return request;
 }
 
-std::vector<std::unique_ptr<kept_channel>> openChannels(const deployment &site, char prefix)
+/// Whether the item names the results of all pieces of the first stage, made for the same request.
+bool hasAllInputs(const QJsonObject &item, const result_table &results)
 {
-    std::vector<std::unique_ptr<kept_channel>> channels;
-    for (std::size_t i = 0; i < daemons * channelsPerDaemon; ++i) {
-        channels.push_back(
-            std::make_unique<kept_channel>(site.front(i % daemons), prefix + std::to_string(100 + i) + "-"));
+    const std::string requestId = item.value(QStringLiteral("id")).toString().toStdString();
+    std::set<int> pieces;
+    const QJsonArray inputs = item.value(QStringLiteral("inputs")).toArray();
+    for (const auto &input : inputs) {
+        const stage_result *result = results.findEver(input.toString().toStdString());
+        if (result != nullptr && result->requestId == requestId && result->stage == 0) {
+            pieces.insert(result->piece);
+        }
     }
-    return channels;
+    return pieces.size() == firstPieces && static_cast<std::size_t>(inputs.size()) == firstPieces;
 }
 
 /// Runs the case; returns its exit code.
 int play(const std::string &root, record &log, bool hasTrouble)
 {
     result_table results;
-    std::vector<std::unique_ptr<engine>> desks;
-    for (int i = 1; i <= 3; ++i) {
-        desks.push_back(
-            std::make_unique<engine>("i-desk-" + std::to_string(i), engine::kind::plain, "desk", results, log));
-        desks.back()->start();
+    engine model("i-model-1", engine::kind::model, "model", results, log);
+    engine ranker("i-rank-1", engine::kind::stage, "rank", results, log);
+    model.start();
+    ranker.start();
+    std::vector<std::unique_ptr<engine>> retrieving;
+    for (std::size_t i = 1; i <= retrievers; ++i) {
+        retrieving.push_back(
+            std::make_unique<engine>("i-retrieve-" + std::to_string(i), engine::kind::stage, "retrieve", results, log));
+        retrieving.back()->start();
     }
-    deployment site(root, log, daemons, configuration(1, hasTrouble ? smallLimit : largeLimit));
+    const auto makerOf = [&](const QJsonArray &items) {
+        const auto inputs = items.first().toObject().value(QStringLiteral("inputs")).toArray();
+        const stage_result *result = results.find(inputs.first().toString().toStdString());
+        const auto found = std::ranges::find_if(
+            retrieving, [&](const auto &item) { return result != nullptr && item->id() == result->maker; });
+        return found == retrieving.end() ? nullptr : found->get();
+    };
+
+    deployment site(root, log, daemons, configuration());
+    std::set<std::string> crashed;
     const auto checkInAll = [&] {
-        for (const auto &item : desks) {
-            site.store.put("keyed.servers", item->id(), item->entry());
+        site.store.put("keyed.servers", model.id(), model.entry());
+        site.store.put("keyed.servers", ranker.id(), ranker.entry());
+        for (const auto &item : retrieving) {
+            if (!crashed.contains(item->id())) {
+                site.store.put("keyed.servers", item->id(), item->entry());
+            }
         }
     };
     checkInAll();
@@ -134,30 +117,51 @@
         return 2;
     }
     pause(propagation);
-    auto kept = openChannels(site, 'k');
-    if (sendOrders(kept, smallBody, log).served != kept.size()) {
-        log.add("an order in calm is not served");
+    client probe(site.front(0), chat("0000000000000001"), log);
+    probe.wait();
+    if (probe.status() != 200) {
+        log.add("a request in calm is not served");
         return 2;
     }
-    if (hasTrouble) {
-        site.configure(configuration(2, largeLimit));
+
+    bool crashes = hasTrouble;
+    ranker.onAccepted = [&](const exchange_pointer &exchange) {
+        const QJsonArray items = engine::itemsOf(exchange);
+        engine *maker = items.size() == 2 && crashes ? makerOf(items) : nullptr;
+        if (maker == nullptr) {
+            return false;
+        }
+        crashes = false;
+        ranker.calls.push_back(items);
+        log.add("i-rank-1 is called with " + exchange->body() + " and fetches the inputs of the first piece");
+        crashed.insert(maker->id());
+        maker->crash();
+        ranker.answerStageCall(exchange,
+                               {QJsonObject{{QStringLiteral("reason"), QStringLiteral("error")}},
+                                QJsonObject{{QStringLiteral("reason"), QStringLiteral("gone")}}});
+        return true;
+    };
+    client disturbed(site.front(0), chat("a0a0a0a0a0a0a0a0"), log);
+    disturbed.wait();
+
+    bool isBroken = false;
+    for (const QJsonArray &call : ranker.calls) {
+        for (const auto &value : call) {
+            const QJsonObject item = value.toObject();
+            if (item.value(QStringLiteral("stage")).toInt() == secondStage && !hasAllInputs(item, results)) {
+                isBroken = true;
+                log.add("MIXED: i-rank-1 was asked for piece "
+                        + std::to_string(item.value(QStringLiteral("piece")).toInt()) + " of stage 1 of "
+                        + item.value(QStringLiteral("id")).toString().toStdString()
+                        + " without all results of stage 0");
+            }
+        }
     }
-    pause(configApply + propagation);
-    log.add("orders on new channels");
-    auto fresh = openChannels(site, 'n');
-    const order_results onNew = sendOrders(fresh, largeBody, log);
-    log.add("orders on kept channels");
-    const order_results onKept = sendOrders(kept, largeBody, log);
-    const std::size_t requests = 2 * kept.size() + fresh.size();
-    const std::size_t denied = onNew.denied + onKept.denied;
-    log.add("denied: " + std::to_string(onNew.denied) + " of " + std::to_string(fresh.size()) + " on new channels, "
-            + std::to_string(onKept.denied) + " of " + std::to_string(kept.size()) + " on kept ones");
-    const bool isBroken = denied > allowedDenials + requests / requestsPerDenial;
-    if (!hasTrouble && (onNew.served != fresh.size() || onKept.served != kept.size())) {
-        log.add("an order was not served without a disruption");
+    if (!hasTrouble && disturbed.status() != 200) {
+        log.add("a request was not served without a disruption");
         return 1;
     }
-    log.add(isBroken ? "broken: DENIED" : "held");
+    log.add(isBroken ? "broken" : "held");
     return isBroken ? 1 : 0;
 }
 
