--- a/review/five-3.sh
+++ b/review/five-3.sh
@@ -1,7 +1,9 @@
 #!/usr/bin/env bash
-# Runs each case of the third review once without its disruption and five times with it.
+# Runs cases of the third review, all of them if none is named: once without the disruption and five times with it.
 cd "$(dirname "$0")/.." || exit 2
-for case in "${@:-11 12}"; do
+cases=("$@")
+[ "$#" -gt 0 ] || cases=(11 12 13 14 15)
+for case in "${cases[@]}"; do
     TROUBLE=0 review/"$case"/run.sh
     echo "case $case without trouble: $?"
     for _ in 1 2 3 4 5; do
