--- a/review/stand-3/deployment.h
+++ b/review/stand-3/deployment.h
@@ -39,6 +39,7 @@
 
     masticlever::site::site_store store;
 
+    std::size_t size() const { return m_daemons.size(); }
     const std::string &front(std::size_t daemon) const { return m_daemons[daemon].front; }
     qint64 processId(std::size_t daemon) const { return m_daemons[daemon].process->processId(); }
     bool isRunning(std::size_t daemon) const;
