--- a/review/stand-3/engine.cpp
+++ b/review/stand-3/engine.cpp
@@ -174,16 +174,13 @@
     const std::string body = compact({{QStringLiteral("items"), items}});
     http1::message_head head;
     head.status = 200;
-    head.fields = {{"Content-Type", "application/json"},
-                   {"Server-Load", "0,0,1"},
-                   {"Keep-Alive", keepAlive},
-                   {"Content-Length", std::to_string(body.size())}};
+    head.fields = fieldsFor(exchange);
+    head.fields.push_back({"Content-Type", "application/json"});
+    head.fields.push_back({"Server-Load", "0,0,1"});
+    head.fields.push_back({"Content-Length", std::to_string(body.size())});
     const std::string text = http1::answerText(head) + body;
     m_log.add(m_id + " answers " + body);
     exchange->write(text);
-    if (afterStageAnswer) {
-        afterStageAnswer(exchange, text);
-    }
 }
 
 void engine::onStageCall(const exchange_pointer &exchange)
@@ -191,9 +188,6 @@
     calls.push_back(itemsOf(exchange));
     m_log.add(m_id + " is called on connection " + std::to_string(exchange->connectionNumber()) + " with "
               + exchange->body());
-    if (beforeStageAnswer) {
-        beforeStageAnswer(exchange);
-    }
     QTimer::singleShot(workTime, &m_timers, [this, exchange, items = calls.back()] {
         if (exchange->isOpen()) {
             answerStageCall(exchange, makePieces(items));
@@ -207,7 +201,7 @@
     for (const auto &handle : objectOf(exchange->body()).value(QStringLiteral("handles")).toArray()) {
         m_results.release(handle.toString().toStdString());
     }
-    exchange->answer(200, "", {{"Keep-Alive", keepAlive}});
+    exchange->answer(200, "", fieldsFor(exchange));
 }
 
 void engine::run(const exchange_pointer &exchange)
--- a/review/stand-3/engine.h
+++ b/review/stand-3/engine.h
@@ -86,11 +86,6 @@
     std::function<std::chrono::milliseconds(const std::string &requestId)> workTimeOf;
     /// Called with each request that this engine accepts; returns true if it has dealt with it.
     std::function<bool(const exchange_pointer &exchange)> onAccepted;
-    /// Called before each answer to a call for stage results.
-    std::function<void(const exchange_pointer &exchange)> beforeStageAnswer;
-    /// Called with the text of each answer to a call for stage results.
-    std::function<void(const exchange_pointer &exchange, const std::string &text)> afterStageAnswer;
-
     /// Makes the pieces of a call and returns the items of its answer.
     QJsonArray makePieces(const QJsonArray &items);
     /// Sends the answer to a call for stage results.
